Add design, wire messages, verdict, platform interfaces and kernel

Cause: the repository was empty; every subsystem needs the same verdict type, messages, settings decoder and plug-in registry before it can be written.

Settings are decoded by walking the TOML table next to the struct, because the library reports only the first type error and operators need all faults at once.

--- /dev/null
+++ b/kernel/settings/settings_test.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type sample struct {
+	Name    string            `toml:"name" required:"true"`
+	Listen  Address           `toml:"listen"`
+	Backend URL               `toml:"backend"`
+	Wait    time.Duration     `toml:"wait" min:"1ms" max:"10s"`
+	Factor  float64           `toml:"factor" min:"1" max:"4"`
+	Count   int               `toml:"count" min:"1"`
+	Keys    []Secret          `toml:"keys"`
+	Labels  map[string]string `toml:"labels"`
+	Inner   inner             `toml:"inner"`
+	Plugin  Table             `toml:"plugin"`
+}
+
+type inner struct {
+	Low  int `toml:"low"`
+	High int `toml:"high"`
+}
+
+func (i *inner) Validate() []error {
+	if i.Low > i.High {
+		return []error{errors.New("low is above high")}
+	}
+	return nil
+}
+
+const goodFile = `
+name = "a"
+listen = "127.0.0.1:80"
+backend = "http://127.0.0.2:8080"
+wait = "250ms"
+factor = 2
+count = 3
+keys = ["k1", "k2"]
+labels = { zone = "a" }
+inner = { low = 1, high = 2 }
+[plugin]
+any = [1, 2]
+`
+
+func TestDecode(t *testing.T) {
+	is := is.New(t)
+	s := sample{Count: 9}
+	is.NoErr(Parse("good.toml", goodFile, &s))
+	is.Equal(s.Wait, 250*time.Millisecond)
+	is.Equal(s.Factor, 2.0)
+	is.Equal(s.Keys[1].Reveal(), "k2")
+	is.Equal(s.Labels["zone"], "a")
+	is.Equal(len(s.Plugin), 1)
+}
+
+// An operator who fixes one fault at a time needs a restart for each; all must come at once.
+func TestAllFaultsAtOnce(t *testing.T) {
+	is := is.New(t)
+	err := Parse("bad.toml", `
+listen = "localhost:80"
+backend = "ftp://127.0.0.1:1"
+wait = "soon"
+factor = 9.5
+count = "3"
+colour = "red"
+inner = { low = 3, high = 2, mid = 1 }
+`, &sample{})
+	var faults Faults
+	is.True(errors.As(err, &faults))
+	var keys []string
+	for _, f := range faults {
+		is.Equal(f.File, "bad.toml")
+		keys = append(keys, f.Key)
+	}
+	is.Equal(strings.Join(keys, " "), "name listen backend wait factor count inner.mid colour")
+}
+
+// A rule across keys must be checked below a nested table.
+func TestNestedValidation(t *testing.T) {
+	is := is.New(t)
+	err := Parse("f", "name = \"a\"\ninner = { low = 3, high = 2 }", &sample{})
+	is.Equal(err.Error(), "f: inner: low is above high")
+}
+
+// A secret must not appear in a log line, whichever verb prints it.
+func TestSecretIsHidden(t *testing.T) {
+	is := is.New(t)
+	s := struct{ Key Secret }{"hunter2"}
+	for _, format := range []string{"%v", "%+v", "%#v", "%s"} {
+		is.True(!strings.Contains(fmt.Sprintf(format, s), "hunter2"))
+	}
+}
+
+// Settings are written by hand; no text may crash the decoder.
+func FuzzParse(f *testing.F) {
+	f.Add(goodFile)
+	f.Add("name = 1\n[[plugin]]\nx=1")
+	f.Fuzz(func(t *testing.T, text string) {
+		var s sample
+		if err := Parse("f", text, &s); err == nil && s.Name == "" && !strings.Contains(text, "name") {
+			t.Fatal("a required key was missing without a fault")
+		}
+	})
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,133 @@
+// Package verdict says whether a request may have run. Every error on the request path is or wraps
+// an *Error, so that retries and answers to callers are decided from one type.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run on its backend server.
+type Verdict uint8
+
+// The zero value is Unknown, so a verdict that nobody set never claims too much.
+const (
+	// Unknown means that the request may have run.
+	Unknown Verdict = iota
+	// NotRun means that the request did not run and never will.
+	NotRun
+	// Ran means that the request ran.
+	Ran
+)
+
+// String returns the form used in the Jacinthfork-Verdict header.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Parse reads the form written by String. Any other text is an error.
+func Parse(text string) (Verdict, error) {
+	for _, v := range []Verdict{Unknown, NotRun, Ran} {
+		if text == v.String() {
+			return v, nil
+		}
+	}
+	return Unknown, fmt.Errorf("verdict %q is not ran, not-run or unknown", text)
+}
+
+// Reason is a machine-readable cause, used in problem documents and counters.
+type Reason string
+
+// Reasons. Each is stable, because callers and dashboards match on it.
+const (
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonTooLarge         Reason = "too-large"
+	ReasonUnknownPool      Reason = "unknown-pool"
+	ReasonNoOrganisation   Reason = "missing-organisation"
+	ReasonUnauthorised     Reason = "unauthorised"
+	ReasonNoCandidate      Reason = "no-candidate"
+	ReasonOverBound        Reason = "over-bound"
+	ReasonOverCapacity     Reason = "over-capacity"
+	ReasonOverShare        Reason = "over-share"
+	ReasonOrganisationRate Reason = "organisation-limit"
+	ReasonLeaving          Reason = "leaving"
+	ReasonNotReady         Reason = "not-ready"
+	ReasonDeadline         Reason = "deadline"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonRetryBudget      Reason = "retry-budget"
+	ReasonUnreachable      Reason = "unreachable"
+	ReasonBroken           Reason = "connection-broken"
+	ReasonIncarnation      Reason = "incarnation-changed"
+	ReasonForeignChunk     Reason = "foreign-chunk"
+	ReasonTruncated        Reason = "truncated"
+	ReasonEngineCrash      Reason = "engine-crash"
+	ReasonEngineError      Reason = "engine-error"
+	ReasonCrashSuspect     Reason = "crash-suspect"
+	ReasonCrashRefused     Reason = "crash-refused"
+	ReasonIsolation        Reason = "isolation"
+	ReasonKeyInvalid       Reason = "key-invalid"
+	ReasonKeyExpired       Reason = "key-expired"
+	ReasonKeyFuture        Reason = "key-from-future"
+	ReasonKeyMismatch      Reason = "key-body-mismatch"
+	ReasonKeyInProgress    Reason = "key-in-progress"
+	ReasonKeyOutcomeLost   Reason = "key-outcome-unknown"
+	ReasonKeyAnswerGone    Reason = "key-answer-not-kept"
+	ReasonLogUnavailable   Reason = "log-unavailable"
+	ReasonInternal         Reason = "internal"
+)
+
+// Error is an error with a verdict. RetryAfter is zero when the caller gets no advice.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration
+	Err        error
+}
+
+// New returns an error with the given verdict and reason.
+func New(v Verdict, reason Reason, detail string) *Error {
+	return &Error{Verdict: v, Reason: reason, Detail: detail}
+}
+
+// Wrap returns an error with the given verdict and reason that wraps err.
+func Wrap(v Verdict, reason Reason, err error) *Error {
+	return &Error{Verdict: v, Reason: reason, Detail: err.Error(), Err: err}
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Detail)
+}
+
+// Unwrap returns the wrapped error or nil.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Of returns the verdict of err. An error without a verdict gives Unknown; nil gives Ran.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	return As(err).Verdict
+}
+
+// As returns the first *Error in the chain of err. An error without one becomes an Error with
+// verdict Unknown and ReasonInternal. As(nil) returns nil.
+func As(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(Unknown, ReasonInternal, err)
+}
