--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,31 @@
+package journal
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The journal must stay bounded and must keep the newest entries in order.
+func TestRingKeepsNewest(t *testing.T) {
+	is := is.New(t)
+	j := New(3)
+	for i := range 5 {
+		j.Add(KindRoute, "r", fmt.Sprint(i))
+	}
+	got := j.Entries("r")
+	is.Equal(len(got), 3)
+	for i, e := range got {
+		is.Equal(e.Text, fmt.Sprint(i+2))
+	}
+	is.Equal(len(j.Entries("other")), 0)
+}
+
+// Library users may leave the journal out.
+func TestNilJournal(t *testing.T) {
+	is := is.New(t)
+	var j *Journal
+	j.Add(KindRoute, "r", "x")
+	is.Equal(len(j.Entries("")), 0)
+}
