Add the stand-in for the log service

Cause: claims and configuration need a log that fails in the ways the design lists, in one process and across processes.

Run: gofmt, vet, staticcheck, go test ./standin/...

Conclusion: each scripted fault gives the AppendError that its caller must see.

--- /dev/null
+++ b/standin/logservice/store_test.go
@@ -0,0 +1,128 @@
+package logservice
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"jacinthfork.example/jacinthfork/platform"
+)
+
+// A fault that is scripted but does not act would make failure tests pass without a failure.
+func TestAppendFaults(t *testing.T) {
+	cases := []struct {
+		name        string
+		settings    Settings
+		mayBeStored bool
+		stored      int64
+	}{
+		{"refuse", Settings{Outage: OutageRefuse}, false, 0},
+		{"hang", Settings{Outage: OutageHang}, true, 0},
+		{"lost answer", Settings{LoseAnswers: 1}, true, 1},
+		{"late", Settings{LateAppends: 1, LateBy: time.Minute}, true, 0},
+		{"too large", Settings{MaxRecordBytes: 1}, false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := New(c.settings)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := s.Append(ctx, "a", []byte("record"))
+				is.True(err != nil)
+				is.Equal(platform.MayBeStored(err), c.mayBeStored)
+				is.Equal(s.Counters().Stored, c.stored)
+			})
+		})
+	}
+}
+
+// A late append must be stored after its caller saw the error, and only once.
+func TestLateAppendIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := New(Settings{LateAppends: 1, LateBy: time.Minute})
+		_, err := s.Append(t.Context(), "a", []byte("late"))
+		is.True(platform.MayBeStored(err))
+		offset, err := s.Append(t.Context(), "a", []byte("prompt"))
+		is.NoErr(err)
+		is.Equal(offset, uint64(0))
+		page, err := s.Read(t.Context(), "a", 1, 10, 2*time.Minute)
+		is.NoErr(err)
+		is.Equal(string(page.Records[0].Payload), "late")
+		is.Equal(page.Next, uint64(2))
+	})
+}
+
+// Readers detect lost records by Earliest, so expiry must move it and keep offsets.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := New(Settings{Retention: time.Hour})
+		for range 3 {
+			_, err := s.Append(t.Context(), "a", []byte("x"))
+			is.NoErr(err)
+		}
+		s.Expire("a", 1)
+		page, err := s.Read(t.Context(), "a", 0, 1, 0)
+		is.NoErr(err)
+		is.Equal(page.Records[0].Offset, uint64(1))
+		is.Equal(page.Earliest, uint64(1))
+		time.Sleep(2 * time.Hour)
+		is.Equal(s.Streams(), []StreamState{{"a", 3, 3}})
+	})
+}
+
+// The rate limit must recover, or one burst would refuse appends for good.
+func TestRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := New(Settings{AppendsPerSecond: 100})
+		refused := 0
+		for range 2000 {
+			if _, err := s.Append(t.Context(), "a", nil); errors.Is(err, ErrRate) {
+				refused++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		stored := 2000 - refused
+		is.True(stored >= 199 && stored <= 211)
+	})
+}
+
+// A fault on one stream must leave the others alone, and reads see the outage too.
+func TestFaultPrefix(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{Outage: OutageRefuse, FaultPrefix: "claims/"})
+	_, err := s.Read(t.Context(), "claims/pedidos/0/1", 0, 1, 0)
+	is.True(errors.Is(err, ErrOutage))
+	_, err = s.Append(t.Context(), "config", []byte("x"))
+	is.NoErr(err)
+}
+
+// Operators script faults over HTTP; a wrong key must not be taken silently.
+func TestInspectSettings(t *testing.T) {
+	is := is.New(t)
+	s := New(Settings{Retention: time.Hour})
+	is.NoErr(s.Start("127.0.0.1:0"))
+	defer s.Close()
+	put := func(body string) int {
+		req, err := http.NewRequest("PUT", s.URL()+"/inspect/settings", strings.NewReader(body))
+		is.NoErr(err)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		return resp.StatusCode
+	}
+	is.Equal(put(`{"outage":"hang","append_delay":"5ms","lose_answers":2}`), 200)
+	is.Equal(s.Settings(), Settings{Outage: OutageHang, AppendDelay: 5 * time.Millisecond, LoseAnswers: 2, Retention: time.Hour})
+	for _, body := range []string{`{"outtage":"hang"}`, `{"outage":"broken"}`, `[]`, `{"append_delay":5}`} {
+		is.Equal(put(body), 400)
+	}
+}
