Add the stand-in for model engines

Cause: placement, admission, crash suspects, orders and streaming need an engine whose answers are predictable and whose faults can be scripted.

Changed: engine.Engine serves chat completions (whole and streamed) with an answer computed from the messages, batches requests in slots by priority, keeps an LRU prefix cache of chained block hashes, reports load and cache events late and with gaps, cancels and resumes runs, applies orders with or without a check of the fencing number, exports and imports cached groups, and crashes on a marker in the body. Streams with foreign events or without an end can be scripted.

The race detector first found a test that read run fields without the mutex; the test now uses Requests.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,260 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func startEngine(t *testing.T, change func(*Settings)) *Engine {
+	t.Helper()
+	settings := DefaultSettings()
+	change(&settings)
+	e := New(settings)
+	if err := e.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+func chat(text string, stream bool) string {
+	return fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{"role":"user","content":%q}]}`, stream, text)
+}
+
+func send(ctx context.Context, e *Engine, method, path, id, body string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, e.URL()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(HeaderRequestID, id)
+	req.Header.Set(HeaderCacheGroup, "g")
+	return http.DefaultClient.Do(req)
+}
+
+func post(t *testing.T, e *Engine, id, body string) *http.Response {
+	t.Helper()
+	resp, err := send(t.Context(), e, "POST", "/v1/chat/completions", id, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// events returns the data lines and whether the stream reached [DONE].
+func events(body io.Reader) (got []completion, done bool) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		var c completion
+		switch {
+		case data == "[DONE]":
+			return got, true
+		case ok && json.Unmarshal([]byte(data), &c) == nil:
+			got = append(got, c)
+		}
+	}
+	return got, false
+}
+
+func content(events []completion) string {
+	var text strings.Builder
+	for _, c := range events {
+		if len(c.Choices) > 0 {
+			text.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return text.String()
+}
+
+// Checks of whole answers rely on Answer, so both forms must give it, under the request's own id.
+func TestAnswerInBothForms(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, func(*Settings) {})
+	want := Answer([]byte(chat("hello", true)))
+	is.True(want != Answer([]byte(chat("other", true))))
+	got, done := events(post(t, e, "r1", chat("hello", true)).Body)
+	is.True(done)
+	is.Equal(content(got), want)
+	for _, c := range got {
+		is.Equal(c.ID, "chatcmpl-r1")
+	}
+	is.Equal(got[len(got)-1].Usage.CompletionTokens, DefaultAnswerTokens)
+	var whole completion
+	is.NoErr(json.NewDecoder(post(t, e, "r2", chat("hello", false)).Body).Decode(&whole))
+	is.Equal(whole.Choices[0].Message.Content, want)
+	is.Equal(e.Starts([]byte(chat("hello", true))), 2)
+	is.Equal(post(t, e, "r3", `{"messages":[]}`).StatusCode, http.StatusBadRequest)
+}
+
+// The cache metric is measured here, so a returning chat must hit and an evicted one must not.
+func TestPrefixCache(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, func(s *Settings) { s.CacheTokens = 400 })
+	first := chat(strings.Repeat("log line. ", 100), true)
+	got, _ := events(post(t, e, "r1", first).Body)
+	is.Equal(got[len(got)-1].Usage.PromptDetails.CachedTokens, 0)
+	turn := fmt.Sprintf(`{"messages":[{"role":"user","content":%q},{"role":"assistant","content":%q},{"role":"user","content":"more"}]}`,
+		strings.Repeat("log line. ", 100), Answer([]byte(first)))
+	// All but the last incomplete block of prompt and answer.
+	is.True(e.CachedTokens([]byte(turn)) > PromptTokens([]byte(first)))
+	_, done := events(post(t, e, "r2", chat(strings.Repeat("other text ", 150), true)).Body)
+	is.True(done)
+	is.True(e.CachedTokens([]byte(turn)) < PromptTokens([]byte(first))/2)
+	kinds := ""
+	for _, event := range e.CacheEvents(0).Events {
+		kinds += string(event.Kind) + " "
+	}
+	is.True(strings.Contains(kinds, "stored") && strings.Contains(kinds, "removed"))
+}
+
+// A run without a reader must give its slot back; a kept one must be resumable without a gap.
+func TestCancelAndResume(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, func(s *Settings) {
+		s.TokenInterval = 5 * time.Millisecond
+		s.KeepAfterDisconnect = time.Minute
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	resp, err := send(ctx, e, "POST", "/v1/chat/completions", "r1", chat("a", true))
+	is.NoErr(err)
+	leave()
+	is.NoErr(resp.Body.Close())
+	resumed, err := send(t.Context(), e, "GET", "/v1/requests/r1/stream?after=3", "", "")
+	is.NoErr(err)
+	got, done := events(resumed.Body)
+	is.True(done)
+	tokens := strings.SplitAfter(Answer([]byte(chat("a", true))), " ")
+	is.Equal(content(got), strings.Join(tokens[2:], ""))
+
+	e.SetSettings(Settings{TokenInterval: time.Hour})
+	stopped := post(t, e, "r2", chat("b", true))
+	answer, err := send(t.Context(), e, "DELETE", "/v1/requests/r2", "", "")
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	_, done = events(stopped.Body)
+	is.True(!done)
+	is.Equal(e.Counters().Cancelled, int64(1))
+	is.Equal(e.Load().Tokens(), 0)
+}
+
+// A crash must break every stream and lose the cache, and the engine must come back.
+func TestCrash(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, func(s *Settings) {
+		s.TokenInterval = time.Hour
+		s.DownTime = 20 * time.Millisecond
+	})
+	long := strings.Repeat("text ", 50)
+	bystander := post(t, e, "r1", chat(long, true))
+	_, err := send(t.Context(), e, "POST", "/v1/chat/completions", "r2", chat(DefaultCrashMarker, true))
+	is.True(err != nil)
+	_, done := events(bystander.Body)
+	is.True(!done)
+	is.Equal(e.CachedTokens([]byte(chat(long, true))), 0)
+	is.Equal(e.Counters().Broken, int64(2))
+	time.Sleep(20 * time.Millisecond)
+	e.SetSettings(Settings{})
+	is.Equal(post(t, e, "r3", chat("after", false)).StatusCode, http.StatusOK)
+}
+
+// Tests of foreign and cut answers need an engine that sends them.
+func TestScriptedStreamFaults(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, func(s *Settings) { s.ForeignEvents, s.TruncatedStreams = 1, 1 })
+	got, done := events(post(t, e, "r1", chat("a", true)).Body)
+	is.True(!done)
+	foreign := 0
+	for _, c := range got {
+		if c.ID != "chatcmpl-r1" {
+			foreign++
+		}
+	}
+	is.Equal(foreign, 1)
+	_, done = events(post(t, e, "r2", chat("a", true)).Body)
+	is.True(done)
+}
+
+// With one slot the waiting request of the higher priority is next, and load reports lag.
+func TestPriorityAndLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := New(Settings{Slots: 1, TokenInterval: time.Second, LoadLag: 5 * time.Second})
+		submit := func(id string, priority int) {
+			request, err := parseRequest([]byte(chat(id, true)))
+			is.NoErr(err)
+			header := http.Header{HeaderRequestID: {id}, HeaderPriority: {fmt.Sprint(priority)}}
+			r, err := e.newRun(header, request)
+			is.NoErr(err)
+			is.NoErr(e.submit(r))
+		}
+		time.Sleep(5 * time.Second)
+		submit("first", 0)
+		submit("low", 1)
+		submit("high", 2)
+		synctest.Wait()
+		is.Equal(e.Load().Waiting, 2)
+		is.Equal(e.ReportedLoad().Waiting, 0)
+		time.Sleep(6 * time.Second)
+		is.Equal(e.ReportedLoad().Waiting, 2)
+		time.Sleep(20 * time.Second)
+		low, high := e.Requests()[1], e.Requests()[2]
+		is.Equal(high.State, StateRunning)
+		is.True(!low.Started)
+		time.Sleep(time.Minute)
+		is.Equal(e.Load().Tokens(), 0)
+		is.Equal(e.Counters().Finished, int64(3))
+		is.Equal(e.Counters().MaxRunning, 1)
+	})
+}
+
+// The sidecar must work with engines that check fencing numbers and with those that do not.
+func TestOrders(t *testing.T) {
+	for _, check := range []bool{true, false} {
+		is := is.New(t)
+		e := startEngine(t, func(s *Settings) { s.CheckFencing = check })
+		order := func(fencing int) int {
+			resp, err := send(t.Context(), e, "POST", "/orders", "", fmt.Sprintf(`{"fencing":%d,"model":"m%d"}`, fencing, fencing))
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+			return resp.StatusCode
+		}
+		is.Equal(order(7), http.StatusOK)
+		old := order(6)
+		is.Equal(old == http.StatusConflict, check)
+		is.Equal(e.OrderState().Current.Fencing == 7, check)
+		is.Equal(e.Counters().FencingRegressions == 0, check)
+	}
+}
+
+// An exported group must save the importing engine the prefill.
+func TestExportAndImport(t *testing.T) {
+	is := is.New(t)
+	from, to := startEngine(t, func(*Settings) {}), startEngine(t, func(*Settings) {})
+	body := chat(strings.Repeat("shared ", 200), true)
+	_, done := events(post(t, from, "r1", body).Body)
+	is.True(done)
+	kv, err := send(t.Context(), from, "GET", "/kv/g", "", "")
+	is.NoErr(err)
+	text, err := io.ReadAll(kv.Body)
+	is.NoErr(err)
+	resp, err := send(t.Context(), to, "PUT", "/kv/g", "", string(text))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNoContent)
+	is.Equal(to.CachedTokens([]byte(body)), from.CachedTokens([]byte(body)))
+	to.SetSettings(Settings{CacheTokens: 1 << 16, Model: "x"})
+	to.Crash()
+	resp, err = send(t.Context(), to, "PUT", "/kv/g", "", string(text))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusConflict)
+}
