Add adapters for the log service and the instance list

Cause: the daemons reach the platform over HTTP, and at-most-once execution depends on a truthful answer to whether a failed append may be stored.

Changed: httplog calls an append not stored only when no connection was obtained, the adapter refused it, or the answer proves it; everything else may be stored.

Conclusion: outage, size and refused connection are proven not stored; timeout, lost answer and late append may be stored.

--- /dev/null
+++ b/plugin/instances/internal/entry/entry.go
@@ -0,0 +1,40 @@
+// Package entry checks entries of instance lists.
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"jacinthfork.example/jacinthfork/platform"
+)
+
+// Check returns what makes an entry unusable, or nil.
+func Check(i platform.Instance) error {
+	if i.ID == "" {
+		return errors.New("id is empty")
+	}
+	switch i.Role {
+	case platform.RoleRouter:
+	case platform.RoleSidecar:
+		if i.Pool == "" {
+			return fmt.Errorf("instance %q: a sidecar needs a pool", i.ID)
+		}
+		if i.Address == "" {
+			return fmt.Errorf("instance %q: a sidecar needs an address", i.ID)
+		}
+	default:
+		return fmt.Errorf("instance %q: role %q is not router or sidecar", i.ID, i.Role)
+	}
+	return errors.Join(checkAddress(i.ID, i.Address), checkAddress(i.ID, i.OperatorAddress))
+}
+
+func checkAddress(id, address string) error {
+	if address == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return fmt.Errorf("instance %q: %q is not an IP address with a port", id, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/plugin/instances/static/static.go
@@ -0,0 +1,80 @@
+// Package static is an instance list that is written into the settings, for small fleets that do not
+// change. It registers as kernel.KindInstances "static".
+package static
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/settings"
+	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/plugin/instances/internal/entry"
+)
+
+func init() {
+	kernel.Register(kernel.KindInstances, "static", func() any { return &List{} })
+}
+
+// Entry is one instance in the settings.
+type Entry struct {
+	ID              string           `toml:"id" required:"true"`
+	Role            string           `toml:"role" required:"true"`
+	Pool            string           `toml:"pool"`
+	Address         settings.Address `toml:"address"`
+	OperatorAddress settings.Address `toml:"operator_address"`
+	FailureDomain   string           `toml:"failure_domain" required:"true"`
+	Region          string           `toml:"region" required:"true"`
+	Leaving         bool             `toml:"leaving"`
+}
+
+// List is the adapter.
+type List struct {
+	Entries []Entry `toml:"instance" required:"true"`
+
+	instances []platform.Instance
+}
+
+var _ platform.InstanceList = (*List)(nil)
+
+// Provision implements kernel.Provisioner.
+func (l *List) Provision(*kernel.Context) error {
+	for _, e := range l.Entries {
+		l.instances = append(l.instances, e.instance())
+	}
+	return nil
+}
+
+// Validate implements kernel.Validator. It reports all invalid entries and repeated IDs.
+func (l *List) Validate() error {
+	var faults []error
+	known := make(map[string]bool)
+	for _, instance := range l.instances {
+		if known[instance.ID] {
+			faults = append(faults, fmt.Errorf("instance %q is listed twice", instance.ID))
+		}
+		known[instance.ID] = true
+		faults = append(faults, entry.Check(instance))
+	}
+	return errors.Join(faults...)
+}
+
+// List implements platform.InstanceList. It never fails.
+func (l *List) List(context.Context) ([]platform.Instance, error) {
+	return slices.Clone(l.instances), nil
+}
+
+func (e Entry) instance() platform.Instance {
+	return platform.Instance{
+		ID:              e.ID,
+		Role:            platform.Role(e.Role),
+		Pool:            e.Pool,
+		Address:         string(e.Address),
+		OperatorAddress: string(e.OperatorAddress),
+		FailureDomain:   e.FailureDomain,
+		Region:          e.Region,
+		Leaving:         e.Leaving,
+	}
+}
--- /dev/null
+++ b/plugin/log/httplog/httplog_test.go
@@ -0,0 +1,165 @@
+package httplog
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/settings"
+	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/standin/logservice"
+)
+
+func adapter(t *testing.T, url string) *Log {
+	t.Helper()
+	ctx := kernel.NewContext("n1", kernel.NewLogger(io.Discard, slog.LevelInfo, "n1"))
+	log, err := kernel.Load[platform.Log](ctx, kernel.KindLog, "httplog",
+		settings.Table{"url": url, "append_timeout": "200ms"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return log.(*Log)
+}
+
+func startStore(t *testing.T, s logservice.Settings) *logservice.Store {
+	t.Helper()
+	store := logservice.New(s)
+	if err := store.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	return store
+}
+
+func TestAppendAndRead(t *testing.T) {
+	is := is.New(t)
+	store := startStore(t, logservice.Settings{})
+	log := adapter(t, store.URL())
+	const stream = "claims/pedidos/0/a b%2F"
+	offset, err := log.Append(t.Context(), stream, []byte{0, 1, 255})
+	is.NoErr(err)
+	is.Equal(offset, uint64(0))
+	is.Equal(store.Streams()[0].Name, stream)
+	page, err := log.Read(t.Context(), stream, 0, 10, 0)
+	is.NoErr(err)
+	is.Equal(page.Records[0].Payload, []byte{0, 1, 255})
+	is.Equal(page.Next, uint64(1))
+}
+
+// A long poll must return with the record, not at its end.
+func TestReadWaits(t *testing.T) {
+	is := is.New(t)
+	store := startStore(t, logservice.Settings{})
+	log := adapter(t, store.URL())
+	got := make(chan platform.Page, 1)
+	go func() {
+		page, _ := log.Read(t.Context(), "config", 0, 10, time.Minute)
+		got <- page
+	}()
+	for store.Counters().Reads == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := store.Append(t.Context(), "config", []byte("x"))
+	is.NoErr(err)
+	is.Equal(len((<-got).Records), 1)
+}
+
+// An append called not stored that is stored after all would let an action run twice; one called
+// unknown that is not stored only costs a read.
+func TestMayBeStored(t *testing.T) {
+	cases := []struct {
+		name     string
+		settings logservice.Settings
+		want     bool
+	}{
+		{"outage", logservice.Settings{Outage: logservice.OutageRefuse}, false},
+		{"hang", logservice.Settings{Outage: logservice.OutageHang}, true},
+		{"lost answer", logservice.Settings{LoseAnswers: 1}, true},
+		{"late", logservice.Settings{LateAppends: 1}, true},
+		{"too large", logservice.Settings{MaxRecordBytes: 1}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			log := adapter(t, startStore(t, c.settings).URL())
+			_, err := log.Append(t.Context(), "s", []byte("record"))
+			is.True(err != nil)
+			is.Equal(platform.MayBeStored(err), c.want)
+		})
+	}
+}
+
+// Answers that the service did not write prove nothing unless the status does.
+func TestForeignAnswers(t *testing.T) {
+	cases := []struct {
+		status int
+		body   string
+		want   bool
+	}{
+		{http.StatusBadGateway, "<html>", true},
+		{http.StatusServiceUnavailable, `{"error":"x"}`, true},
+		{http.StatusInternalServerError, `{"may_be_stored":false}`, false},
+		{http.StatusTooManyRequests, "", false},
+		{http.StatusTooManyRequests, `{"may_be_stored":true}`, true},
+		{http.StatusCreated, "{}", true},
+		{http.StatusCreated, "{", true},
+		{http.StatusTemporaryRedirect, "", true},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_, _ = io.WriteString(w, c.body)
+		}))
+		_, err := adapter(t, server.URL).Append(t.Context(), "s", nil)
+		is.True(err != nil)
+		is.Equal(platform.MayBeStored(err), c.want) // status and body of the case
+		server.Close()
+	}
+}
+
+// A request that never left this process is proven not stored, whatever the reason.
+func TestNothingSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	log := adapter(t, "http://"+address)
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for name, f := range map[string]func() error{
+		"refused":   func() error { _, err := log.Append(t.Context(), "s", nil); return err },
+		"cancelled": func() error { _, err := log.Append(cancelled, "s", nil); return err },
+		"name":      func() error { _, err := log.Append(t.Context(), "a//b", nil); return err },
+		"size":      func() error { _, err := log.Append(t.Context(), "s", make([]byte, 2<<20)); return err },
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := f()
+			if err == nil || platform.MayBeStored(err) {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
+
+// A page with offsets out of order would corrupt the state that is built from it.
+func TestBadPageIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, a := range []pageAnswer{
+		{Records: []recordAnswer{{Offset: 1}}, Next: 5},
+		{Records: []recordAnswer{{Offset: 3}, {Offset: 3}}, Next: 5},
+		{Records: []recordAnswer{{Offset: 5}}, Next: 5},
+		{Records: []recordAnswer{{Offset: 2}}, Earliest: 3, Next: 5},
+	} {
+		_, err := a.page(2)
+		is.True(err != nil)
+	}
+}
