Add package claim, the at-most-once protocol on the log

Cause: a non-idempotent action must run at most once, although the plain services check no fencing numbers and a paused holder can resume after any lease.

--- /dev/null
+++ b/claim/claimpb/doc.go
@@ -0,0 +1,3 @@
+// Package claimpb holds the log records of package claim. To regenerate it, run "buf generate" in
+// this directory.
+package claimpb
--- /dev/null
+++ b/claim/claimpb/entry.go
@@ -0,0 +1,9 @@
+package claimpb
+
+// EntryKind is one of the kinds of an Entry.
+type EntryKind = isEntry_Kind
+
+// NewEntry returns an entry of the given kind.
+func NewEntry(key []byte, nonce [16]byte, kind EntryKind) *Entry {
+	return &Entry{Key: key, Nonce: nonce[:], Kind: kind}
+}
--- /dev/null
+++ b/claim/fakelog_test.go
@@ -0,0 +1,136 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"jacinthfork.example/jacinthfork/platform"
+)
+
+var errOutage = errors.New("log service is down")
+
+// memLog is a platform.Log in memory. Fields in the second group inject faults.
+type memLog struct {
+	mu      sync.Mutex
+	streams map[string]*memStream
+	changed chan struct{}
+	appends int
+	reads   int
+	bytes   int
+
+	// latency is the duration of each append and read.
+	latency time.Duration
+	// down makes all operations fail without effect.
+	down bool
+	// readsDown makes only reads fail.
+	readsDown bool
+	// loseAnswers is the number of appends that are stored but reported as unknown.
+	loseAnswers int
+	// loseAppends is the number of appends that are not stored and reported as unknown.
+	loseAppends int
+	// retention drops older records; 0 keeps all.
+	retention time.Duration
+}
+
+type memStream struct {
+	earliest uint64
+	records  []platform.Record
+}
+
+func newMemLog() *memLog {
+	return &memLog{streams: make(map[string]*memStream), changed: make(chan struct{})}
+}
+
+func (l *memLog) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
+	if !sleep(ctx, l.latency) {
+		return 0, &platform.AppendError{MayBeStored: true, Err: ctx.Err()}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.down {
+		return 0, &platform.AppendError{Err: errOutage}
+	}
+	if l.loseAppends > 0 {
+		l.loseAppends--
+		return 0, &platform.AppendError{MayBeStored: true, Err: errOutage}
+	}
+	offset := l.store(stream, payload)
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		return 0, &platform.AppendError{MayBeStored: true, Err: errOutage}
+	}
+	return offset, nil
+}
+
+// store appends a record. mu is held.
+func (l *memLog) store(stream string, payload []byte) uint64 {
+	s := l.streams[stream]
+	if s == nil {
+		s = new(memStream)
+		l.streams[stream] = s
+	}
+	offset := s.earliest + uint64(len(s.records))
+	s.records = append(s.records, platform.Record{Offset: offset, Time: time.Now(), Payload: payload})
+	l.bytes += len(payload)
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return offset
+}
+
+func (l *memLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+	if !sleep(ctx, l.latency) {
+		return platform.Page{}, ctx.Err()
+	}
+	expired := time.After(wait)
+	for {
+		l.mu.Lock()
+		l.reads++
+		page, changed, down := l.page(stream, from, limit), l.changed, l.down || l.readsDown
+		l.mu.Unlock()
+		if down {
+			return platform.Page{}, errOutage
+		}
+		if len(page.Records) > 0 || wait == 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return page, nil
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (l *memLog) page(stream string, from uint64, limit int) platform.Page {
+	s := l.streams[stream]
+	if s == nil {
+		return platform.Page{}
+	}
+	l.expire(s)
+	page := platform.Page{Earliest: s.earliest, Next: s.earliest + uint64(len(s.records))}
+	for _, r := range s.records {
+		if r.Offset >= from && len(page.Records) < limit {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page
+}
+
+func (l *memLog) expire(s *memStream) {
+	for l.retention > 0 && len(s.records) > 0 && time.Since(s.records[0].Time) > l.retention {
+		s.earliest++
+		s.records = s.records[1:]
+	}
+}
+
+// set changes the log under its lock.
+func (l *memLog) set(f func(l *memLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -80,6 +80,7 @@
 	ReasonKeyInProgress    Reason = "key-in-progress"
 	ReasonKeyOutcomeLost   Reason = "key-outcome-unknown"
 	ReasonKeyAnswerGone    Reason = "key-answer-not-kept"
+	ReasonKeyHistoryLost   Reason = "key-history-lost"
 	ReasonLogUnavailable   Reason = "log-unavailable"
 	ReasonInternal         Reason = "internal"
 )
