Add the router, the daemons and the demo: the whole path, thin

Cause: nothing served a caller yet. The router tries candidates of the placement policy in order, checks every chunk against its attempt and the end against count, bytes and checksum, and continues a broken stream at the same sidecar. Keyed actions run through package claim.

--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,161 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Result is what a run measured. Its JSON form is the output of "jacinthfork demo --json".
+type Result struct {
+	Requests             int     `json:"requests"`
+	WholeAnswers         int     `json:"whole_answers"`
+	WrongAnswers         int     `json:"wrong_answers"`
+	ActionsSent          int     `json:"actions_sent"`
+	ActionsExecutedTwice int     `json:"actions_executed_twice"`
+	NotRunButExecuted    int     `json:"not_run_but_executed"`
+	MaxLoadOverMean      float64 `json:"max_load_over_mean"`
+	LoadBound            float64 `json:"load_bound"`
+	CacheReuse           float64 `json:"cache_reuse"`
+	ControlBytes         float64 `json:"control_bytes_per_router_per_second"`
+
+	ActionsExecuted int      `json:"actions_executed"`
+	Seconds         float64  `json:"seconds"`
+	Problems        []string `json:"problems,omitempty"`
+}
+
+// runLimit bounds a run; the fleet must answer well before.
+const runLimit = 25 * time.Second
+
+// Run sends the load through the fleet and measures at the stand-ins and on the wire.
+func (f *Fleet) Run(ctx context.Context, load Load) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, runLimit)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		return Result{}, err
+	}
+	began := time.Now()
+	sampler := f.sampleLoad()
+	seen := f.drive(ctx, load)
+	sampler.stop()
+	return f.result(seen, sampler, time.Since(began)), nil
+}
+
+func (f *Fleet) result(t *tally, s *sampler, took time.Duration) Result {
+	r := Result{
+		Requests: t.requests, WholeAnswers: t.whole, WrongAnswers: t.wrong, ActionsSent: t.actionsSent,
+		MaxLoadOverMean: s.highest, LoadBound: f.loadBound(), Seconds: took.Seconds(), Problems: t.problems,
+		ControlBytes: f.controlBytes(took),
+	}
+	if t.cacheable > 0 {
+		r.CacheReuse = float64(t.cached) / float64(t.cacheable)
+	}
+	executed := make(map[string]int)
+	for _, s := range f.Services {
+		for _, e := range s.AllExecutions() {
+			executed[e.Key] += e.Count
+			r.ActionsExecuted += e.Count
+		}
+	}
+	for _, count := range executed {
+		if count > 1 {
+			r.ActionsExecutedTwice++
+		}
+	}
+	for _, key := range t.notRun {
+		if executed[key] > 0 {
+			r.NotRunButExecuted++
+		}
+	}
+	return r
+}
+
+// Violations returns the invariants that the run broke.
+func (r Result) Violations() []string {
+	var out []string
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			out = append(out, fmt.Sprintf(format, args...))
+		}
+	}
+	check(r.WrongAnswers == 0, "%d answers were wrong", r.WrongAnswers)
+	check(r.WholeAnswers == r.Requests, "%d of %d requests got no whole answer", r.Requests-r.WholeAnswers, r.Requests)
+	check(r.ActionsExecutedTwice == 0, "%d actions were executed more than once", r.ActionsExecutedTwice)
+	check(r.NotRunButExecuted == 0, "%d actions were executed although their callers were told not-run", r.NotRunButExecuted)
+	return out
+}
+
+// Table writes the result for people.
+func (r Result) Table(out io.Writer) {
+	row := func(name, format string, value any) { fmt.Fprintf(out, "%-36s "+format+"\n", name, value) }
+	row("requests", "%d", r.Requests)
+	row("whole answers", "%d", r.WholeAnswers)
+	row("wrong answers", "%d", r.WrongAnswers)
+	row("actions sent", "%d", r.ActionsSent)
+	row("actions executed", "%d", r.ActionsExecuted)
+	row("actions executed twice", "%d", r.ActionsExecutedTwice)
+	row("not-run but executed", "%d", r.NotRunButExecuted)
+	row("max load over mean", "%.2f", r.MaxLoadOverMean)
+	row("load bound", "%.2f", r.LoadBound)
+	row("cache reuse", "%.3f", r.CacheReuse)
+	row("control bytes per router and second", "%.0f", r.ControlBytes)
+	row("seconds", "%.1f", r.Seconds)
+	for _, problem := range r.Problems {
+		fmt.Fprintln(out, "problem:", problem)
+	}
+}
+
+// sampler reads the engines' true loads at short intervals.
+type sampler struct {
+	done    chan struct{}
+	work    sync.WaitGroup
+	highest float64
+}
+
+const (
+	sampleInterval = 2 * time.Millisecond
+	// meaningfulLoad is the mean load in requests below which the ratio is not sampled: with fewer
+	// requests than engines some engine is always far above the mean.
+	meaningfulLoad = 2
+)
+
+func (f *Fleet) sampleLoad() *sampler {
+	s := &sampler{done: make(chan struct{})}
+	s.work.Go(func() {
+		for {
+			select {
+			case <-s.done:
+				return
+			case <-time.After(sampleInterval):
+				s.highest = max(s.highest, f.loadRatio())
+			}
+		}
+	})
+	return s
+}
+
+func (s *sampler) stop() {
+	close(s.done)
+	s.work.Wait()
+}
+
+// loadRatio returns the highest load over the mean, in tokens, or 0 when the fleet is nearly idle.
+func (f *Fleet) loadRatio() float64 {
+	total, highest, requests := 0, 0, 0
+	for _, e := range f.Engines {
+		load := e.Load()
+		total += load.Tokens()
+		requests += load.Running + load.Waiting
+		highest = max(highest, load.Tokens())
+	}
+	if len(f.Engines) == 0 || requests < meaningfulLoad*len(f.Engines) || total == 0 {
+		return 0
+	}
+	return float64(highest) * float64(len(f.Engines)) / float64(total)
+}
+
+func (f *Fleet) loadBound() float64 { return 0 }
+
+func (f *Fleet) controlBytes(time.Duration) float64 { return 0 }
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,229 @@
+// Package demo runs a whole fleet in one process on loopback: stand-ins for the platform, model
+// engines and plain services, a sidecar beside each of them, and routers.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"jacinthfork.example/jacinthfork/internal/daemon"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/settings"
+	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/router"
+	"jacinthfork.example/jacinthfork/sidecar"
+	"jacinthfork.example/jacinthfork/standin/engine"
+	"jacinthfork.example/jacinthfork/standin/instances"
+	"jacinthfork.example/jacinthfork/standin/logservice"
+	"jacinthfork.example/jacinthfork/standin/service"
+
+	// The fleet uses the plug-ins by name.
+	_ "jacinthfork.example/jacinthfork/plugin/all"
+)
+
+// Names of the demo's pools.
+const (
+	ModelPool   = "limon-llm"
+	ServicePool = "pedidos"
+)
+
+const region = "bq"
+
+// anyPort lets the system choose a port on loopback.
+const anyPort = "127.0.0.1:0"
+
+// Size is the number of instances of each kind.
+type Size struct {
+	Routers  int
+	Engines  int
+	Services int
+}
+
+// Options configure a fleet. Zero values take the demo's defaults.
+type Options struct {
+	Size   Size
+	Engine engine.Settings
+	// Router and Sidecar change the settings of each instance before it starts.
+	Router  func(*router.Settings)
+	Sidecar func(*sidecar.Settings)
+	// Drain bounds the graceful end of the fleet.
+	Drain time.Duration
+}
+
+// DefaultOptions returns those of the demo.
+func DefaultOptions() Options {
+	e := engine.DefaultSettings()
+	e.Model = ModelPool
+	e.FirstToken = 15 * time.Millisecond
+	e.PrefillToken = 10 * time.Microsecond
+	e.TokenInterval = 2 * time.Millisecond
+	e.Slots = 16
+	return Options{Size: Size{Routers: 3, Engines: 6, Services: 3}, Engine: e, Drain: 10 * time.Second}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Log      *logservice.Store
+	List     *instances.List
+	Engines  []*engine.Engine
+	Services []*service.Service
+	Sidecars []*sidecar.Sidecar
+	Routers  []*router.Router
+
+	options Options
+	closers []func()
+}
+
+// Start starts all parts. On an error the parts that run are closed again.
+func Start(options Options) (*Fleet, error) {
+	f := &Fleet{options: options, Log: logservice.New(logservice.Settings{}), List: instances.New(instances.Settings{})}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	if err := f.startServer(f.Log, f.List); err != nil {
+		return err
+	}
+	for i := range f.options.Size.Engines {
+		if err := f.addEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Size.Services {
+		if err := f.addService(i); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Size.Routers {
+		if err := f.addRouter(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// server is a stand-in.
+type server interface {
+	Start(address string) error
+	Close() error
+}
+
+func (f *Fleet) startServer(servers ...server) error {
+	for _, s := range servers {
+		if err := s.Start(anyPort); err != nil {
+			return err
+		}
+		f.closers = append(f.closers, func() { _ = s.Close() })
+	}
+	return nil
+}
+
+func (f *Fleet) addEngine(i int) error {
+	e := engine.New(f.options.Engine)
+	if err := f.startServer(e); err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, e)
+	dialect := settings.Table{"use": "chat", "chat": map[string]any{"base_url": e.URL()}}
+	return f.addSidecar(fmt.Sprintf("limon-%02d", i+1), ModelPool, i, dialect)
+}
+
+func (f *Fleet) addService(i int) error {
+	s := service.New(service.Settings{DelayBefore: 5 * time.Millisecond})
+	if err := f.startServer(s); err != nil {
+		return err
+	}
+	f.Services = append(f.Services, s)
+	dialect := settings.Table{"use": "plain", "plain": map[string]any{"base_url": s.URL()}}
+	return f.addSidecar(fmt.Sprintf("pedidos-%d", i+1), ServicePool, i, dialect)
+}
+
+func domain(i int) string { return fmt.Sprintf("bq-%c", 'a'+i%3) }
+
+func (f *Fleet) addSidecar(id, pool string, i int, dialect settings.Table) error {
+	s := sidecar.DefaultSettings()
+	s.Instance, s.Pool, s.Region, s.FailureDomain = id, pool, region, domain(i)
+	s.Listen, s.OperatorListen = anyPort, anyPort
+	s.Dialect = dialect
+	s.Log, s.Instances = f.platform()
+	if f.options.Sidecar != nil {
+		f.options.Sidecar(&s)
+	}
+	side, err := sidecar.New("demo", s, kernel.NewContext(id, daemon.Discard(id)))
+	if err != nil {
+		return fmt.Errorf("sidecar %s: %w", id, err)
+	}
+	if err := side.Start(); err != nil {
+		return fmt.Errorf("sidecar %s: %w", id, err)
+	}
+	f.Sidecars = append(f.Sidecars, side)
+	f.closers = append(f.closers, side.Close)
+	f.List.Register(platform.Instance{
+		ID: id, Role: platform.RoleSidecar, Pool: pool, Address: side.Address(),
+		OperatorAddress: side.OperatorAddress(), FailureDomain: s.FailureDomain, Region: region,
+	})
+	return nil
+}
+
+func (f *Fleet) addRouter(i int) error {
+	s := router.DefaultSettings()
+	s.Instance, s.Region, s.FailureDomain = fmt.Sprintf("router-%d", i+1), region, domain(i)
+	s.Listen, s.OperatorListen = anyPort, anyPort
+	s.BalancerDelay = 0
+	s.ListInterval = 200 * time.Millisecond
+	s.Placement.TokenKeys = []settings.Secret{"demo-key-for-placement-tokens-0001"}
+	s.Log, s.Instances = f.platform()
+	if f.options.Router != nil {
+		f.options.Router(&s)
+	}
+	r, err := router.New("demo", s, kernel.NewContext(s.Instance, daemon.Discard(s.Instance)))
+	if err != nil {
+		return fmt.Errorf("router %s: %w", s.Instance, err)
+	}
+	if err := r.Start(); err != nil {
+		return fmt.Errorf("router %s: %w", s.Instance, err)
+	}
+	f.Routers = append(f.Routers, r)
+	f.closers = append(f.closers, r.Close)
+	f.List.Register(platform.Instance{
+		ID: s.Instance, Role: platform.RoleRouter, OperatorAddress: r.OperatorAddress(),
+		FailureDomain: s.FailureDomain, Region: region,
+	})
+	return nil
+}
+
+// platform returns the settings tables of the log service and the instance list.
+func (f *Fleet) platform() (log, list settings.Table) {
+	log = settings.Table{"use": "httplog", "httplog": map[string]any{"url": f.Log.URL()}}
+	list = settings.Table{"use": "httplist", "httplist": map[string]any{"url": f.List.URL()}}
+	return log, list
+}
+
+// readyPoll is how often WaitReady looks.
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady waits until every router knows the instances of both pools.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, r := range f.Routers {
+		for r.Candidates(ModelPool) < f.options.Size.Engines || r.Candidates(ServicePool) < f.options.Size.Services {
+			select {
+			case <-time.After(readyPoll):
+			case <-ctx.Done():
+				return fmt.Errorf("the routers do not know all instances: %w", ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends all parts, routers first.
+func (f *Fleet) Close() {
+	for i := len(f.closers) - 1; i >= 0; i-- {
+		f.closers[i]()
+	}
+}
--- /dev/null
+++ b/router/callers.go
@@ -0,0 +1,167 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"jacinthfork.example/jacinthfork/verdict"
+	"jacinthfork.example/jacinthfork/wire"
+)
+
+// Bounds of names that callers choose.
+const (
+	maxNameBytes      = 128
+	maxRequestIDBytes = 200
+)
+
+// handler returns the callers' endpoints.
+func (r *Router) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", r.endpoint(r.chat))
+	mux.HandleFunc("/services/{pool}/{path...}", r.endpoint(r.service))
+	mux.HandleFunc("/", r.endpoint(func(*callerRequest) (*call, error) {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownPool, "there is no such endpoint")
+	}))
+	return mux
+}
+
+// callerRequest is a caller's request after the checks that all endpoints share.
+type callerRequest struct {
+	http         *http.Request
+	w            http.ResponseWriter
+	id           string
+	named        bool
+	organisation string
+	body         []byte
+	arrived      time.Time
+}
+
+// endpoint wraps one kind of request: it checks what all have in common, then serves the call.
+func (r *Router) endpoint(parse func(*callerRequest) (*call, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, h *http.Request) {
+		defer r.open.Add(-1)
+		in := &callerRequest{http: h, w: w, arrived: time.Now()}
+		if r.open.Add(1) > int64(r.settings.Callers.MaxRequests) {
+			r.reject(in, verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "this router has no free request slot"))
+			return
+		}
+		c, timeout, err := r.prepare(in, parse)
+		if err != nil {
+			r.reject(in, verdict.As(err))
+			return
+		}
+		ctx, cancel := context.WithTimeout(h.Context(), timeout)
+		defer cancel()
+		r.serve(ctx, c)
+	}
+}
+
+func (r *Router) prepare(in *callerRequest, parse func(*callerRequest) (*call, error)) (*call, time.Duration, error) {
+	if err := r.identify(in); err != nil {
+		return nil, 0, err
+	}
+	timeout, err := r.timeout(in.http)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := r.readBody(in); err != nil {
+		return nil, 0, err
+	}
+	c, err := parse(in)
+	return c, timeout, err
+}
+
+// reject answers a request that was sent to no sidecar.
+func (r *Router) reject(in *callerRequest, err *verdict.Error) {
+	r.count.Map("verdicts").Add(err.Verdict.String(), 1)
+	r.count.Map("outcomes").Add(string(err.Reason), 1)
+	headers := make(http.Header)
+	headers.Set(headerRequestID, in.id)
+	writeProblem(in.w, err, headers)
+}
+
+// identify reads the request ID and the organisation.
+func (r *Router) identify(in *callerRequest) error {
+	in.id = in.http.Header.Get(headerRequestID)
+	in.named = in.id != ""
+	if !in.named {
+		in.id = uuid.NewString()
+	}
+	if !isName(in.id, maxRequestIDBytes) {
+		in.id = uuid.NewString()
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "X-Request-Id is too long or has characters other than visible ASCII")
+	}
+	in.organisation = in.http.Header.Get(headerOrganisation)
+	if in.organisation == "" {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoOrganisation, headerOrganisation+" is missing")
+	}
+	if !isName(in.organisation, maxNameBytes) {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, headerOrganisation+" is too long or has characters other than visible ASCII")
+	}
+	return nil
+}
+
+func isName(text string, limit int) bool {
+	if len(text) == 0 || len(text) > limit {
+		return false
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// timeout returns the time that the request may take.
+func (r *Router) timeout(h *http.Request) (time.Duration, error) {
+	text := h.Header.Get(headerTimeout)
+	if text == "" {
+		return r.settings.Callers.Timeout, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds > 0) {
+		return 0, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, fmt.Sprintf("%s must be a number of seconds above 0", headerTimeout))
+	}
+	limit := r.settings.Callers.MaxTimeout
+	if seconds >= limit.Seconds() {
+		return limit, nil
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// readBody reads the body within bounds of size and time.
+func (r *Router) readBody(in *callerRequest) error {
+	control := http.NewResponseController(in.w)
+	if err := control.SetReadDeadline(time.Now().Add(r.settings.Callers.BodyTimeout)); err != nil {
+		return verdict.Wrap(verdict.NotRun, verdict.ReasonInternal, err)
+	}
+	limited := http.MaxBytesReader(in.w, in.http.Body, int64(r.settings.Callers.MaxBodyBytes))
+	body, err := io.ReadAll(limited)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit))
+	}
+	if err != nil {
+		return verdict.Wrap(verdict.NotRun, verdict.ReasonBadRequest, fmt.Errorf("reading the body: %w", err))
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return verdict.Wrap(verdict.NotRun, verdict.ReasonInternal, err)
+	}
+	in.body = body
+	return nil
+}
+
+// newCall returns the part of a call that all endpoints share.
+func (r *Router) newCall(in *callerRequest, pool string) *call {
+	return &call{
+		id: in.id, named: in.named, organisation: in.organisation, pool: pool, body: in.body,
+		message: &wire.ExecuteRequest{Method: in.http.Method}, started: in.arrived,
+	}
+}
--- /dev/null
+++ b/router/settings.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"errors"
+	"time"
+
+	"jacinthfork.example/jacinthfork/kernel/settings"
+)
+
+// Settings are the settings file of a router.
+type Settings struct {
+	Instance      string `toml:"instance" required:"true"`
+	Region        string `toml:"region" required:"true"`
+	FailureDomain string `toml:"failure_domain" required:"true"`
+	LogLevel      string `toml:"log_level"`
+	// Listen is the address for callers.
+	Listen settings.Address `toml:"listen" required:"true"`
+	// OperatorListen is the address of /healthz, /readyz and /debug.
+	OperatorListen settings.Address `toml:"operator_listen" required:"true"`
+	// BalancerDelay is how long a router that shuts down still takes requests, until the platform's
+	// balancer has seen that it is not ready.
+	BalancerDelay time.Duration `toml:"balancer_delay" min:"0s" max:"5m"`
+
+	Log       settings.Table `toml:"log" required:"true"`
+	Instances settings.Table `toml:"instances" required:"true"`
+	// ListInterval is how often the instance list is read.
+	ListInterval time.Duration `toml:"list_interval" min:"100ms" max:"1m"`
+
+	TLS       settings.TLS      `toml:"tls"`
+	Placement PlacementSettings `toml:"placement"`
+	Callers   CallerSettings    `toml:"callers"`
+}
+
+// PlacementSettings choose the placement policy of each pool.
+type PlacementSettings struct {
+	// Default names the policy of pools without an entry below Pools.
+	Default settings.Table `toml:"default"`
+	// Pools holds a policy for single pools.
+	Pools map[string]settings.Table `toml:"pools"`
+	// TokenKeys authenticate placement tokens. The first signs; all are accepted.
+	TokenKeys []settings.Secret `toml:"token_keys" required:"true"`
+	// TokenMaxAge is how long a placement token counts.
+	TokenMaxAge time.Duration `toml:"token_max_age" min:"1m" max:"720h"`
+}
+
+// Validate implements settings.Validator.
+func (p *PlacementSettings) Validate() []error {
+	if len(p.TokenKeys) == 0 {
+		return []error{errors.New("token_keys must hold at least one key")}
+	}
+	return nil
+}
+
+// CallerSettings bound what callers can ask for.
+type CallerSettings struct {
+	MaxHeaderBytes int `toml:"max_header_bytes" min:"4096" max:"1048576"`
+	MaxBodyBytes   int `toml:"max_body_bytes" min:"1024" max:"12582912"`
+	// MaxRequests bounds requests in flight.
+	MaxRequests int `toml:"max_requests" min:"1" max:"1000000"`
+	// BodyTimeout bounds the reading of a request body.
+	BodyTimeout time.Duration `toml:"body_timeout" min:"100ms" max:"10m"`
+	// WriteTimeout bounds one write to a slow caller.
+	WriteTimeout time.Duration `toml:"write_timeout" min:"100ms" max:"10m"`
+	// Timeout is the deadline of a request that names none; MaxTimeout bounds what it may name.
+	Timeout    time.Duration `toml:"timeout" min:"100ms" max:"1h"`
+	MaxTimeout time.Duration `toml:"max_timeout" min:"100ms" max:"24h"`
+	// HoldBytes is how much of a plain service's response is held back until it is whole.
+	HoldBytes int `toml:"hold_bytes" min:"0" max:"16777216"`
+	// MaxAttempts bounds the sidecars that one request is sent to.
+	MaxAttempts int `toml:"max_attempts" min:"1" max:"64"`
+	// DecodeTokens is the expected length of an answer when a request names no limit.
+	DecodeTokens int `toml:"decode_tokens" min:"1" max:"1000000"`
+}
+
+// DefaultSettings returns the values that a settings file may leave out.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel:      "info",
+		BalancerDelay: 5 * time.Second,
+		ListInterval:  time.Second,
+		Placement:     PlacementSettings{Default: settings.Table{"use": "affinity"}, TokenMaxAge: 7 * 24 * time.Hour},
+		Callers: CallerSettings{
+			MaxHeaderBytes: 64 << 10, MaxBodyBytes: 8 << 20, MaxRequests: 4096,
+			BodyTimeout: 30 * time.Second, WriteTimeout: 30 * time.Second,
+			Timeout: 2 * time.Minute, MaxTimeout: 30 * time.Minute,
+			HoldBytes: 1 << 20, MaxAttempts: 8, DecodeTokens: 256,
+		},
+	}
+}
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -27,7 +27,9 @@
 	s.operators = kernel.NewOperatorServer(s.kernel.Counters)
 	s.operators.Handle("GET /debug/journal", s.journal)
 	s.admission = &slots{limit: int64(s.settings.Admission.MaxRequests)}
-	return nil
+	var err error
+	s.keeper, err = s.newKeeper()
+	return err
 }
 
 func (s *Sidecar) background() {}
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -36,6 +36,9 @@
 	if r := s.runs.attach(key); r != nil {
 		return s.repeat(r, req, out)
 	}
+	if req.GetResumeOnly() {
+		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonKeyAnswerGone, "there is no run of this request id to continue"))
+	}
 	if s.leaving.Load() {
 		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the sidecar is leaving"))
 	}
@@ -145,6 +148,11 @@
 	}
 }
 
+// Hello implements wire.SidecarServer.
+func (s *Sidecar) Hello(context.Context, *wire.HelloRequest) (*wire.Load, error) {
+	return s.load(), nil
+}
+
 // Cancel implements wire.SidecarServer. It ends the run when it has one reader, and says whether
 // the attempt may have run.
 func (s *Sidecar) Cancel(_ context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"jacinthfork.example/jacinthfork/claim"
 	"jacinthfork.example/jacinthfork/dialect"
 	"jacinthfork.example/jacinthfork/internal/transport"
 	"jacinthfork.example/jacinthfork/journal"
@@ -39,6 +40,7 @@
 	attempts  *attempts
 	runs      *runTable
 	admission admitter
+	keeper    *claim.Keeper
 	leaving   atomic.Bool
 
 	server    *grpc.Server
@@ -113,6 +115,9 @@
 // drainPoll is how often Drain looks for unfinished work.
 const drainPoll = 50 * time.Millisecond
 
+// flushTimeout bounds the wait for the log at the end of a drain.
+const flushTimeout = 10 * time.Second
+
 // Drain refuses new work and returns when everything in flight has finished and its readers have
 // the whole response, or with the error of ctx.
 func (s *Sidecar) Drain(ctx context.Context) error {
@@ -125,6 +130,17 @@
 			return fmt.Errorf("drain interrupted with %d requests in flight: %w", s.busy(), ctx.Err())
 		}
 	}
+	return s.flush(ctx)
+}
+
+// flush waits until the outcomes of actions are in the log, at most flushTimeout: during a log
+// outage a leaving instance does not wait for ever.
+func (s *Sidecar) flush(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if err := s.keeper.Flush(ctx); err != nil {
+		return fmt.Errorf("outcomes of actions are not in the log: %w", err)
+	}
 	return nil
 }
 
@@ -150,4 +166,5 @@
 	}
 	s.operators.Close()
 	s.work.Wait()
+	s.keeper.Close()
 }
