--- a/plugin/log/httplog/httplog_test.go
+++ b/plugin/log/httplog/httplog_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	ctx := kernel.NewContext("n1", kernel.NewLogger(io.Discard, slog.LevelInfo, "n1"))
 	log, err := kernel.Load[platform.Log](ctx, kernel.KindLog, "httplog",
-		settings.Table{"url": url, "append_timeout": "200ms"})
+		settings.Table{"url": url, "append_timeout": "1m"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,14 +88,27 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			log := adapter(t, startStore(t, c.settings).URL())
-			_, err := log.Append(t.Context(), "s", []byte("record"))
+			store := startStore(t, c.settings)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.settings.Outage == logservice.OutageHang {
+				go cancelOnArrival(store, cancel)
+			}
+			_, err := adapter(t, store.URL()).Append(ctx, "s", []byte("record"))
 			is.True(err != nil)
 			is.Equal(platform.MayBeStored(err), c.want)
 		})
 	}
 }
 
+// cancelOnArrival cancels once the store has received an append.
+func cancelOnArrival(store *logservice.Store, cancel func()) {
+	for store.Counters().Appends == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+}
+
 // Answers that the service did not write prove nothing unless the status does.
 func TestForeignAnswers(t *testing.T) {
 	cases := []struct {
