--- /dev/null
+++ b/internal/fleettest/build.go
@@ -0,0 +1,71 @@
+// Package fleettest helps tests that run the programs as processes: it builds them, starts them on
+// addresses in 127.0.0.0/8, pauses and kills them, and cuts connections between them. It is imported
+// by test files only. A package that uses it calls Main from its TestMain.
+package fleettest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+)
+
+const module = "jacinthfork.example/jacinthfork"
+
+var programs = struct {
+	sync.Mutex
+	directory string
+	built     map[string]error
+}{built: make(map[string]error)}
+
+// Main runs the tests of a package and removes the built programs. It does not return.
+func Main(m *testing.M) { os.Exit(runMain(m)) }
+
+func runMain(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "fleettest-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	programs.Lock()
+	programs.directory = directory
+	programs.Unlock()
+	return m.Run()
+}
+
+// Build returns the path of a program, named by its folder below cmd. It is built once per test
+// binary, with the race detector when the test has it.
+func Build(t testing.TB, program string) string {
+	t.Helper()
+	programs.Lock()
+	defer programs.Unlock()
+	if programs.directory == "" {
+		t.Fatal("fleettest: the package has no TestMain that calls fleettest.Main")
+	}
+	path := filepath.Join(programs.directory, program)
+	err, known := programs.built[program]
+	if !known {
+		err = build(path, program)
+		programs.built[program] = err
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func build(path, program string) error {
+	args := []string{"build", "-o", path}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	args = append(args, module+"/cmd/"+program)
+	output, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("go build %s: %w\n%s", program, err, output)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleettest/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fleettest
+
+const raceEnabled = false
