--- a/claim/fakelog_test.go
+++ b/claim/fakelog_test.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfork.example/jacinthfork/claim/claimpb"
 	"jacinthfork.example/jacinthfork/platform"
 )
 
@@ -134,3 +137,9 @@
 	defer l.mu.Unlock()
 	f(l)
 }
+
+func releasePayload(key, nonce id) []byte {
+	e := claimpb.NewEntry(key[:], nonce, &claimpb.Entry_Release{Release: &claimpb.Release{}})
+	payload, _ := proto.Marshal(&claimpb.Batch{Entries: []*claimpb.Entry{e}})
+	return payload
+}
