Add admission: load bound, fair queue, limits and draining

Cause: the sidecar needs one place that decides whether a request runs now, waits or is refused, before it can be wired to an engine.

What: Controller with an exact integer load bound, absolute capacity, a bounded queue in virtual-time order among organisations, a reserve for organisations within their share, isolation, Reset, Ready and Drain. Limiter and Home divide the limits of organisations by leases from a home sidecar; Due, Handle and Apply carry the decision logic and the transport is left to the sidecar. internal/rendezvous holds the hash order that Home uses.

Conclusion: first working version of the interface.

--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,152 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/verdict"
+)
+
+// fixedPool is a pool whose other members carry others tokens.
+type fixedPool struct {
+	others  uint64
+	members int
+}
+
+func (p *fixedPool) Mean(own uint64) (uint64, int) { return p.others + own, p.members }
+
+func newController(t testing.TB, change func(*Settings), pool Pool, limiter *Limiter) *Controller {
+	t.Helper()
+	settings := DefaultSettings()
+	settings.CapacityTokens = 1000
+	settings.CapacityRequests = 4
+	settings.QueueRequests = 4
+	if change != nil {
+		change(&settings)
+	}
+	c, err := NewController(settings, pool, limiter)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func decode(organisation string, tokens uint64) Request {
+	return Request{Organisation: organisation, DecodeTokens: tokens}
+}
+
+// Two calls of Done, or progress beyond the expectation, must not free work twice.
+func TestWorkIsFreedOnce(t *testing.T) {
+	is := is.New(t)
+	c := newController(t, nil, Alone{}, nil)
+	g, err := c.Admit(context.Background(), Request{Organisation: "a", PromptTokens: 100, CachedTokens: 40, DecodeTokens: 50})
+	is.NoErr(err)
+	is.Equal(c.Load().Work, uint64(110))
+	g.Progress(60, 0)
+	is.Equal(c.Load().Work, uint64(50))
+	g.Progress(60, 80)
+	is.Equal(c.Load().Work, uint64(1)) // a running request counts for at least one token
+	g.Done()
+	g.Done()
+	is.Equal(c.Load().Work, uint64(0))
+	is.Equal(c.Load().InFlight, 0)
+}
+
+// A request over the bound must be refused as not run; an idle engine must take any request.
+func TestBoundRefuses(t *testing.T) {
+	is := is.New(t)
+	c := newController(t, nil, &fixedPool{others: 0, members: 4}, nil)
+	_, err := c.Admit(context.Background(), decode("a", 100))
+	is.NoErr(err)
+	_, err = c.Admit(context.Background(), decode("a", 1))
+	is.Equal(verdict.As(err).Reason, verdict.ReasonOverBound)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+}
+
+// A waiter must leave the queue at its deadline and must never run afterwards.
+func TestDeadlineInQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(t, func(s *Settings) { s.CapacityRequests = 1 }, Alone{}, nil)
+		running, err := c.Admit(context.Background(), decode("a", 10))
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err = c.Admit(ctx, decode("a", 10))
+		is.Equal(verdict.As(err).Reason, verdict.ReasonDeadline)
+		is.Equal(c.Load().Waiting, 0)
+		running.Done()
+		is.Equal(c.Load().InFlight, 0)
+	})
+}
+
+// Work admitted before a crash must not be counted after it, nor freed from the work after it.
+func TestResetForgetsOldGrants(t *testing.T) {
+	is := is.New(t)
+	c := newController(t, nil, Alone{}, nil)
+	old, err := c.Admit(context.Background(), decode("a", 10))
+	is.NoErr(err)
+	c.Reset()
+	_, err = c.Admit(context.Background(), decode("a", 10))
+	is.Equal(verdict.As(err).Reason, verdict.ReasonNotReady)
+	c.Ready()
+	_, err = c.Admit(context.Background(), decode("a", 20))
+	is.NoErr(err)
+	old.Done()
+	is.Equal(c.Load().Work, uint64(20))
+}
+
+// Draining must refuse new and waiting work at once and report when the last request has ended.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(t, func(s *Settings) { s.CapacityRequests = 1 }, Alone{}, nil)
+		running, err := c.Admit(context.Background(), decode("a", 10))
+		is.NoErr(err)
+		waited := make(chan error)
+		go func() {
+			_, err := c.Admit(context.Background(), decode("a", 10))
+			waited <- err
+		}()
+		synctest.Wait()
+		drained := c.Drain()
+		is.Equal(verdict.As(<-waited).Reason, verdict.ReasonLeaving)
+		select {
+		case <-drained:
+			t.Fatal("reported drained with a request in flight")
+		default:
+		}
+		running.Done()
+		<-drained
+	})
+}
+
+// An isolated request must run with nothing beside it, and must not wait behind new work.
+func TestIsolatedRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(t, nil, Alone{}, nil)
+		first, err := c.Admit(context.Background(), decode("a", 10))
+		is.NoErr(err)
+		granted := make(chan *Grant)
+		go func() {
+			g, _ := c.Admit(context.Background(), Request{Organisation: "a", DecodeTokens: 5, Isolate: true})
+			granted <- g
+		}()
+		synctest.Wait()
+		_, err = c.Admit(context.Background(), decode("b", 1))
+		is.Equal(verdict.As(err).Reason, verdict.ReasonIsolation)
+		first.Done()
+		alone := <-granted
+		is.Equal(c.Load().InFlight, 1)
+		_, err = c.Admit(context.Background(), decode("b", 1))
+		is.Equal(verdict.As(err).Reason, verdict.ReasonIsolation)
+		alone.Done()
+		_, err = c.Admit(context.Background(), decode("b", 1))
+		is.NoErr(err)
+	})
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,44 @@
+// Package rendezvous picks instances for a key by highest random weight. All processes that know
+// the same instances pick the same ones, and a join or leave moves only the keys it must.
+package rendezvous
+
+import "github.com/cespare/xxhash/v2"
+
+// Hash returns the hash of an instance ID or another name.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Score returns the weight of an instance, given by its Hash, for a key. It is the finalizer of
+// SplitMix64 over both, so that keys that differ in one bit are independent.
+func Score(key, instance uint64) uint64 {
+	x := key ^ (instance * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// First returns the instance with the highest score for the key, or "" when there are none.
+func First(key uint64, instances []string) string {
+	best := ""
+	highest := uint64(0)
+	for _, id := range instances {
+		score := Score(key, Hash(id))
+		if best == "" || score > highest || (score == highest && id < best) {
+			best = id
+			highest = score
+		}
+	}
+	return best
+}
+
+// Rank returns the number of instances that come before self for the key. self need not be listed.
+func Rank(key uint64, self string, instances []string) int {
+	own := Score(key, Hash(self))
+	rank := 0
+	for _, id := range instances {
+		score := Score(key, Hash(id))
+		if id != self && (score > own || (score == own && id < self)) {
+			rank++
+		}
+	}
+	return rank
+}
