Add retry: budget per pool, backoff with full jitter and retry rules

Cause: the router must never repeat an action that may have run, never retry past the deadline, and must not let retries sustain an overload.

What: Budget is a token bucket that earns a share of requests; Policy decides from verdict, reason, history and deadline. Refusals that placement expects are redirects, free up to a set number per request; all others are charged. The bucket counts hundredths of a retry, because ten times 0.1 in floating point stays below one.

--- /dev/null
+++ b/retry/policy_test.go
@@ -0,0 +1,65 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/verdict"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// An action that may have run must never be sent again unless repeating it does no harm.
+func TestUnknownIsRetriedOnlyWhenRepeatable(t *testing.T) {
+	is := is.New(t)
+	for reason := range classes {
+		unknown := verdict.New(verdict.Unknown, reason, "")
+		ran := verdict.New(verdict.Ran, reason, "")
+		is.Equal(Classify(unknown, false), Never) // may have run
+		is.Equal(Classify(ran, false), Never)     // has run
+	}
+	broken := verdict.New(verdict.Unknown, verdict.ReasonBroken, "")
+	is.Equal(Classify(broken, true), Charged)
+	is.Equal(Classify(verdict.New(verdict.NotRun, verdict.ReasonOverBound, ""), false), Redirect)
+	is.Equal(Classify(verdict.New(verdict.NotRun, verdict.ReasonCrashRefused, ""), true), Never)
+	is.Equal(Classify(verdict.New(verdict.NotRun, verdict.ReasonOrganisationRate, ""), true), Never)
+	is.Equal(Classify(verdict.New(verdict.NotRun, "reason-of-a-later-version", ""), true), Never)
+}
+
+// A retry must not be planned past the caller's deadline, and must not be charged when it is not.
+func TestNoRetryPastDeadline(t *testing.T) {
+	is := is.New(t)
+	p := NewPolicy(DefaultSettings())
+	p.uniform = func() float64 { return 0.5 }
+	err := verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "")
+	err.RetryAfter = time.Second
+	a := Attempts{Made: 1}
+	is.Equal(p.Next(&a, err, true, epoch, epoch.Add(time.Second)), Decision{})
+	spent, _ := p.Budget().Totals()
+	is.Equal(spent, uint64(0))
+	d := p.Next(&a, err, true, epoch, epoch.Add(2*time.Second))
+	is.True(d.Retry)
+	is.True(d.Pause >= time.Second)
+}
+
+// A request must stop after MaxAttempts, and once the budget is used up.
+func TestAttemptsAndBudgetEnd(t *testing.T) {
+	is := is.New(t)
+	s := DefaultSettings()
+	s.MinPerSecond = 0
+	s.Burst = 2
+	p := NewPolicy(s)
+	err := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "")
+	a := Attempts{Made: s.MaxAttempts}
+	is.Equal(p.Next(&a, err, true, epoch, time.Time{}), Decision{})
+	a = Attempts{Made: 1}
+	is.True(p.Next(&a, err, true, epoch, time.Time{}).Retry)
+	is.True(p.Next(&a, err, true, epoch, time.Time{}).Retry)
+	is.Equal(p.Next(&a, err, true, epoch, time.Time{}), Decision{Denied: true})
+	for range 10 {
+		p.Budget().Request(epoch)
+	}
+	is.True(p.Next(&a, err, true, epoch, time.Time{}).Retry) // ten requests pay for one retry
+}
