Add suspect: isolation and refusal of requests that crash engines

Cause: a request that crashes every engine that runs it, sent again by its caller, takes down a pool one engine at a time.

What: Table records what was in flight at a crash and derives four states from evidence that merges as a join. A suspect runs alone on one target; a request with an alone crash among RefuseAfter crashes is refused; requests beside it enter probation and are clean once they complete.

--- /dev/null
+++ b/suspect/table_test.go
@@ -0,0 +1,142 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/verdict"
+)
+
+// clock is a virtual clock shared by the tables of one test.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+func newClock() *clock { return &clock{at: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)} }
+
+// newTable returns a warm table whose Settle has passed.
+func newTable(t testing.TB, c *clock, settings Settings, self string, members []string) *Table {
+	t.Helper()
+	table, err := NewTable(self, 1, settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.now = c.now
+	table.started = c.at.Add(-settings.Settle)
+	table.SetMembers(members)
+	table.Warm()
+	return table
+}
+
+func everywhere() Settings {
+	s := DefaultSettings()
+	s.ExposureGroup = 0
+	s.ExposureFingerprint = 0
+	return s
+}
+
+func start(t *testing.T, table *Table, fingerprint uint64, isolated bool) *Run {
+	t.Helper()
+	run, d := table.Start(Request{Fingerprint: fingerprint}, isolated)
+	if d.Err != nil {
+		t.Fatalf("start of %d: %v", fingerprint, d.Err)
+	}
+	return run
+}
+
+// A request that crashes an engine beside others and then alone must be refused, under any ID,
+// and the others must be free to run again.
+func TestCulpritRefusedOthersCleared(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	table := newTable(t, c, everywhere(), "a", []string{"a"})
+	start(t, table, 1, false)
+	start(t, table, 2, false)
+	is.Equal(table.Crash(), 2)
+	is.Equal(table.Check(Request{Fingerprint: 1}).Isolate, true)
+	_, d := table.Start(Request{Fingerprint: 1}, false)
+	is.Equal(d.Err.Reason, verdict.ReasonIsolation) // not alone
+	start(t, table, 1, true)
+	table.Crash()
+	is.Equal(table.State(1), Refused)
+	d = table.Check(Request{Fingerprint: 1})
+	is.Equal(d.Err.Reason, verdict.ReasonCrashRefused)
+	is.Equal(d.Err.Verdict, verdict.NotRun)
+	is.Equal(table.State(2), Probation) // its only crash is explained
+	table.Finish(start(t, table, 2, false), true)
+	is.Equal(table.State(2), Clean)
+}
+
+// A bystander must be clean after it finished alone, and in probation after ExcuseAfter; a run that
+// was cancelled must prove nothing.
+func TestBystanderIsCleared(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	table := newTable(t, c, everywhere(), "a", []string{"a"})
+	start(t, table, 1, false)
+	start(t, table, 2, false)
+	table.Crash()
+	table.Finish(start(t, table, 2, true), false)
+	is.Equal(table.State(2), Suspected)
+	table.Finish(start(t, table, 2, true), true)
+	is.Equal(table.State(2), Clean)
+	c.at = c.at.Add(DefaultSettings().ExcuseAfter)
+	is.Equal(table.State(1), Probation)
+	start(t, table, 1, false)
+	start(t, table, 2, false)
+	table.Crash()
+	c.at = c.at.Add(DefaultSettings().ExcuseAfter)
+	is.Equal(table.State(1), Suspected) // age excuses once
+}
+
+// Each suspect must have one target that all tables compute alike, and a request must run on its
+// exposure set only.
+func TestTargetAndExposure(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	settings := DefaultSettings()
+	members := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	tables := make(map[string]*Table)
+	for _, id := range members {
+		tables[id] = newTable(t, c, settings, id, members)
+	}
+	exposed := 0
+	var first *Table
+	for _, id := range members {
+		if d := tables[id].Check(Request{Fingerprint: 7, Group: 9}); d.Err == nil {
+			exposed++
+			first = tables[id]
+		} else {
+			is.Equal(d.Err.Reason, verdict.ReasonNotTarget)
+		}
+	}
+	is.True(exposed <= settings.ExposureGroup+settings.ExposureFingerprint)
+	start(t, first, 7, false)
+	first.Crash()
+	targets := 0
+	for _, id := range members {
+		tables[id].Merge(first.Export(10))
+		d := tables[id].Check(Request{Fingerprint: 7, Group: 9})
+		is.Equal(d.Err.Reason, verdict.ReasonCrashSuspect)
+		if d.Ask == "" {
+			targets++
+			is.Equal(d.Err.RetryAfter, settings.Settle)
+			c.at = c.at.Add(settings.Settle)
+			is.Equal(tables[id].Check(Request{Fingerprint: 7, Group: 9}), Decision{Isolate: true})
+		}
+	}
+	is.Equal(targets, 1)
+}
+
+// Repeats with other ids, field order or spacing must get the same fingerprint; another
+// organisation or another text must not.
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	base := Fingerprint("o", []byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"id":"1"}`))
+	is.Equal(base, Fingerprint("o", []byte(`{"id":"2", "messages": [{"role":"user","content":"x"}],"model":"m"}`)))
+	is.True(base != Fingerprint("p", []byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`)))
+	is.True(base != Fingerprint("o", []byte(`{"model":"m","messages":[{"role":"user","content":"y"}]}`)))
+	is.True(Fingerprint("o", []byte("a")) != Fingerprint("o", []byte("b")))
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -73,6 +73,7 @@
 	ReasonCrashSuspect     Reason = "crash-suspect"
 	ReasonCrashRefused     Reason = "crash-refused"
 	ReasonIsolation        Reason = "isolation"
+	ReasonNotTarget        Reason = "not-a-target"
 	ReasonKeyInvalid       Reason = "key-invalid"
 	ReasonKeyExpired       Reason = "key-expired"
 	ReasonKeyFuture        Reason = "key-from-future"
