--- a/config/store.go
+++ b/config/store.go
@@ -77,11 +77,12 @@
 	s.refresh()
 }
 
-// Export returns the state for a peer: one empty part while it is incomplete.
-func (s *Store) Export() []*wire.ConfigPart {
+// Export returns the state for a peer that has the whole prefix of the stream below since, 0 for
+// none. It is one empty part when this node has no more than that, or records are missing here.
+func (s *Store) Export(since uint64) []*wire.ConfigPart {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.export()
+	return s.state.export(since)
 }
 
 // Import takes the state of a peer. It returns ErrBehind when nothing was to be learned, and
--- a/config/transfer.go
+++ b/config/transfer.go
@@ -21,18 +21,22 @@
 	ErrRegression = errors.New("configuration state would lower a revision")
 )
 
-// export returns the state in parts. An incomplete state has nothing to give and returns one empty
-// part with as-of offset 0.
-func (s *state) export() []*wire.ConfigPart {
-	if !s.complete {
+// export returns the state in parts: the objects with revision since or a higher one, for a receiver
+// that has the whole prefix below since. An incomplete state has nothing to give and returns one
+// empty part with as-of offset 0.
+func (s *state) export(since uint64) []*wire.ConfigPart {
+	if !s.complete || s.asOf <= since {
 		return []*wire.ConfigPart{{Last: true}}
 	}
 	var parts []*wire.ConfigPart
-	part := &wire.ConfigPart{AsOf: s.asOf}
+	part := &wire.ConfigPart{AsOf: s.asOf, Since: since}
 	for _, key := range sortedKeys(s.objects) {
+		if s.objects[key].Revision < since {
+			continue
+		}
 		if len(part.Objects) == objectsPerPart {
 			parts = append(parts, part)
-			part = &wire.ConfigPart{AsOf: s.asOf}
+			part = &wire.ConfigPart{AsOf: s.asOf, Since: since}
 		}
 		part.Objects = append(part.Objects, s.objects[key].message())
 	}
@@ -50,6 +54,12 @@
 	if asOf < s.floor || (s.complete && asOf <= s.asOf) {
 		return ErrBehind
 	}
+	if since := parts[0].GetSince(); since > 0 {
+		if !s.complete || s.asOf < since {
+			return fmt.Errorf("%w: it has only changes from %d on", ErrPartial, since)
+		}
+		s.complement(objects)
+	}
 	if err := s.checkImport(asOf, objects); err != nil {
 		return err
 	}
@@ -68,7 +78,7 @@
 	asOf := parts[0].GetAsOf()
 	objects := make(map[Key]*wire.ConfigObject)
 	for _, part := range parts {
-		if part.GetAsOf() != asOf {
+		if part.GetAsOf() != asOf || part.GetSince() != parts[0].GetSince() {
 			return 0, nil, ErrPartial
 		}
 		for _, m := range part.GetObjects() {
@@ -81,6 +91,15 @@
 	return asOf, objects, nil
 }
 
+// complement adds the objects that did not change to a state that has only changes.
+func (s *state) complement(objects map[Key]*wire.ConfigObject) {
+	for key, object := range s.objects {
+		if _, ok := objects[key]; !ok {
+			objects[key] = object.message()
+		}
+	}
+}
+
 // checkImport refuses a state in which an object is missing or older than here. Records of one log
 // can't give such a state.
 func (s *state) checkImport(asOf uint64, objects map[Key]*wire.ConfigObject) error {
--- /dev/null
+++ b/membership/peers.go
@@ -0,0 +1,222 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"jacinthfork.example/jacinthfork/wire"
+)
+
+const (
+	// exchangeTimeout bounds one exchange. It is above the latency between regions.
+	exchangeTimeout = 2 * time.Second
+	// urgentGap is the least time between two exchanges with one neighbour, so that a burst of
+	// changes shares messages.
+	urgentGap = 200 * time.Millisecond
+	// mixInterval is how often one neighbour is replaced, so that no two halves of a pool stay apart.
+	mixInterval = time.Minute
+	// superviseInterval is how often the set of neighbours is checked.
+	superviseInterval = time.Second
+)
+
+// Dial opens a connection to the gRPC server of an instance. The caller closes it.
+type Dial func(address string) (*grpc.ClientConn, error)
+
+// Config is the node's configuration, as far as first contact between nodes needs it.
+type Config interface {
+	// Revision returns the node's revision.
+	Revision() uint64
+	// Saw takes the revision of a peer and whom to ask for its state. It does not block.
+	Saw(peer string, revision uint64, client wire.SidecarClient)
+}
+
+// Exchanger runs the exchange of one sidecar with the others of its pool.
+type Exchanger struct {
+	pool       *Pool
+	dial       Dial
+	config     Config
+	suspects   Suspects
+	neighbours map[string]context.CancelFunc
+	ended      chan string
+}
+
+// NewExchanger returns an exchanger.
+func NewExchanger(pool *Pool, dial Dial, config Config, suspects Suspects) *Exchanger {
+	return &Exchanger{
+		pool: pool, dial: dial, config: config, suspects: suspects,
+		neighbours: make(map[string]context.CancelFunc), ended: make(chan string),
+	}
+}
+
+// Answer is the server side of Exchange.
+func (e *Exchanger) Answer(r *wire.ExchangeRequest) *wire.ExchangeReply {
+	e.suspects.Merge(r.GetSuspects())
+	reply := e.pool.answer(r)
+	reply.ConfigRevision = e.config.Revision()
+	reply.Suspects = e.suspects.Newest(suspectsPerMessage)
+	return reply
+}
+
+// Run keeps exchanges with the neighbours until ctx ends: one goroutine for each, and this one to
+// choose them.
+func (e *Exchanger) Run(ctx context.Context) {
+	check := time.NewTicker(superviseInterval)
+	defer check.Stop()
+	mix := time.NewTicker(mixInterval)
+	defer mix.Stop()
+	e.choose(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			e.drain()
+			return
+		case instance := <-e.ended:
+			e.neighbours[instance]()
+			delete(e.neighbours, instance)
+		case <-mix.C:
+			e.dropOne()
+		case <-check.C:
+			e.choose(ctx)
+		}
+	}
+}
+
+// drain waits for the neighbours' goroutines.
+func (e *Exchanger) drain() {
+	for len(e.neighbours) > 0 {
+		instance := <-e.ended
+		e.neighbours[instance]()
+		delete(e.neighbours, instance)
+	}
+}
+
+// dropOne ends the exchange with one neighbour; choose replaces it.
+func (e *Exchanger) dropOne() {
+	for _, cancel := range e.neighbours {
+		cancel()
+		return
+	}
+}
+
+func (e *Exchanger) choose(ctx context.Context) {
+	candidates := e.pool.candidates()
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	for _, c := range candidates {
+		if len(e.neighbours) >= e.pool.rules.Neighbours {
+			return
+		}
+		if _, ok := e.neighbours[c.instance]; ok {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		e.neighbours[c.instance] = cancel
+		go func() {
+			e.follow(ctx, c)
+			e.ended <- c.instance
+		}()
+	}
+}
+
+type candidate struct{ instance, address string }
+
+// candidates returns the members that an exchange can be started with.
+func (p *Pool) candidates() []candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]candidate, 0, len(p.members))
+	for _, m := range p.members {
+		if m.address != "" && !m.news.GetLeaving() {
+			out = append(out, candidate{m.instance, m.address})
+		}
+	}
+	return out
+}
+
+// neighbour is the state of the exchange with one neighbour.
+type neighbour struct {
+	client wire.SidecarClient
+	name   string
+	digest *wire.ViewDigest
+	// changed is closed when a member's state changes after the last request.
+	changed <-chan struct{}
+	// clock is that of the last reply, which was received at clockAt.
+	clock   uint64
+	clockAt time.Time
+}
+
+// follow exchanges with one neighbour until an exchange fails or ctx ends.
+func (e *Exchanger) follow(ctx context.Context, c candidate) {
+	conn, err := e.dial(c.address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	n := &neighbour{client: wire.NewSidecarClient(conn), name: c.instance, changed: e.pool.Changed()}
+	period := e.pool.rules.Interval * time.Duration(e.pool.rules.Neighbours)
+	next := time.Now().Add(rand.N(period))
+	for {
+		urgent := n.sleep(ctx, time.Until(next))
+		if ctx.Err() != nil {
+			return
+		}
+		if err := e.round(ctx, n, !urgent); err != nil {
+			e.pool.counters.Map("exchange_rounds").Add("failed", 1)
+			return
+		}
+		e.pool.counters.Map("exchange_rounds").Add("done", 1)
+		if !urgent {
+			next = time.Now().Add(period - period/8 + rand.N(period/4))
+		}
+	}
+}
+
+// sleep waits for the next round and returns true when a member's state changed before.
+func (n *neighbour) sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-n.changed:
+	}
+	sleep(ctx, rand.N(urgentGap))
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// round is one push-pull exchange.
+func (e *Exchanger) round(ctx context.Context, n *neighbour, withLoads bool) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	n.changed = e.pool.Changed()
+	request := e.pool.request(n.digest, withLoads)
+	request.ConfigRevision = e.config.Revision()
+	request.Suspects = e.suspects.Newest(suspectsPerMessage)
+	sent := time.Now()
+	if n.clock != 0 {
+		// Rounded down, so that the callee does not take the time under way for too short.
+		request.EchoClock, request.EchoElapsed = n.clock, uint64(sent.Sub(n.clockAt)/time.Millisecond)
+	}
+	reply, err := n.client.Exchange(ctx, request)
+	if err != nil {
+		return err
+	}
+	n.clock, n.clockAt, n.digest = reply.GetClock(), time.Now(), reply.GetDigest()
+	e.pool.absorb(reply, sent)
+	e.suspects.Merge(reply.GetSuspects())
+	e.config.Saw(n.name, reply.GetConfigRevision(), n.client)
+	return nil
+}
