Relay loads on requests, ask all candidates in rounds, and connect the fleet packages

Cause: the router and the sidecar ran without configuration, membership, admission and crash suspects. With the strict load bound and the exchange as the only news, 62 to 178 of about 280 requests of the demo were refused.

Routers now relay the loads that they heard on their next requests, and ask all candidates again after a pause when each is at its bound, which is not charged to the retry budget. Events of an engine are compared with the exact id.

--- a/admission/bound.go
+++ b/admission/bound.go
@@ -14,6 +14,14 @@
 	return leftLow <= rightLow
 }
 
+// atMostMean reports whether own*members <= total+work. Without this rule a pool whose mean is a
+// few requests could not grow: with one request on each engine a second one exceeds the bound
+// everywhere.
+func atMostMean(own, work, total uint64, members int) bool {
+	high, low := bits.Mul64(own, uint64(max(1, members)))
+	return high == 0 && low <= total+work
+}
+
 // boundHolds decides the load bound for one request. The excess of a positive correction counts
 // as own work, so that an engine report can only make the bound stricter.
 func (c *Controller) boundHolds(work uint64) bool {
@@ -21,5 +29,6 @@
 		return true
 	}
 	total, members := c.pool.Mean(c.own)
-	return withinBound(c.own+c.excess(c.now()), work, total, members, c.settings.FactorPercent)
+	own := c.own + c.excess(c.now())
+	return withinBound(own, work, total, members, c.settings.FactorPercent) || atMostMean(own, work, total, members)
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -36,18 +36,19 @@
 	if err := f.WaitReady(ctx); err != nil {
 		return Result{}, err
 	}
-	began := time.Now()
+	began, before := time.Now(), f.controlBytes()
 	sampler := f.sampleLoad()
 	seen := f.drive(ctx, load)
 	sampler.stop()
-	return f.result(seen, sampler, time.Since(began)), nil
+	result := f.result(seen, sampler, time.Since(began))
+	result.ControlBytes = float64(f.controlBytes()-before) / result.Seconds / float64(len(f.Routers))
+	return result, nil
 }
 
 func (f *Fleet) result(t *tally, s *sampler, took time.Duration) Result {
 	r := Result{
 		Requests: t.requests, WholeAnswers: t.whole, WrongAnswers: t.wrong, ActionsSent: t.actionsSent,
 		MaxLoadOverMean: s.highest, LoadBound: f.loadBound(), Seconds: took.Seconds(), Problems: t.problems,
-		ControlBytes: f.controlBytes(took),
 	}
 	if t.cacheable > 0 {
 		r.CacheReuse = float64(t.cached) / float64(t.cacheable)
@@ -116,9 +117,9 @@
 
 const (
 	sampleInterval = 2 * time.Millisecond
-	// meaningfulLoad is the mean load in requests below which the ratio is not sampled: with fewer
-	// requests than engines some engine is always far above the mean.
-	meaningfulLoad = 2
+	// meaningfulLoad is the mean load in requests below which the ratio is not sampled: with few
+	// requests on an engine, one more is a larger step than the room between mean and bound.
+	meaningfulLoad = 16
 )
 
 func (f *Fleet) sampleLoad() *sampler {
@@ -156,6 +157,21 @@
 	return float64(highest) * float64(len(f.Engines)) / float64(total)
 }
 
-func (f *Fleet) loadBound() float64 { return 0 }
+// loadBound returns the load bound of the model engines.
+func (f *Fleet) loadBound() float64 {
+	for _, s := range f.Sidecars {
+		if s.Pool() == ModelPool {
+			return s.LoadBound()
+		}
+	}
+	return 0
+}
 
-func (f *Fleet) controlBytes(time.Duration) float64 { return 0 }
+// controlBytes returns the control bytes of all routers so far.
+func (f *Fleet) controlBytes() int64 {
+	total := int64(0)
+	for _, r := range f.Routers {
+		total += r.ControlBytes()
+	}
+	return total
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -57,8 +57,8 @@
 	e.Model = ModelPool
 	e.FirstToken = 15 * time.Millisecond
 	e.PrefillToken = 10 * time.Microsecond
-	e.TokenInterval = 2 * time.Millisecond
-	e.Slots = 16
+	e.TokenInterval = 10 * time.Millisecond
+	e.Slots = 128
 	return Options{Size: Size{Routers: 3, Engines: 6, Services: 3}, Engine: e, Drain: 10 * time.Second}
 }
 
@@ -150,6 +150,9 @@
 	s.Instance, s.Pool, s.Region, s.FailureDomain = id, pool, region, domain(i)
 	s.Listen, s.OperatorListen = anyPort, anyPort
 	s.Dialect = dialect
+	s.ListInterval = 200 * time.Millisecond
+	s.Suspects.Settle = time.Second
+	s.ExchangeInterval = 100 * time.Millisecond
 	s.Log, s.Instances = f.platform()
 	if f.options.Sidecar != nil {
 		f.options.Sidecar(&s)
@@ -176,6 +179,7 @@
 	s.Listen, s.OperatorListen = anyPort, anyPort
 	s.BalancerDelay = 0
 	s.ListInterval = 200 * time.Millisecond
+	s.Suspects.Settle = time.Second
 	s.Placement.TokenKeys = []settings.Secret{"demo-key-for-placement-tokens-0001"}
 	s.Log, s.Instances = f.platform()
 	if f.options.Router != nil {
--- a/demo/load.go
+++ b/demo/load.go
@@ -23,15 +23,15 @@
 }
 
 // DefaultLoad is that of the demo.
-func DefaultLoad() Load { return Load{Chats: 72, Turns: 4, Actions: 60, Seed: 20261204} }
+func DefaultLoad() Load { return Load{Chats: 360, Turns: 4, Actions: 60, Seed: 20261204} }
 
 const (
 	organisations = 10
 	documents     = 8
-	documentWords = 1200
-	answerTokens  = 48
+	documentWords = 600
+	answerTokens  = 64
 	// pauseLimit bounds the pause of a chat between two turns.
-	pauseLimit = 400 * time.Millisecond
+	pauseLimit = 300 * time.Millisecond
 )
 
 // tally counts what callers saw.
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -7,13 +7,15 @@
 // Hash returns the hash of an instance ID or another name.
 func Hash(name string) uint64 { return xxhash.Sum64String(name) }
 
-// Score returns the weight of an instance, given by its Hash, for a key. It is the finalizer of
-// SplitMix64 over both, so that keys that differ in one bit are independent.
+// Score returns the weight of an instance, given by its Hash, for a key; the highest wins. It is the
+// 64-bit finalizer of MurmurHash3 over both, so that keys that differ in one bit are independent.
 func Score(key, instance uint64) uint64 {
-	x := key ^ (instance * 0x9e3779b97f4a7c15)
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
+	x := key ^ instance
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // First returns the instance with the highest score for the key, or "" when there are none.
--- a/kernel/operators.go
+++ b/kernel/operators.go
@@ -36,6 +36,9 @@
 // SetReady changes the answer of /readyz.
 func (o *OperatorServer) SetReady(ready bool) { o.ready.Store(ready) }
 
+// Ready returns the answer of /readyz.
+func (o *OperatorServer) Ready() bool { return o.ready.Load() }
+
 func (o *OperatorServer) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !o.ready.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -16,6 +16,8 @@
 	// urgentGap is the least time between two exchanges with one neighbour, so that a burst of
 	// changes shares messages.
 	urgentGap = 200 * time.Millisecond
+	// firstExchange is the longest wait for the first exchange with a new neighbour.
+	firstExchange = 500 * time.Millisecond
 	// mixInterval is how often one neighbour is replaced, so that no two halves of a pool stay apart.
 	mixInterval = time.Minute
 	// superviseInterval is how often the set of neighbours is checked.
@@ -156,7 +158,8 @@
 	defer func() { _ = conn.Close() }()
 	n := &neighbour{client: wire.NewSidecarClient(conn), name: c.instance, changed: e.pool.Changed()}
 	period := e.pool.rules.Interval * time.Duration(e.pool.rules.Neighbours)
-	next := time.Now().Add(rand.N(period))
+	// The first exchange comes early, because until then the neighbour's load counts as zero.
+	next := time.Now().Add(rand.N(min(period, firstExchange)))
 	for {
 		urgent := n.sleep(ctx, time.Until(next))
 		if ctx.Err() != nil {
--- a/plugin/dialect/chat/chat.go
+++ b/plugin/dialect/chat/chat.go
@@ -20,7 +20,10 @@
 
 func init() {
 	kernel.Register(kernel.KindDialect, "chat", func() any {
-		return &Chat{MaxConnections: 256, EchoID: true, MaxResponseBytes: 16 << 20}
+		return &Chat{
+			MaxConnections: 256, EchoID: true, IDPrefix: "chatcmpl-", HealthPath: "/load",
+			MaxResponseBytes: 16 << 20,
+		}
 	})
 }
 
@@ -33,6 +36,10 @@
 	// EchoID is set when the engine puts X-Request-Id into the id of its responses. Each event is
 	// then checked, so that a response of another request is never passed on.
 	EchoID bool `toml:"echo_id"`
+	// IDPrefix is what the engine puts before X-Request-Id.
+	IDPrefix string `toml:"id_prefix"`
+	// HealthPath is read to find out whether the engine is up; any complete response counts.
+	HealthPath string `toml:"health_path"`
 	// MaxResponseBytes bounds a response that is not streamed.
 	MaxResponseBytes int `toml:"max_response_bytes" min:"1024" max:"268435456"`
 
@@ -156,7 +163,7 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return verdict.Wrap(verdict.Unknown, verdict.ReasonTruncated, fmt.Errorf("response is not JSON: %w", err))
 	}
-	if c.EchoID && !strings.HasSuffix(e.ID, req.Attempt) {
+	if c.EchoID && e.ID != c.IDPrefix+req.Attempt {
 		return verdict.New(verdict.Unknown, verdict.ReasonForeignChunk, "response carries another request's id")
 	}
 	if e.Usage != nil {
@@ -224,5 +231,17 @@
 	return nil
 }
 
-// Alive implements dialect.Dialect.
-func (c *Chat) Alive(ctx context.Context) bool { return dialect.Alive(ctx, string(c.BaseURL)) }
+// Alive implements dialect.Dialect. A connection alone does not count: an engine that restarts can
+// accept connections before it serves.
+func (c *Chat) Alive(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(c.BaseURL)+c.HealthPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < http.StatusInternalServerError
+}
--- a/plugin/instances/httplist/httplist.go
+++ b/plugin/instances/httplist/httplist.go
@@ -6,6 +6,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -51,7 +52,9 @@
 
 // SetDialer replaces how connections are opened, for example to count their bytes. It is called
 // after Provision and before the first request.
-func (l *List) SetDialer(dial platformhttp.Dialer) { l.client = platformhttp.NewClient(dial) }
+func (l *List) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	l.client = platformhttp.NewClient(dial)
+}
 
 type listAnswer struct {
 	// Instances is a pointer, so that an answer of another kind is not taken for an empty list.
--- a/plugin/log/httplog/httplog.go
+++ b/plugin/log/httplog/httplog.go
@@ -9,6 +9,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -69,7 +70,9 @@
 
 // SetDialer replaces how connections are opened, for example to count their bytes. It is called
 // after Provision and before the first request.
-func (l *Log) SetDialer(dial platformhttp.Dialer) { l.client = platformhttp.NewClient(dial) }
+func (l *Log) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	l.client = platformhttp.NewClient(dial)
+}
 
 type appendAnswer struct {
 	Offset *uint64 `json:"offset"`
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 )
@@ -30,7 +31,10 @@
 	incarnation := p.incarnation.Load()
 	stream, cancel := context.WithCancel(ctx)
 	defer cancel()
-	chunks, err := p.client.Execute(stream, c.request(ctx, id, incarnation))
+	request := c.request(ctx, id, incarnation)
+	request.Loads = r.relay.Loads(c.pool, p.instance)
+	r.piggyback.Add(int64(proto.Size(request.Loads)))
+	chunks, err := p.client.Execute(stream, request)
 	if err == nil {
 		reader := &attemptReader{router: r, call: c, peer: p, id: id, digest: xxhash.New()}
 		err = reader.read(chunks)
@@ -55,7 +59,7 @@
 	if err != nil {
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonUnreachable, err)
 	}
-	r.news(p, load)
+	r.news("", p, load)
 	return nil
 }
 
@@ -86,12 +90,14 @@
 }
 
 // news takes what a sidecar says about itself.
-func (r *Router) news(p *peer, load *wire.Load) {
+func (r *Router) news(pool string, p *peer, load *wire.Load) {
 	if load == nil {
 		return
 	}
+	r.piggyback.Add(int64(proto.Size(load)))
+	r.relay.Heard(pool, p.instance, load)
 	p.incarnation.Store(load.GetIncarnation())
-	r.view.news(p.instance, load)
+	r.view.Heard(p.instance, load)
 }
 
 // attemptReader checks the chunks of one attempt and passes them on.
@@ -149,7 +155,7 @@
 	a.next++
 	switch kind := chunk.GetKind().(type) {
 	case *wire.Chunk_Admitted:
-		a.router.news(a.peer, kind.Admitted.GetLoad())
+		a.router.news(a.call.pool, a.peer, kind.Admitted.GetLoad())
 		return nil
 	case *wire.Chunk_Head:
 		return a.head(kind.Head)
@@ -158,7 +164,8 @@
 	case *wire.Chunk_End:
 		return a.end(kind.End, resumed)
 	case *wire.Chunk_Failure:
-		a.router.news(a.peer, kind.Failure.GetLoad())
+		a.router.news(a.call.pool, a.peer, kind.Failure.GetLoad())
+		a.call.askNext = kind.Failure.GetAskInstance()
 		return kind.Failure.Err()
 	}
 	return a.foreign("chunk of an unknown kind")
@@ -169,6 +176,7 @@
 		return a.foreign("second head")
 	}
 	a.hasHead = true
+	a.call.served = a.peer.instance
 	if a.call.answer.begun() {
 		return nil
 	}
@@ -195,7 +203,7 @@
 // end checks the totals. After a resume only the count of chunks can be checked, because the start
 // of the response went through another attempt.
 func (a *attemptReader) end(end *wire.End, resumed bool) error {
-	a.router.news(a.peer, end.GetLoad())
+	a.router.news(a.call.pool, a.peer, end.GetLoad())
 	if !a.hasHead || end.GetChunks() != a.event {
 		return a.truncated()
 	}
--- a/router/call.go
+++ b/router/call.go
@@ -26,7 +26,13 @@
 	// refusals says who refused the call and why, for the explanation.
 	refusals []refusal
 	attempts int
-	explain  string
+	// resumes counts the attempts to continue a stream that broke after it had begun.
+	resumes int
+	// askNext is the instance that a refusal named.
+	askNext string
+	// served is the instance whose response the caller gets.
+	served  string
+	explain string
 }
 
 // refusal is one attempt that did not serve the call.
@@ -43,8 +49,8 @@
 		Method: c.message.GetMethod(), Path: c.message.GetPath(), Headers: c.message.GetHeaders(),
 		Body: c.body, Stream: c.message.GetStream(), IdempotencyKey: c.message.GetIdempotencyKey(),
 		Repeatable: c.repeatable, PromptTokens: c.message.GetPromptTokens(), DecodeTokens: c.message.GetDecodeTokens(),
-		DocumentGroup: c.place.Group, Fingerprint: c.message.GetFingerprint(),
-		Isolate: c.message.GetIsolate(), ResumeAfter: c.answer.delivered(), ResumeOnly: c.answer.delivered() > 0,
+		DocumentGroup: c.exposureKey(), ChatHash: c.place.Chat, Fingerprint: c.message.GetFingerprint(),
+		Isolate: c.message.GetIsolate(), ByToken: c.message.GetByToken(), ResumeAfter: c.answer.delivered(), ResumeOnly: c.answer.delivered() > 0,
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		m.TimeLeftMs = time.Until(deadline).Milliseconds()
--- a/router/router.go
+++ b/router/router.go
@@ -11,11 +11,15 @@
 	"sync/atomic"
 	"time"
 
-	"jacinthfork.example/jacinthfork/internal/transport"
+	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/membership"
 	"jacinthfork.example/jacinthfork/placement"
 	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/retry"
+	"jacinthfork.example/jacinthfork/suspect"
+	"jacinthfork.example/jacinthfork/traffic"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -47,9 +51,21 @@
 	heat      map[string]*placement.Heat
 	heatLock  sync.Mutex
 
-	view      *view
+	meter     *traffic.Meter
+	store     *config.Store
+	contact   *config.Contact
+	view      *membership.View
+	relay     *membership.Relay
+	suspects  *suspect.Table
+	dial      membership.Dial
 	peers     *peers
-	open      atomic.Int64
+	retries   map[string]*retry.Policy
+	retryLock sync.Mutex
+
+	open atomic.Int64
+	// piggyback counts the bytes of load news on requests and answers.
+	piggyback atomic.Int64
+	draining  atomic.Bool
 	server    *http.Server
 	address   string
 	operators *kernel.OperatorServer
@@ -65,18 +81,18 @@
 		settings: s, kernel: ctx, count: ctx.Counters, journal: journal.New(journalEntries),
 		incarnation: uint64(time.Now().UnixNano()),
 		policies:    make(map[string]placement.Policy), heat: make(map[string]*placement.Heat),
-		view: newView(),
+		retries: make(map[string]*retry.Policy),
 	}
-	options, err := transport.DialOptions(s.TLS)
-	if err != nil {
+	if err := r.load(ctx); err != nil {
 		return nil, err
 	}
-	r.peers = newPeers(options)
-	if err := r.load(ctx); err != nil {
+	if err := r.provisionFleet(); err != nil {
 		return nil, err
 	}
 	r.operators = kernel.NewOperatorServer(r.count)
 	r.operators.Handle("GET /debug/journal", r.journal)
+	r.operators.Handle("GET /debug/config", r.store)
+	r.operators.Handle("GET /debug/fleet", http.HandlerFunc(r.serveFleet))
 	r.count.Func("requests_open", func() any { return r.open.Load() })
 	return r, nil
 }
@@ -159,15 +175,8 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	r.work.Add(2)
-	go func() {
-		defer r.work.Done()
-		_ = r.server.Serve(listener)
-	}()
-	go func() {
-		defer r.work.Done()
-		r.followList(ctx)
-	}()
+	r.work.Go(func() { _ = r.server.Serve(listener) })
+	r.background(ctx)
 	r.operators.SetReady(true)
 	r.kernel.Log.Info("serving", "address", r.address, "incarnation", r.incarnation)
 	return nil
@@ -186,6 +195,7 @@
 // request has finished, or with the error of ctx.
 func (r *Router) Drain(ctx context.Context) error {
 	r.operators.SetReady(false)
+	r.draining.Store(true)
 	r.journal.Add(journal.KindShutdown, r.settings.Instance, "draining")
 	r.kernel.Log.Info("draining", "in_flight", r.open.Load())
 	select {
@@ -208,12 +218,3 @@
 	r.peers.close()
 	r.work.Wait()
 }
-
-// Candidates returns the number of instances that the router knows in a pool.
-func (r *Router) Candidates(pool string) int {
-	known := r.view.pool(pool)
-	if known == nil {
-		return 0
-	}
-	return known.Len()
-}
--- a/router/settings.go
+++ b/router/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/kernel/settings"
+	"jacinthfork.example/jacinthfork/retry"
+	"jacinthfork.example/jacinthfork/suspect"
 )
 
 // Settings are the settings file of a router.
@@ -26,7 +28,13 @@
 	// ListInterval is how often the instance list is read.
 	ListInterval time.Duration `toml:"list_interval" min:"100ms" max:"1m"`
 
-	TLS       settings.TLS      `toml:"tls"`
+	// LogRetention is how long the platform's log keeps a record.
+	LogRetention time.Duration `toml:"log_retention" min:"1m" max:"8760h"`
+
+	TLS   settings.TLS   `toml:"tls"`
+	Retry retry.Settings `toml:"retry"`
+	// Suspects must equal those of the sidecars.
+	Suspects  suspect.Settings  `toml:"suspects"`
 	Placement PlacementSettings `toml:"placement"`
 	Callers   CallerSettings    `toml:"callers"`
 }
@@ -66,8 +74,6 @@
 	MaxTimeout time.Duration `toml:"max_timeout" min:"100ms" max:"24h"`
 	// HoldBytes is how much of a plain service's response is held back until it is whole.
 	HoldBytes int `toml:"hold_bytes" min:"0" max:"16777216"`
-	// MaxAttempts bounds the sidecars that one request is sent to.
-	MaxAttempts int `toml:"max_attempts" min:"1" max:"64"`
 	// DecodeTokens is the expected length of an answer when a request names no limit.
 	DecodeTokens int `toml:"decode_tokens" min:"1" max:"1000000"`
 }
@@ -78,12 +84,15 @@
 		LogLevel:      "info",
 		BalancerDelay: 5 * time.Second,
 		ListInterval:  time.Second,
+		LogRetention:  72 * time.Hour,
+		Retry:         retry.DefaultSettings(),
+		Suspects:      suspect.DefaultSettings(),
 		Placement:     PlacementSettings{Default: settings.Table{"use": "affinity"}, TokenMaxAge: 7 * 24 * time.Hour},
 		Callers: CallerSettings{
 			MaxHeaderBytes: 64 << 10, MaxBodyBytes: 8 << 20, MaxRequests: 4096,
 			BodyTimeout: 30 * time.Second, WriteTimeout: 30 * time.Second,
 			Timeout: 2 * time.Minute, MaxTimeout: 30 * time.Minute,
-			HoldBytes: 1 << 20, MaxAttempts: 8, DecodeTokens: 256,
+			HoldBytes: 1 << 20, DecodeTokens: 256,
 		},
 	}
 }
--- a/sidecar/action.go
+++ b/sidecar/action.go
@@ -37,30 +37,31 @@
 		Organisation: req.GetOrganisation(), Method: req.GetMethod(), Path: req.GetPath(),
 		Key: req.GetIdempotencyKey(), Body: req.GetBody(),
 	}
-	outcome, replayed, err := s.keeper.Run(ctx, action, func(ctx context.Context) (claim.Outcome, error) {
-		return s.dispatchAction(ctx, req)
+	granted, err := s.admit(ctx, ctx, req)
+	if err != nil {
+		return s.refuseWith(err)
+	}
+	defer granted.Done(false)
+	outcome, replayed, err := s.keeper.Run(ctx, action, func(context.Context) (claim.Outcome, error) {
+		return s.dispatchAction(req, granted)
 	})
 	if err != nil {
-		return s.refuse(verdict.As(err))
+		return s.refuseWith(err)
 	}
 	return sendOutcome(outcome, replayed, out)
 }
 
 // dispatchAction runs a claimed action at the backend server.
-func (s *Sidecar) dispatchAction(ctx context.Context, req *wire.ExecuteRequest) (claim.Outcome, error) {
-	granted, err := s.admission.Admit(ctx, req)
-	if err != nil {
-		return claim.Outcome{}, err
-	}
+func (s *Sidecar) dispatchAction(req *wire.ExecuteRequest, granted *grant) (claim.Outcome, error) {
 	if !s.attempts.start(req.GetAttempt()) {
-		granted.Done()
 		return claim.Outcome{}, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the attempt was cancelled")
 	}
 	run, cancel := context.WithTimeout(s.life, s.settings.Answers.ActionTimeout)
 	defer cancel()
 	sink := &outcomeSink{limit: s.settings.Answers.MaxBytes}
-	_, err = s.dialect.Run(run, dialectRequest(req), sink)
-	s.ended(req, granted, err)
+	s.crashes.start(granted.run)
+	_, err := s.dialect.Run(run, dialectRequest(req), sink)
+	s.ended(granted, err)
 	if err != nil {
 		return claim.Outcome{}, err
 	}
@@ -118,10 +119,25 @@
 
 // holder says what is known about the holder of a claim.
 func (s *Sidecar) holder(instance string, incarnation uint64) claim.Liveness {
-	if instance != s.settings.Instance {
+	if instance == s.settings.Instance {
+		return liveness(incarnation == s.incarnation)
+	}
+	pool := s.view.Pool(s.settings.Pool)
+	if len(pool.Members) == 0 {
 		return claim.Unsure
 	}
-	if incarnation == s.incarnation {
+	member, ok := pool.Find(instance)
+	if !ok {
+		return claim.Gone
+	}
+	if member.Incarnation == 0 {
+		return claim.Unsure
+	}
+	return liveness(member.Incarnation == incarnation)
+}
+
+func liveness(alive bool) claim.Liveness {
+	if alive {
 		return claim.Alive
 	}
 	return claim.Gone
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -2,85 +2,125 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 
-	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/admission"
+	"jacinthfork.example/jacinthfork/membership"
+	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
-// grant is the right to run one request.
-type grant interface {
-	// Progress tells of one more piece of the response.
-	Progress()
-	// Done frees the request's work; later calls do nothing.
-	Done()
+// percent converts a factor of the settings.
+const percent = 100
+
+// newController returns the admission controller with the settings of the file.
+func (s *Sidecar) newController() (*admission.Controller, error) {
+	own := s.settings.Admission
+	a := admission.DefaultSettings()
+	a.FactorPercent = uint64(own.BoundFactor * percent)
+	a.CapacityRequests = own.MaxRequests
+	a.CapacityTokens = uint64(own.MaxTokens)
+	a.QueueRequests = own.MaxQueue
+	return admission.NewController(a, poolMean{s.pool}, s.limiter)
 }
 
-// admitter decides which requests the backend server takes.
-type admitter interface {
-	Admit(ctx context.Context, req *wire.ExecuteRequest) (grant, error)
-	Work() uint64
+// poolMean gives admission the load of the pool.
+type poolMean struct{ pool *membership.Pool }
+
+// Mean implements admission.Pool.
+func (p poolMean) Mean(own uint64) (uint64, int) {
+	mean := p.pool.Mean()
+	return mean.Others + own, mean.Members
 }
 
-func (s *Sidecar) provision() error {
-	s.operators = kernel.NewOperatorServer(s.kernel.Counters)
-	s.operators.Handle("GET /debug/journal", s.journal)
-	s.admission = &slots{limit: int64(s.settings.Admission.MaxRequests)}
-	var err error
-	s.keeper, err = s.newKeeper()
-	return err
+// grant is the right to run one request, counted by admission and by the table of crash suspects.
+type grant struct {
+	side   *Sidecar
+	load   *admission.Grant
+	run    *suspect.Run
+	prompt uint64
+	once   sync.Once
 }
 
-func (s *Sidecar) background() {}
+// Progress tells of one more piece of the response; the first one means that the prompt is done.
+func (g *grant) Progress() {
+	g.load.Progress(g.prompt, 1)
+	g.prompt = 0
+}
+
+// Done frees the request's work; later calls do nothing. completed says that the backend server ran
+// the request to its end.
+func (g *grant) Done(completed bool) {
+	g.once.Do(func() {
+		if g.run != nil {
+			g.side.suspects.Finish(g.run, completed)
+		}
+		g.load.Done()
+	})
+}
 
-// admit asks admission and gives up when the deadline or the router's stream ends.
-func (s *Sidecar) admit(ctx, stream context.Context, req *wire.ExecuteRequest) (grant, error) {
+// admit asks the table of crash suspects and admission, and gives up when the deadline or the
+// router's stream ends. Its errors have the verdict not-run.
+func (s *Sidecar) admit(ctx, stream context.Context, req *wire.ExecuteRequest) (*grant, error) {
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(stream, cancel)()
-	return s.admission.Admit(waiting, req)
-}
-
-// ended tells admission that a run has ended.
-func (s *Sidecar) ended(_ *wire.ExecuteRequest, granted grant, err error) {
-	granted.Done()
-	s.kernel.Counters.Map("runs").Add(verdict.Of(err).String(), 1)
+	who := suspect.Request{
+		Fingerprint: req.GetFingerprint(), Group: req.GetDocumentGroup(),
+		ByToken: req.GetByToken(), Isolate: req.GetIsolate(),
+	}
+	decision := s.suspects.Check(who)
+	if decision.Err != nil {
+		return nil, askOther(decision)
+	}
+	cached := s.prefixes.cached(req)
+	load, err := s.admission.Admit(waiting, admission.Request{
+		Organisation: req.GetOrganisation(), PromptTokens: uint64(req.GetPromptTokens()),
+		DecodeTokens: uint64(req.GetDecodeTokens()), CachedTokens: cached,
+		Isolate: decision.Isolate, Fingerprint: req.GetFingerprint(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	run, decision := s.suspects.Start(who, decision.Isolate)
+	if decision.Err != nil {
+		load.Done()
+		return nil, askOther(decision)
+	}
+	return &grant{side: s, load: load, run: run, prompt: uint64(req.GetPromptTokens())}, nil
 }
 
-func (s *Sidecar) load() *wire.Load {
-	return &wire.Load{Incarnation: s.incarnation, Work: s.admission.Work(), Leaving: s.leaving.Load()}
+// askError is a refusal that names the instance to ask instead.
+type askError struct {
+	refusal  *verdict.Error
+	instance string
 }
 
-// slots admits up to a number of requests.
-type slots struct {
-	used  atomic.Int64
-	limit int64
-}
+// Error implements the error interface.
+func (e *askError) Error() string { return e.refusal.Error() }
 
-// Admit implements admitter.
-func (s *slots) Admit(context.Context, *wire.ExecuteRequest) (grant, error) {
-	if s.used.Add(1) > s.limit {
-		s.used.Add(-1)
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "all request slots are in use")
-	}
-	return &slot{slots: s}, nil
-}
+// Unwrap lets errors.As find the verdict.
+func (e *askError) Unwrap() error { return e.refusal }
 
-// Work implements admitter.
-func (s *slots) Work() uint64 { return uint64(s.used.Load()) }
+func askOther(d suspect.Decision) error { return &askError{refusal: d.Err, instance: d.Ask} }
 
-type slot struct {
-	slots *slots
-	done  atomic.Bool
+// ended tells admission and the crash watch that a run has ended.
+func (s *Sidecar) ended(granted *grant, err error) {
+	if isCrashSign(err) {
+		s.crashes.broken(granted.run)
+	}
+	s.crashes.end(granted.run)
+	granted.Done(err == nil)
+	s.kernel.Counters.Map("runs").Add(verdict.Of(err).String(), 1)
 }
 
-// Progress implements grant.
-func (s *slot) Progress() {}
-
-// Done implements grant.
-func (s *slot) Done() {
-	if !s.done.Swap(true) {
-		s.slots.used.Add(-1)
+// load is the news that goes with each answer.
+func (s *Sidecar) load() *wire.Load {
+	load := s.admission.Load()
+	mean := s.pool.Mean()
+	return &wire.Load{
+		Incarnation: s.incarnation, Work: load.Work, Mean: uint64(mean.Of(load.Work)),
+		Version: s.pool.LoadVersion(), ConfigRevision: s.store.Revision(), Leaving: s.leaving.Load(), NotReady: !load.Ready,
 	}
 }
--- a/sidecar/chunks.go
+++ b/sidecar/chunks.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"errors"
+
 	"google.golang.org/grpc"
 	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
@@ -45,8 +47,13 @@
 		return err
 	}
 	e := verdict.As(err)
+	ask := ""
+	var other *askError
+	if errors.As(err, &other) {
+		ask = other.instance
+	}
 	return w.send(&wire.Chunk{Kind: &wire.Chunk_Failure{Failure: &wire.Failure{
 		Verdict: wire.FromVerdict(e.Verdict), Reason: string(e.Reason), Detail: e.Detail,
-		RetryAfterMs: e.RetryAfter.Milliseconds(), Load: w.load(),
+		RetryAfterMs: e.RetryAfter.Milliseconds(), Load: w.load(), AskInstance: ask,
 	}}})
 }
--- /dev/null
+++ b/sidecar/engine.go
@@ -0,0 +1,171 @@
+package sidecar
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/suspect"
+	"jacinthfork.example/jacinthfork/verdict"
+)
+
+const (
+	// crashWindow is how long a broken run waits to see whether the others break as well.
+	crashWindow = 100 * time.Millisecond
+	// probeInterval is the pause between two probes of a backend server that is down.
+	probeInterval = 200 * time.Millisecond
+	// reportInterval is how often the backend server's load report is read.
+	reportInterval = time.Second
+	// probeTimeout bounds one probe and one load report.
+	probeTimeout = 2 * time.Second
+)
+
+// isCrashSign reports whether an error can come from a crash of the backend server.
+func isCrashSign(err error) bool {
+	e := verdict.As(err)
+	return e != nil && (e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonUnreachable)
+}
+
+// crashWatch tells a crash of the backend server from a single broken connection: after a crash all
+// runs break at once, or the server no longer accepts connections.
+type crashWatch struct {
+	side *Sidecar
+
+	mu      sync.Mutex
+	running map[*suspect.Run]bool
+	// pending is closed when the window of the current suspicion is over.
+	pending chan struct{}
+	down    bool
+}
+
+func newCrashWatch(side *Sidecar) *crashWatch {
+	return &crashWatch{side: side, running: make(map[*suspect.Run]bool)}
+}
+
+func (w *crashWatch) start(run *suspect.Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[run] = false
+}
+
+func (w *crashWatch) end(run *suspect.Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.running, run)
+}
+
+// broken takes a run whose connection broke and returns when it is decided whether the backend
+// server crashed, so that the run is still in flight for the table of suspects.
+func (w *crashWatch) broken(run *suspect.Run) {
+	w.mu.Lock()
+	w.running[run] = true
+	if w.down {
+		w.mu.Unlock()
+		return
+	}
+	pending := w.pending
+	first := pending == nil
+	if first {
+		pending = make(chan struct{})
+		w.pending = pending
+	}
+	w.mu.Unlock()
+	if first {
+		w.decide(pending)
+		return
+	}
+	<-pending
+}
+
+func (w *crashWatch) decide(pending chan struct{}) {
+	defer close(pending)
+	time.Sleep(crashWindow)
+	alive := w.side.alive()
+	w.mu.Lock()
+	crashed := !alive || w.allBroken()
+	w.pending = nil
+	w.down = crashed
+	w.mu.Unlock()
+	if crashed {
+		w.side.crashed()
+	}
+}
+
+func (w *crashWatch) allBroken() bool {
+	for _, broken := range w.running {
+		if !broken {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *crashWatch) recovered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = false
+}
+
+func (s *Sidecar) alive() bool {
+	ctx, cancel := context.WithTimeout(s.life, probeTimeout)
+	defer cancel()
+	return s.dialect.Alive(ctx)
+}
+
+// crashed records the crash, refuses work and probes until the backend server is back.
+func (s *Sidecar) crashed() {
+	suspects := s.suspects.Crash()
+	s.admission.Reset()
+	s.prefixes.reset()
+	s.pool.SetState(false, s.leaving.Load())
+	s.kernel.Counters.Int("engine_crashes").Add(1)
+	s.journal.Add(journal.KindMember, s.settings.Instance, "backend server crashed",
+		journal.Field{Name: "suspects", Value: strconv.Itoa(suspects)})
+	s.kernel.Log.Warn("backend server crashed", "suspects", suspects)
+	s.spawn(s.probe)
+}
+
+// probe waits until the backend server accepts connections again.
+func (s *Sidecar) probe(ctx context.Context) {
+	for !s.alive() {
+		if !pause(ctx, probeInterval) {
+			return
+		}
+	}
+	s.crashes.recovered()
+	s.admission.Ready()
+	s.pool.SetState(true, s.leaving.Load())
+	s.journal.Add(journal.KindMember, s.settings.Instance, "backend server is back")
+	s.kernel.Log.Info("backend server is back")
+}
+
+// followReports reads the backend server's own load reports.
+func (s *Sidecar) followReports(ctx context.Context) {
+	for pause(ctx, reportInterval) {
+		one, cancel := context.WithTimeout(ctx, probeTimeout)
+		report, err := s.dialect.Load(one)
+		cancel()
+		if err == nil {
+			s.admission.Report(report.Tokens, report.Age)
+		}
+	}
+}
+
+// pause waits and returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// spawn runs f until the sidecar ends.
+func (s *Sidecar) spawn(f func(context.Context)) {
+	s.work.Go(func() { f(s.life) })
+}
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -23,6 +23,7 @@
 	open := s.kernel.Counters.Int("requests_open")
 	open.Add(1)
 	defer open.Add(-1)
+	s.pool.MergeRelayed(req.GetLoads())
 	out := &chunkWriter{stream: stream, attempt: req.GetAttempt(), load: s.load}
 	return out.outcome(s.execute(req, out))
 }
@@ -70,6 +71,12 @@
 	return err
 }
 
+// refuseWith counts a refusal and keeps the instance that should be asked instead.
+func (s *Sidecar) refuseWith(err error) error {
+	s.kernel.Counters.Map("refused").Add(string(verdict.As(err).Reason), 1)
+	return err
+}
+
 // repeat sends the response of an earlier run of the same request ID.
 func (s *Sidecar) repeat(r *run, req *wire.ExecuteRequest, out *chunkWriter) error {
 	if r.fingerprint != req.GetFingerprint() {
@@ -91,22 +98,22 @@
 	granted, err := s.admit(ctx, out.stream.Context(), req)
 	if err != nil {
 		cancel()
-		return s.refuse(verdict.As(err))
+		return s.refuseWith(err)
 	}
 	r := &run{key: key, fingerprint: req.GetFingerprint(), cancel: cancel, recording: newRecording(s.settings.Answers.MaxBytes), keepOnDetach: !req.GetRepeatable()}
 	if !s.runs.add(r) {
-		granted.Done()
+		granted.Done(false)
 		cancel()
 		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonKeyInProgress, "the request id started at the same time"))
 	}
 	if !s.attempts.start(req.GetAttempt()) {
-		granted.Done()
+		granted.Done(false)
 		cancel()
 		s.runs.finish(r, false)
 		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the attempt was cancelled"))
 	}
-	s.work.Add(1)
-	go s.dispatch(ctx, r, req, granted)
+	s.crashes.start(granted.run)
+	s.work.Go(func() { s.dispatch(ctx, r, req, granted) })
 	if err := out.admitted(false); err != nil {
 		s.runs.detach(r)
 		return err
@@ -115,12 +122,14 @@
 }
 
 // dispatch runs the request at the backend server and records the response.
-func (s *Sidecar) dispatch(ctx context.Context, r *run, req *wire.ExecuteRequest, granted grant) {
-	defer s.work.Done()
+func (s *Sidecar) dispatch(ctx context.Context, r *run, req *wire.ExecuteRequest, granted *grant) {
 	defer r.cancel()
 	sink := &recorder{ctx: ctx, recording: r.recording, granted: granted}
 	usage, err := s.dialect.Run(ctx, dialectRequest(req), sink)
-	s.ended(req, granted, err)
+	if err == nil {
+		s.prefixes.ran(req, usage.CachedTokens)
+	}
+	s.ended(granted, err)
 	r.recording.finish(usage, err)
 	s.runs.finish(r, err == nil)
 }
@@ -176,7 +185,7 @@
 type recorder struct {
 	ctx       context.Context
 	recording *recording
-	granted   grant
+	granted   *grant
 }
 
 // Head implements dialect.Sink.
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/kernel/settings"
+	"jacinthfork.example/jacinthfork/suspect"
 )
 
 // Settings are the settings file of a sidecar.
@@ -26,7 +27,14 @@
 	Log       settings.Table `toml:"log" required:"true"`
 	Instances settings.Table `toml:"instances" required:"true"`
 
+	// ListInterval is how often the instance list is read.
+	ListInterval time.Duration `toml:"list_interval" min:"100ms" max:"1m"`
+
+	// ExchangeInterval is the time between two exchanges of the pool's loads that this sidecar starts.
+	ExchangeInterval time.Duration `toml:"exchange_interval" min:"50ms" max:"30s"`
+
 	TLS       settings.TLS      `toml:"tls"`
+	Suspects  suspect.Settings  `toml:"suspects"`
 	Admission AdmissionSettings `toml:"admission"`
 	Answers   AnswerSettings    `toml:"answers"`
 	Claims    ClaimSettings     `toml:"claims"`
@@ -85,7 +93,12 @@
 	return Settings{
 		LogLevel:      "info",
 		MaxPoolSchema: 2,
-		Admission:     AdmissionSettings{BoundFactor: 1.25, MaxRequests: 256, MaxTokens: 1 << 20, MaxQueue: 64},
+		ListInterval:  time.Second,
+
+		ExchangeInterval: time.Second,
+
+		Suspects:  suspect.DefaultSettings(),
+		Admission: AdmissionSettings{BoundFactor: 1.25, MaxRequests: 256, MaxTokens: 1 << 20, MaxQueue: 64},
 		Answers: AnswerSettings{
 			MaxBytes: 8 << 20, KeepBytes: 64 << 20, KeepFor: time.Minute,
 			Grace: 10 * time.Second, ActionTimeout: time.Minute,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -7,17 +7,23 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
+	"jacinthfork.example/jacinthfork/admission"
 	"jacinthfork.example/jacinthfork/claim"
+	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/dialect"
 	"jacinthfork.example/jacinthfork/internal/transport"
 	"jacinthfork.example/jacinthfork/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/membership"
 	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/suspect"
+	"jacinthfork.example/jacinthfork/traffic"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -37,11 +43,26 @@
 	log       platform.Log
 	instances platform.InstanceList
 
-	attempts  *attempts
-	runs      *runTable
-	admission admitter
-	keeper    *claim.Keeper
-	leaving   atomic.Bool
+	attempts *attempts
+	runs     *runTable
+	keeper   *claim.Keeper
+	leaving  atomic.Bool
+
+	admission *admission.Controller
+	limiter   *admission.Limiter
+	home      *admission.Home
+	suspects  *suspect.Table
+	crashes   *crashWatch
+	prefixes  *prefixes
+
+	meter     *traffic.Meter
+	store     *config.Store
+	contact   *config.Contact
+	view      *membership.View
+	pool      *membership.Pool
+	exchanger *membership.Exchanger
+	dial      membership.Dial
+	members   atomic.Pointer[[]string]
 
 	server    *grpc.Server
 	address   string
@@ -79,6 +100,37 @@
 	return side, side.provision()
 }
 
+// provision builds the parts that do not need the address that the sidecar listens on.
+func (s *Sidecar) provision() (err error) {
+	counters := s.kernel.Counters
+	s.operators = kernel.NewOperatorServer(counters)
+	s.meter = traffic.NewMeter(counters)
+	s.countPlatform()
+	s.store = config.NewStore(s.kernel.Log, s.journal, counters)
+	s.view = membership.NewView(membership.DefaultRules, s.journal, counters)
+	s.limiter = admission.NewLimiter(s.settings.Instance, admission.DefaultLimitSettings())
+	s.home = admission.NewHome(admission.DefaultLimitSettings())
+	s.members.Store(&[]string{s.settings.Instance})
+	s.crashes = newCrashWatch(s)
+	s.prefixes = newPrefixes()
+	if s.suspects, err = suspect.NewTable(s.settings.Instance, s.incarnation, s.settings.Suspects); err != nil {
+		return err
+	}
+	if s.keeper, err = s.newKeeper(); err != nil {
+		return err
+	}
+	s.operators.Handle("GET /debug/journal", s.journal)
+	s.operators.Handle("GET /debug/config", s.store)
+	s.operators.Handle("GET /debug/fleet", http.HandlerFunc(s.serveFleet))
+	return nil
+}
+
+// countPlatform counts the bytes to the log and the instance list.
+func (s *Sidecar) countPlatform() {
+	kernel.CountConnections(s.log, s.meter.Dialer(traffic.PeerLog, traffic.ClassControl))
+	kernel.CountConnections(s.instances, s.meter.Dialer(traffic.PeerInstances, traffic.ClassControl))
+}
+
 // Start listens and serves until Close or the end of a drain.
 func (s *Sidecar) Start() error {
 	options, err := transport.ServerOptions(s.settings.TLS)
@@ -94,11 +146,14 @@
 		return err
 	}
 	s.address = listener.Addr().String()
-	s.server = grpc.NewServer(options...)
+	if err := s.startFleet(); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	s.server = grpc.NewServer(append(options, s.meter.ServerOption())...)
 	wire.RegisterSidecarServer(s.server, s)
-	go func() { _ = s.server.Serve(listener) }()
+	go func() { _ = s.server.Serve(s.meter.ListenFleet(listener)) }()
 	s.background()
-	s.operators.SetReady(true)
 	s.kernel.Log.Info("serving", "address", s.address, "pool", s.settings.Pool, "incarnation", s.incarnation)
 	return nil
 }
@@ -149,6 +204,8 @@
 	if s.leaving.Swap(true) {
 		return
 	}
+	s.admission.Drain()
+	s.pool.SetState(false, true)
 	s.journal.Add(journal.KindShutdown, s.settings.Instance, "refusing new work", journal.Field{Name: "cause", Value: cause})
 	s.kernel.Log.Info("leaving", "cause", cause, "in_flight", s.busy())
 }
@@ -168,3 +225,9 @@
 	s.work.Wait()
 	s.keeper.Close()
 }
+
+// Pool returns the name of the pool.
+func (s *Sidecar) Pool() string { return s.settings.Pool }
+
+// LoadBound returns the load bound in force, as a multiple of the pool's mean.
+func (s *Sidecar) LoadBound() float64 { return float64(s.admission.FactorPercent()) / percent }
