--- a/internal/fleettest/address.go
+++ b/internal/fleettest/address.go
@@ -10,20 +10,16 @@
 
 var lastHost atomic.Uint32
 
-// hostsPerProcess is the number of IP addresses that one test binary can use.
-const hostsPerProcess = 250
+// octets is how many values of one number of an address are used.
+const octets = 250
 
-// Host returns an IP address in 127.0.0.0/8 that no other call in this test binary has returned. The
-// two middle numbers come from the process id, so that test binaries that run at one time rarely
-// share an address.
+// Host returns an IP address in 127.0.0.0/8 that no earlier call in this test binary has returned.
+// The process id is part of it, so that test binaries that run at one time rarely share an address.
 func Host(t testing.TB) string {
 	t.Helper()
-	n := lastHost.Add(1)
-	if n > hostsPerProcess {
-		t.Fatalf("fleettest: more than %d addresses", hostsPerProcess)
-	}
+	n := int(lastHost.Add(1))
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, n)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%octets, (pid/octets+n/octets)%octets, 1+n%octets)
 }
 
 // Address returns a free port on a host, as host:port.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -102,8 +102,8 @@
 	return e.settings
 }
 
-// SetSettings replaces the settings. Runs in flight keep their speed. A new block size takes effect
-// at the next boot of the cache.
+// SetSettings replaces the settings. Runs in flight keep their speed, and the block size stays that
+// of New.
 func (e *Engine) SetSettings(settings Settings) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -49,6 +50,9 @@
 	Time    time.Time `json:"time"`
 }
 
+// errRestarted is the error of an order that was cut short by a crash.
+var errRestarted = errors.New("engine restarted during the order")
+
 type orderState struct {
 	current Order
 	highest uint64 // highest fencing number seen since the boot
@@ -92,6 +96,9 @@
 		time.Sleep(wait)
 		err = e.applyOrder(order, boot)
 	}
+	if errors.Is(err, errRestarted) {
+		standin.Abort()
+	}
 	state := e.OrderState()
 	if err != nil {
 		state.Error = err.Error()
@@ -131,7 +138,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if boot != e.load.Boot {
-		return fmt.Errorf("engine restarted during the order")
+		return errRestarted
 	}
 	e.orders.loading--
 	if err := e.checkFencing(order); err != nil {
--- a/standin/service/execute.go
+++ b/standin/service/execute.go
@@ -61,8 +61,10 @@
 	defer s.mu.Unlock()
 	s.counters.Executions++
 	s.byKey[key]++
-	if key != "" && s.byKey[key] == 2 {
-		s.counters.RepeatedKeys++
+	done := action{key, r.Method, r.URL.Path}
+	s.byAction[done]++
+	if key != "" && s.byAction[done] == 2 {
+		s.counters.RepeatedActions++
 	}
 	s.entry(content).Count++
 	return Answer{Key: key, Path: content.Path, Body: content.Body, Execution: s.byKey[key]}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -78,8 +78,9 @@
 type Counters struct {
 	Requests   int64 `json:"requests"`
 	Executions int64 `json:"executions"`
-	// RepeatedKeys counts the keys, without the empty one, that were executed more than once.
-	RepeatedKeys int64 `json:"repeated_keys"`
+	// RepeatedActions counts the actions that were executed more than once. An action is a key with
+	// method and path; requests without a key are not counted.
+	RepeatedActions int64 `json:"repeated_actions"`
 	// MaxConcurrent is the highest number of requests at one time.
 	MaxConcurrent int64 `json:"max_concurrent"`
 	Refused       int64 `json:"refused"`
@@ -108,14 +109,18 @@
 	executions []*Execution // in the order of the first execution
 	byContent  map[Execution]*Execution
 	byKey      map[string]int
+	byAction   map[action]int
 }
 
+type action struct{ key, method, path string }
+
 // New returns a service that has executed nothing.
 func New(settings Settings) *Service {
 	s := &Service{
 		settings:  settings,
 		byContent: make(map[Execution]*Execution),
 		byKey:     make(map[string]int),
+		byAction:  make(map[action]int),
 	}
 	s.Server.Handler = s.handler()
 	return s
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -32,7 +32,7 @@
 			is.Equal(s.Executions("k"), c.executed)
 			is.NoErr(post(s, "k", "marked"))
 			is.Equal(s.Executions("k"), c.executed+1)
-			is.Equal(s.Counters().RepeatedKeys, int64(c.executed))
+			is.Equal(s.Counters().RepeatedActions, int64(c.executed))
 		})
 	}
 }
