--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -73,6 +73,7 @@
 	ReasonCrashSuspect     Reason = "crash-suspect"
 	ReasonCrashRefused     Reason = "crash-refused"
 	ReasonIsolation        Reason = "isolation"
+	ReasonNotTarget        Reason = "not-a-target"
 	ReasonKeyInvalid       Reason = "key-invalid"
 	ReasonKeyExpired       Reason = "key-expired"
 	ReasonKeyFuture        Reason = "key-from-future"
@@ -80,6 +81,7 @@
 	ReasonKeyInProgress    Reason = "key-in-progress"
 	ReasonKeyOutcomeLost   Reason = "key-outcome-unknown"
 	ReasonKeyAnswerGone    Reason = "key-answer-not-kept"
+	ReasonKeyHistoryLost   Reason = "key-history-lost"
 	ReasonLogUnavailable   Reason = "log-unavailable"
 	ReasonInternal         Reason = "internal"
 )
