--- a/plugin/internal/platformhttp/client.go
+++ b/plugin/internal/platformhttp/client.go
@@ -23,8 +23,9 @@
 	idleTimeout     = 90 * time.Second
 )
 
-// Dialer opens a connection; it has the signature of net.Dialer.DialContext.
-type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+// Dialer opens a connection; it has the signature of net.Dialer.DialContext. It is an alias, so that
+// callers outside can name the interface of SetDialer.
+type Dialer = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewClient returns a client that uses neither the environment's proxy nor redirects. A nil dial is
 // replaced by a plain dialer.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -207,6 +207,7 @@
 		is.Equal(e.ReportedLoad().Waiting, 0)
 		time.Sleep(6 * time.Second)
 		is.Equal(e.ReportedLoad().Waiting, 2)
+		is.Equal(e.ReportedLoad().AgeMS, int64(5000))
 		time.Sleep(20 * time.Second)
 		low, high := e.Requests()[1], e.Requests()[2]
 		is.Equal(high.State, StateRunning)
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -17,6 +17,8 @@
 	Slots         int `json:"slots"`
 	// Boot counts starts of the engine; it grows with each crash.
 	Boot int `json:"boot"`
+	// AgeMS is the age of the report in milliseconds.
+	AgeMS int64 `json:"age_ms"`
 }
 
 // Tokens is the work of all requests.
@@ -45,7 +47,9 @@
 	if len(e.loads) == 0 {
 		return e.load
 	}
-	return e.loads[0].load
+	report := e.loads[0].load
+	report.AgeMS = e.settings.LoadLag.Milliseconds()
+	return report
 }
 
 // noteLoad records a change of the load. The caller holds mu.
--- a/standin/instances/list.go
+++ b/standin/instances/list.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"sort"
 	"sync"
@@ -43,6 +44,8 @@
 type Counters struct {
 	Reads   int64 `json:"reads"`
 	Changes int64 `json:"changes"`
+	// ReadsBy counts reads by the reader's name.
+	ReadsBy map[string]int64 `json:"reads_by"`
 }
 
 // List is an in-memory instance list. It is safe for concurrent use.
@@ -67,6 +70,7 @@
 // New returns an empty list.
 func New(settings Settings) *List {
 	l := &List{settings: settings, base: make(map[string]platform.Instance)}
+	l.counters.ReadsBy = make(map[string]int64)
 	l.Server.Handler = l.handler()
 	return l
 }
@@ -89,7 +93,9 @@
 func (l *List) Counters() Counters {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.counters
+	counters := l.counters
+	counters.ReadsBy = maps.Clone(counters.ReadsBy)
+	return counters
 }
 
 // Register adds an instance or replaces the one of the same ID.
@@ -137,6 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counters.Reads++
+	l.counters.ReadsBy[reader]++
 	if l.settings.Outage {
 		return nil, ErrOutage
 	}
