--- a/claim/append.go
+++ b/claim/append.go
@@ -11,6 +11,9 @@
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
+// batchOverhead is the most bytes that the encoding adds to one entry of a batch.
+const batchOverhead = 8
+
 // entryKind separates the entries of one nonce.
 type entryKind uint8
 
@@ -55,6 +58,8 @@
 	err     *verdict.Error
 	// freesSlot is set on the last entry of a claim.
 	freesSlot bool
+	// reserved is the part of Keeper.pendingBytes that belongs to this entry.
+	reserved int
 }
 
 func newPending(e *claimpb.Entry) *pending {
@@ -88,9 +93,7 @@
 	if p.freesSlot {
 		s.k.pending.Add(-1)
 	}
-	if p.key.kind == entryOutcome {
-		s.k.pendingBytes.Add(-int64(p.size))
-	}
+	s.k.pendingBytes.Add(-int64(p.reserved))
 }
 
 // enqueue hands an entry to the flusher. s.mu is held.
@@ -160,7 +163,7 @@
 	size := 0
 	for len(s.queue) > 0 && len(batch) < maxBatchEntries {
 		p := s.queue[0]
-		if len(batch) > 0 && size+p.size > maxBatchBytes {
+		if len(batch) > 0 && size+p.size > s.k.opts.MaxRecord-batchOverhead*len(batch) {
 			break
 		}
 		s.queue = s.queue[1:]
--- a/claim/execute.go
+++ b/claim/execute.go
@@ -10,8 +10,8 @@
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
-// maxHeaderBytes bounds the header fields of a kept answer.
-const maxHeaderBytes = 32 << 10
+// headerOverhead is the most bytes that the encoding adds to one header field.
+const headerOverhead = 16
 
 // execute dispatches the action of a claim that won. final is false after a proven not-run, when
 // the release is under way and another request may hold the key.
@@ -68,18 +68,17 @@
 	o := &claimpb.Outcome{Verdict: claimpb.Outcome_RAN, Status: int32(out.Status)}
 	headers := 0
 	for _, h := range out.Headers {
-		headers += len(h.Name) + len(h.Value)
+		headers += len(h.Name) + len(h.Value) + headerOverhead
 	}
-	tooLarge := len(out.Body) > r.k.opts.MaxAnswer || headers > maxHeaderBytes
-	tooMuch := r.k.pendingBytes.Load()+int64(len(out.Body)) > r.k.opts.MaxPendingBytes
-	if err != nil || tooLarge || tooMuch {
+	tooLarge := len(out.Body) > r.k.opts.MaxAnswer || headers > r.k.opts.MaxRecord/4
+	if err != nil || tooLarge || !r.k.reserveBytes(len(out.Body)) {
 		o.AnswerOmitted = true
 		return o
 	}
 	// The caller may change its slice after Run returns.
 	o.Body = bytes.Clone(out.Body)
 	for _, h := range out.Headers {
-		o.Headers = append(o.Headers, &claimpb.Header{Name: h.Name, Value: h.Value})
+		o.Headers = append(o.Headers, &claimpb.Header{Name: []byte(h.Name), Value: []byte(h.Value)})
 	}
 	return o
 }
@@ -91,7 +90,7 @@
 	defer s.mu.Unlock()
 	p := newPending(r.entry(&claimpb.Entry_Outcome{Outcome: o}))
 	p.freesSlot = true
-	s.k.pendingBytes.Add(int64(p.size))
+	p.reserved = len(o.GetBody())
 	r.unrecorded = false
 	r.claimed = false
 	s.view.apply(p.entry, 0, false)
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -18,6 +18,7 @@
 	wg     sync.WaitGroup
 	counts *expvar.Map
 
+	runs         atomic.Int64
 	memory       atomic.Int64
 	pending      atomic.Int64
 	pendingBytes atomic.Int64
@@ -63,6 +64,10 @@
 	if err := k.checkWindow(h); err != nil {
 		return Outcome{}, false, err
 	}
+	defer k.runs.Add(-1)
+	if k.runs.Add(1) > int64(k.opts.MaxRuns) {
+		return Outcome{}, false, overCapacity("too many actions are in progress")
+	}
 	s, err := k.acquire(h.stream)
 	if err != nil {
 		return Outcome{}, false, err
@@ -137,6 +142,8 @@
 	if s == nil {
 		s = newStream(k, name)
 		k.streams[name] = s
+		s.counted.Store(s.view.bytes)
+		k.memory.Add(s.view.bytes)
 	}
 	s.refs++
 	k.uses++
@@ -165,6 +172,12 @@
 	s.refs--
 }
 
+// overMemory tries to bring the memory below the bound and reports whether that failed.
+func (k *Keeper) overMemory() bool {
+	k.relieve()
+	return k.memory.Load() > k.opts.MaxMemory
+}
+
 // relieve brings the memory below the bound: it evicts idle streams, least recently used first,
 // and then drops answers that can be read from the log again.
 func (k *Keeper) relieve() {
@@ -205,6 +218,15 @@
 	return false
 }
 
+// reserveBytes reserves room for a body that waits for the log.
+func (k *Keeper) reserveBytes(n int) bool {
+	if k.pendingBytes.Add(int64(n)) <= k.opts.MaxPendingBytes {
+		return true
+	}
+	k.pendingBytes.Add(-int64(n))
+	return false
+}
+
 func (k *Keeper) note(h hashed, text string, fields ...journal.Field) {
 	k.opts.Journal.Add(journal.KindClaim, h.keyText, text, fields...)
 }
--- a/claim/operator.go
+++ b/claim/operator.go
@@ -62,14 +62,14 @@
 	if err := s.catchUp(ctx); err != nil {
 		return KeyState{}, err
 	}
-	return s.keyState(h.key), nil
-}
-
-func (s *stream) keyState(key id) KeyState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := KeyState{Stream: s.name}
-	state := s.view.keys[key]
+	return s.view.keyState(s.name, h.key), nil
+}
+
+func (v *view) keyState(name string, key id) KeyState {
+	out := KeyState{Stream: name}
+	state := v.keys[key]
 	if state == nil {
 		return out
 	}
@@ -87,7 +87,7 @@
 		}
 	}
 	if f := state.settlement; f != nil {
-		out.Settlement = &Settlement{f.GetOperator(), f.GetExecuted(), f.GetNote(), time.UnixMilli(f.GetTimeUnixMs())}
+		out.Settlement = &Settlement{string(f.GetOperator()), f.GetExecuted(), string(f.GetNote()), time.UnixMilli(f.GetTimeUnixMs())}
 	}
 	return out
 }
@@ -114,7 +114,7 @@
 	}
 	defer k.drop(s)
 	p := newPending(claimpb.NewEntry(h.key[:], newNonce(), &claimpb.Entry_Settlement{Settlement: &claimpb.Settlement{
-		Operator: f.Operator, Executed: f.Executed, Note: f.Note, TimeUnixMs: k.opts.Now().UnixMilli(),
+		Operator: []byte(f.Operator), Executed: f.Executed, Note: []byte(f.Note), TimeUnixMs: k.opts.Now().UnixMilli(),
 	}}))
 	s.mu.Lock()
 	s.enqueue(p)
--- a/claim/options.go
+++ b/claim/options.go
@@ -28,6 +28,8 @@
 const (
 	DefaultMaxMemory       = 64 << 20
 	DefaultMaxAnswer       = 64 << 10
+	DefaultMaxRecord       = 256 << 10
+	DefaultMaxRuns         = 8192
 	DefaultMaxPending      = 4096
 	DefaultMaxPendingBytes = 16 << 20
 	DefaultAppendTimeout   = 2 * time.Second
@@ -37,8 +39,6 @@
 )
 
 const (
-	// maxBatchBytes bounds one append, because log services bound the size of a record.
-	maxBatchBytes = 512 << 10
 	// maxBatchEntries bounds the work of a reader on one record.
 	maxBatchEntries = 512
 	// readLimit is the number of records asked for in one read.
@@ -70,6 +70,10 @@
 	MaxMemory int64
 	// MaxAnswer is the largest body in bytes that is kept for repeats.
 	MaxAnswer int
+	// MaxRecord is the largest record in bytes that the log accepts.
+	MaxRecord int
+	// MaxRuns bounds the calls of Run in progress, waiting ones included.
+	MaxRuns int
 	// MaxPending bounds the claims, outcomes and releases that wait for the log.
 	MaxPending int
 	// MaxPendingBytes bounds the bodies that wait for the log. An outcome over the bound is
@@ -100,6 +104,8 @@
 func (o *Options) setDefaults() {
 	setDefault(&o.MaxMemory, DefaultMaxMemory)
 	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
+	setDefault(&o.MaxRecord, DefaultMaxRecord)
+	setDefault(&o.MaxRuns, DefaultMaxRuns)
 	setDefault(&o.MaxPending, DefaultMaxPending)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&o.AppendTimeout, DefaultAppendTimeout)
@@ -144,8 +150,9 @@
 		"Window %v + Skew %v + ClockError %v must be less than Retention %v, or a key is accepted after its record expired",
 		o.Window, o.Skew, o.ClockError, o.Retention)
 	check(o.MaxMemory > 0, "MaxMemory is %d, must be above 0", o.MaxMemory)
-	check(o.MaxAnswer >= 0 && o.MaxAnswer <= maxBatchBytes/2,
-		"MaxAnswer is %d, must be from 0 to %d", o.MaxAnswer, maxBatchBytes/2)
+	check(o.MaxAnswer >= 0 && o.MaxAnswer <= o.MaxRecord/2,
+		"MaxAnswer is %d, must be from 0 to half of MaxRecord %d", o.MaxAnswer, o.MaxRecord)
+	check(o.MaxRuns > 0, "MaxRuns is %d, must be above 0", o.MaxRuns)
 	check(o.MaxPending > 0, "MaxPending is %d, must be above 0", o.MaxPending)
 	check(o.MaxPendingBytes > 0, "MaxPendingBytes is %d, must be above 0", o.MaxPendingBytes)
 	check(o.AppendTimeout > 0, "AppendTimeout is %v, must be above 0", o.AppendTimeout)
--- a/claim/run.go
+++ b/claim/run.go
@@ -198,11 +198,14 @@
 	if s.k.memory.Load() > s.k.opts.MaxMemory {
 		return nil, overCapacity("claims in memory are at their bound")
 	}
+	r.nonce = newNonce()
+	p := newPending(r.entry(&claimpb.Entry_Claim{Claim: r.claimRecord()}))
+	if p.size > s.k.opts.MaxRecord/2 {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "organisation, method and path exceed the size of a log record")
+	}
 	if !s.k.takeSlot() {
 		return nil, overCapacity("too many claims and outcomes wait for the log")
 	}
-	r.nonce = newNonce()
-	p := newPending(r.entry(&claimpb.Entry_Claim{Claim: r.claimRecord()}))
 	s.enqueue(p)
 	return p, nil
 }
@@ -215,9 +218,9 @@
 
 func (r *run) claimRecord() *claimpb.Claim {
 	return &claimpb.Claim{
-		Organisation:   r.h.action.Organisation,
-		Method:         r.h.action.Method,
-		Path:           r.h.action.Path,
+		Organisation:   []byte(r.h.action.Organisation),
+		Method:         []byte(r.h.action.Method),
+		Path:           []byte(r.h.action.Path),
 		IdempotencyKey: r.h.keyText,
 		Fingerprint:    r.h.fingerprint[:],
 		Instance:       r.k.opts.Instance,
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -25,11 +25,14 @@
 	// counted is the part of Keeper.memory that belongs to this stream.
 	counted atomic.Int64
 
-	mu      sync.Mutex
-	view    *view
-	loaded  bool
-	fault   *verdict.Error
-	changed chan struct{}
+	mu     sync.Mutex
+	view   *view
+	loaded bool
+	// loadError is the last failure to load.
+	loadError    error
+	loadFailedAt time.Time
+	fault        *verdict.Error
+	changed      chan struct{}
 	// active has the request of this instance that claims or runs a key.
 	active map[id]*run
 
@@ -67,12 +70,19 @@
 	case <-ctx.Done():
 		return contextError(ctx, "waiting for the stream of the key to be read")
 	}
-	if s.isLoaded() {
-		return nil
-	}
-	if err := s.catchUp(ctx); err != nil {
+	if loaded, err := s.loadState(); loaded || err != nil {
 		return err
 	}
+	for more := true; more; {
+		var err error
+		if more, err = s.read(ctx, 0); err != nil {
+			s.loadFailed(err)
+			return err
+		}
+		if s.k.overMemory() {
+			return overCapacity("the records of the key do not fit into memory")
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loaded = true
@@ -80,10 +90,26 @@
 	return nil
 }
 
-func (s *stream) isLoaded() bool {
+// loadState returns the error of a failed load for a while, so that the requests that waited for
+// it fail at once and not one timeout after another.
+func (s *stream) loadState() (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loaded && s.loadError != nil && time.Since(s.loadFailedAt) < s.k.opts.RetryInterval {
+		return false, s.loadError
+	}
+	return s.loaded, nil
+}
+
+// loadFailed keeps an error of the log. The end of one request's context says nothing about it.
+func (s *stream) loadFailed(err error) {
+	if verdict.As(err).Reason != verdict.ReasonLogUnavailable {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loaded
+	s.loadError = err
+	s.loadFailedAt = time.Now()
 }
 
 // catchUp reads until the end of the stream.
--- a/claim/view.go
+++ b/claim/view.go
@@ -10,6 +10,7 @@
 
 // Approximate heap sizes in bytes, used for the memory bound; see BenchmarkMemoryHeldClaim.
 const (
+	streamBytes   = 1024
 	heldKeyBytes  = 240
 	claimBytes    = 56
 	releasedBytes = 40
@@ -62,6 +63,7 @@
 		keys:     make(map[id]*keyState),
 		released: make(map[id]struct{}),
 		holders:  make(map[holder]*holder),
+		bytes:    streamBytes,
 	}
 }
 
@@ -191,7 +193,7 @@
 func answerOf(o *claimpb.Outcome) *Outcome {
 	out := &Outcome{Status: int(o.GetStatus()), Body: o.GetBody()}
 	for _, h := range o.GetHeaders() {
-		out.Headers = append(out.Headers, Header{h.GetName(), h.GetValue()})
+		out.Headers = append(out.Headers, Header{string(h.GetName()), string(h.GetValue())})
 	}
 	return out
 }
