Let routers compute the stream of an action

Cause: a router that sends equal streams to equal sidecars needs the name of a stream but has no Keeper.

Changed: Layout (pool, partitions, bucket) has the Stream method that Keeper had.

Conclusion: no change of behaviour; the tests pass.

--- a/claim/action.go
+++ b/claim/action.go
@@ -61,28 +61,53 @@
 	stream      string
 }
 
+// Layout determines the stream of a key. It is the same at all routers and sidecars of a pool.
+type Layout struct {
+	Pool       string
+	Partitions int
+	// Bucket is the length of the key time that shares a stream.
+	Bucket time.Duration
+}
+
+// Stream returns the name of the stream that holds the key of an action. A router that sends
+// actions of one stream to one sidecar makes that sidecar its only writer, which saves gap reads
+// and lets more entries share an append. The error is a *verdict.Error for an invalid key.
+func (l Layout) Stream(a Action) (string, error) {
+	key, err := parseKey(a.Key)
+	if err != nil {
+		return "", err
+	}
+	return l.stream(l.scope(a, key), keyTime(key)), nil
+}
+
+func (l Layout) scope(a Action, key uuid.UUID) id {
+	return hashFields(a.Organisation, l.Pool, a.Method, a.Path, key.String())
+}
+
+func (l Layout) stream(scope id, at time.Time) string {
+	partition := int(binary.BigEndian.Uint64(scope[:]) % uint64(l.Partitions))
+	return l.name(partition, l.bucket(at))
+}
+
+func (l Layout) name(partition int, bucket int64) string {
+	return fmt.Sprintf("claims/%s/%d/%d", url.PathEscape(l.Pool), partition, bucket)
+}
+
+func (l Layout) bucket(t time.Time) int64 { return t.UnixMilli() / l.Bucket.Milliseconds() }
+
 func (k *Keeper) hash(a Action) (hashed, error) {
 	key, err := parseKey(a.Key)
 	if err != nil {
 		return hashed{}, err
 	}
 	h := hashed{action: a, keyText: key.String(), time: keyTime(key)}
-	h.key = hashFields(a.Organisation, k.opts.Pool, a.Method, a.Path, h.keyText)
+	h.key = k.layout.scope(a, key)
 	sum := sha256.Sum256(a.Body)
 	h.fingerprint = idOf(sum[:])
-	partition := int(binary.BigEndian.Uint64(h.key[:]) % uint64(k.opts.Partitions))
-	h.stream = k.streamName(partition, k.bucket(h.time))
+	h.stream = k.layout.stream(h.key, h.time)
 	return h, nil
 }
 
-func (k *Keeper) streamName(partition int, bucket int64) string {
-	return fmt.Sprintf("claims/%s/%d/%d", url.PathEscape(k.opts.Pool), partition, bucket)
-}
-
-func (k *Keeper) bucket(t time.Time) int64 {
-	return t.UnixMilli() / k.opts.Bucket.Milliseconds()
-}
-
 // hashFields hashes the fields with their lengths, so that no two scopes have the same input.
 func hashFields(fields ...string) id {
 	h := sha256.New()
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -86,7 +86,7 @@
 	opts.Now = func() time.Time { return now }
 	for n := range rate * 86400 {
 		at := now.Add(-time.Duration(n) * time.Second / rate)
-		log.store(filler.streamName(n%opts.Partitions, filler.bucket(at)), payload(n, answer))
+		log.store(filler.layout.name(n%opts.Partitions, filler.layout.bucket(at)), payload(n, answer))
 	}
 	filler.Close()
 	first := func(b *testing.B, streams []string) {
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -39,7 +39,7 @@
 // streams do not share an append, because the log orders records only within a stream: sharing
 // would mean fewer partitions, and each sidecar would read and keep the records of more keys that
 // it never serves. Routers get the same effect by sending equal partitions to equal sidecars, see
-// Keeper.Stream.
+// Layout.Stream.
 //
 // Related reading: "Idempotency keys in payment APIs: the patterns that actually prevent double
 // charges", for the fingerprint of the body, the reservation before the call, the replay of the
--- a/claim/failure_test.go
+++ b/claim/failure_test.go
@@ -95,7 +95,7 @@
 	log, svc := newMemLog(), &service{}
 	a, b := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 	action := testAction(1, "pay")
-	stream, err := a.Stream(action)
+	stream, err := a.layout.Stream(action)
 	is.NoErr(err)
 	_, err = a.State(t.Context(), action)
 	is.NoErr(err)
@@ -315,7 +315,7 @@
 		log, svc := newMemLog(), &service{}
 		k := newKeeper(t, testOptions(log, "a"))
 		action := testAction(1, "pay")
-		stream, err := k.Stream(action)
+		stream, err := k.layout.Stream(action)
 		is.NoErr(err)
 		log.set(func(l *memLog) { l.store(stream, []byte{0x0a, 0x02, 0x7a, 0x00}) })
 		_, _, err = within(k, time.Second, action, svc)
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -13,6 +13,7 @@
 // Keeper runs actions at most once for one instance. It is safe for concurrent use.
 type Keeper struct {
 	opts   Options
+	layout Layout
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -37,6 +38,7 @@
 		return nil, err
 	}
 	k := &Keeper{opts: opts, streams: make(map[string]*stream), counts: opts.Counters.Map("claims")}
+	k.layout = Layout{Pool: opts.Pool, Partitions: opts.Partitions, Bucket: opts.Bucket}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	opts.Counters.Func("claims_memory_bytes", func() any { return k.memory.Load() })
 	opts.Counters.Func("claims_pending", func() any { return k.pending.Load() })
@@ -91,14 +93,6 @@
 	}
 }
 
-// Stream returns the name of the stream that holds the key of an action. A router that sends
-// actions of one stream to one sidecar makes that sidecar its only writer, which saves gap reads
-// and lets more entries share an append. The error is a *verdict.Error for an invalid key.
-func (k *Keeper) Stream(a Action) (string, error) {
-	h, err := k.hash(a)
-	return h.stream, err
-}
-
 // Flush waits until every outcome and release is in the log. A sidecar calls it after its last
 // action and before Close. It returns the error of ctx if that ends first.
 func (k *Keeper) Flush(ctx context.Context) error {
--- a/claim/load_test.go
+++ b/claim/load_test.go
@@ -119,7 +119,7 @@
 	if l.spread {
 		return i % l.sidecars
 	}
-	stream, _ := k.Stream(a)
+	stream, _ := k.layout.Stream(a)
 	key := hashFields(strings.Split(stream, "/")[2])
 	return int(key[0]) % l.sidecars
 }
--- a/claim/unresolved.go
+++ b/claim/unresolved.go
@@ -30,9 +30,9 @@
 // up to an error, which is a *verdict.Error.
 func (k *Keeper) Unresolved(ctx context.Context, from, to time.Time) ([]Unresolved, error) {
 	var found []Unresolved
-	for bucket := k.bucket(from); bucket <= k.bucket(to); bucket++ {
+	for bucket := k.layout.bucket(from); bucket <= k.layout.bucket(to); bucket++ {
 		for partition := range k.opts.Partitions {
-			some, err := k.scan(ctx, k.streamName(partition, bucket))
+			some, err := k.scan(ctx, k.layout.name(partition, bucket))
 			if err != nil {
 				return found, err
 			}
