Refuse actions while another stream layout is in use

Cause: partitions and bucket length select the stream of a key. During a rollout that changes either one, an old and a new sidecar look for the same key in different streams, and both run the action.

Changed: a sidecar runs actions only while the log has a recent record of its layout and none of another one. The record outlives every key accepted under it.

Conclusion: a changed layout is refused until its predecessor's record has expired.

--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -125,3 +125,23 @@
 	b.Run("one-stream", func(b *testing.B) { first(b, nil) })
 	b.Run("all-streams", func(b *testing.B) { first(b, all) })
 }
+
+// BenchmarkRun measures the processor time of one action with a log that answers at once.
+func BenchmarkRun(b *testing.B) {
+	opts := testOptions(newMemLog(), "a")
+	opts.MaxMemory, opts.OutcomeDelay, opts.MaxPending = 4<<30, -1, 1<<30
+	k, err := New(opts)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer k.Close()
+	svc := &service{}
+	action := testAction(1, "pay")
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		action.Path = fmt.Sprint("/print/", n)
+		if _, _, err := within(k, time.Minute, action, svc); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -33,6 +33,13 @@
 // the log's must differ by at most ClockError. Independently of all clocks, a stream whose earliest
 // offset is above 0 has lost records and refuses every key.
 //
+// # Layout
+//
+// Partitions and bucket length select the stream of a key, so two sidecars with different values
+// could both run it. A record in the layout stream of the pool prevents that, see layoutGuard. The
+// layout must not change while Window has not passed since the last action; a sidecar with another
+// layout refuses with ReasonNotReady until the old record has expired.
+//
 // # Appends
 //
 // Entries that are queued for one stream while an append is in flight share the next one. Several
--- a/claim/execute.go
+++ b/claim/execute.go
@@ -24,6 +24,9 @@
 	if err := r.k.checkWindow(r.h); err != nil {
 		return Outcome{}, true, err
 	}
+	if err := r.k.checkLayout(ctx); err != nil {
+		return Outcome{}, true, err
+	}
 	r.unrecorded = true
 	out, err = r.dispatch(ctx)
 	switch verdict.Of(err) {
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -14,6 +14,7 @@
 type Keeper struct {
 	opts   Options
 	layout Layout
+	guard  *layoutGuard
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -39,6 +40,7 @@
 	}
 	k := &Keeper{opts: opts, streams: make(map[string]*stream), counts: opts.Counters.Map("claims")}
 	k.layout = Layout{Pool: opts.Pool, Partitions: opts.Partitions, Bucket: opts.Bucket}
+	k.guard = newLayoutGuard()
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	opts.Counters.Func("claims_memory_bytes", func() any { return k.memory.Load() })
 	opts.Counters.Func("claims_pending", func() any { return k.pending.Load() })
@@ -70,6 +72,9 @@
 	if k.runs.Add(1) > int64(k.opts.MaxRuns) {
 		return Outcome{}, false, overCapacity("too many actions are in progress")
 	}
+	if err := k.checkLayout(ctx); err != nil {
+		return Outcome{}, false, err
+	}
 	s, err := k.acquire(h.stream)
 	if err != nil {
 		return Outcome{}, false, err
--- a/claim/operator.go
+++ b/claim/operator.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return KeyState{}, err
 	}
+	if err := k.checkLayout(ctx); err != nil {
+		return KeyState{}, err
+	}
 	s, err := k.acquire(h.stream)
 	if err != nil {
 		return KeyState{}, err
--- a/claim/options.go
+++ b/claim/options.go
@@ -62,7 +62,8 @@
 	Retention time.Duration
 
 	// Partitions and Bucket determine the stream of a key. All sidecars of a pool must use the
-	// same values: with different ones they look for a key in different streams and can both run it.
+	// same values. A sidecar with other values refuses every action until the log has dropped the
+	// last record of the earlier ones.
 	Partitions int
 	Bucket     time.Duration
 
