--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -248,6 +249,8 @@
 			_, _, err := within(k, 500*time.Millisecond, action, svc)
 			expect(t, err, verdict.Unknown, verdict.ReasonKeyInProgress)
 			is.True(verdict.As(err).RetryAfter > 0)
+			var elsewhere *HeldError
+			is.Equal(errors.As(err, &elsewhere), k == b)
 			is.Equal(time.Since(start), 500*time.Millisecond)
 		}
 		out, replayed, err := within(b, time.Minute, action, svc)
--- a/claim/run.go
+++ b/claim/run.go
@@ -280,13 +280,34 @@
 	case <-d.changed:
 	case <-timer.C:
 	case <-ctx.Done():
-		e := verdict.New(verdict.Unknown, verdict.ReasonKeyInProgress, "another request with this key is in progress")
-		e.RetryAfter = inProgressRetry
-		return e
+		return inProgress(d)
 	}
 	return nil
 }
 
+// HeldError is the error of a request whose key is in progress at another instance, which can be
+// asked for the outcome. It wraps a *verdict.Error with ReasonKeyInProgress.
+type HeldError struct {
+	Instance    string
+	Incarnation uint64
+	Err         *verdict.Error
+}
+
+// Error implements the error interface.
+func (e *HeldError) Error() string { return fmt.Sprintf("%v at %s", e.Err, e.Instance) }
+
+// Unwrap returns the *verdict.Error.
+func (e *HeldError) Unwrap() error { return e.Err }
+
+func inProgress(d decision) error {
+	e := verdict.New(verdict.Unknown, verdict.ReasonKeyInProgress, "another request with this key is in progress")
+	e.RetryAfter = inProgressRetry
+	if d.situation != keyBusyElsewhere {
+		return e
+	}
+	return &HeldError{Instance: d.holder.instance, Incarnation: d.holder.incarnation, Err: e}
+}
+
 func (r *run) holderGone(d decision) error {
 	r.k.note(r.h, "outcome unknown: the holder vanished",
 		journal.Field{Name: "holder", Value: d.holder.instance},
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -225,8 +226,10 @@
 func (s *stream) dropAnswers() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.dropAnswers()
-	s.settled()
+	if len(s.view.kept) > 0 {
+		s.view.dropAnswers()
+		s.settled()
+	}
 }
 
 // watch keeps a long poll on the stream until the returned function is called.
@@ -280,9 +283,9 @@
 
 // contextError is the not-run error of a request whose context ended before the dispatch.
 func contextError(ctx context.Context, doing string) *verdict.Error {
-	reason := verdict.ReasonDeadline
-	if context.Cause(ctx) == context.Canceled {
-		reason = verdict.ReasonCancelled
+	reason := verdict.ReasonCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = verdict.ReasonDeadline
 	}
 	e := verdict.Wrap(verdict.NotRun, reason, ctx.Err())
 	e.Detail = doing + ": " + e.Detail
--- a/claim/view.go
+++ b/claim/view.go
@@ -55,7 +55,9 @@
 	keys     map[id]*keyState
 	released map[id]struct{}
 	holders  map[holder]*holder
-	bytes    int64
+	// kept are the outcomes whose answers are in memory and can be read from the log again.
+	kept  []*ended
+	bytes int64
 }
 
 func newView() *view {
@@ -136,6 +138,7 @@
 		if s.outcome.nonce == nonce && inLog && !s.outcome.inLog {
 			s.outcome.offset = offset
 			s.outcome.inLog = true
+			v.keep(s.outcome)
 		}
 		return
 	}
@@ -150,6 +153,13 @@
 	s.outcome = end
 	v.bytes += outcomeBytes + answerBytes(end.answer) - claimBytes*int64(len(s.claims))
 	s.claims = nil
+	v.keep(end)
+}
+
+func (v *view) keep(end *ended) {
+	if end.inLog && end.answer != nil {
+		v.kept = append(v.kept, end)
+	}
 }
 
 func (v *view) applyRelease(key, nonce id) {
@@ -173,12 +183,11 @@
 
 // dropAnswers frees the answers that can be read from the log again.
 func (v *view) dropAnswers() {
-	for _, s := range v.keys {
-		if s.outcome != nil && s.outcome.inLog {
-			v.bytes -= answerBytes(s.outcome.answer)
-			s.outcome.answer = nil
-		}
+	for _, end := range v.kept {
+		v.bytes -= answerBytes(end.answer)
+		end.answer = nil
 	}
+	v.kept = nil
 }
 
 func (s *keyState) claim(nonce id) *held {
