--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -71,6 +71,11 @@
 	return Outcome{Status: 201, Headers: []Header{{"Location", "/orders/1"}}, Body: body}, s.err
 }
 
+// bubble runs f in virtual time with a log and a service of its own.
+func bubble(t *testing.T, f func(t *testing.T, is *is.I, log *memLog, svc *service)) {
+	synctest.Test(t, func(t *testing.T) { f(t, is.New(t), newMemLog(), &service{}) })
+}
+
 // within runs an action with a deadline.
 func within(k *Keeper, d time.Duration, a Action, s *service) (Outcome, bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
@@ -80,9 +85,7 @@
 
 // A repeat at the same and at another instance must get the original answer without a second run.
 func TestRepeatGetsOriginalAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		a, b := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 		action := testAction(1, "100 sheets")
 		first, replayed, err := within(a, time.Second, action, svc)
@@ -179,9 +182,7 @@
 
 // A stream that lost records must refuse every key, whatever the clocks say.
 func TestExpiredRecordsRefuseEveryKey(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		opts := testOptions(log, "a")
 		opts.Partitions = 1
 		log.retention = time.Minute // shorter than the options say
@@ -201,9 +202,7 @@
 
 // A holder that is paused between the window check and the dispatch must check the window again.
 func TestWindowIsCheckedAgainBeforeDispatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		k, action := newKeeper(t, testOptions(log, "a")), testAction(1, "pay")
 		time.Sleep(24*time.Hour - time.Second/2)
 		_, err := k.State(t.Context(), action)
@@ -217,9 +216,7 @@
 
 // A key that was used with another body must not run, and must not get the other body's answer.
 func TestOtherBodyIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		a, b := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 		action := testAction(1, "100 sheets")
 		_, _, err := within(a, time.Second, action, svc)
@@ -237,9 +234,8 @@
 // A duplicate must wait for the first request: up to its deadline and no longer, and with the
 // first one's answer when that comes in time.
 func TestDuplicateWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{delay: 3 * time.Second}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.delay = 3 * time.Second
 		a, b := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 		action := testAction(1, "pay")
 		go func() { _, _, _ = within(a, time.Minute, action, svc) }()
@@ -263,9 +259,8 @@
 
 // A holder that vanished must leave unknown for good, also after a settlement.
 func TestVanishedHolder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{delay: time.Hour}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.delay = time.Hour
 		a := newKeeper(t, testOptions(log, "a"))
 		opts := testOptions(log, "b")
 		gone := Alive
@@ -300,9 +295,8 @@
 
 // An answer over the limit must not be confused with an action that did not run.
 func TestAnswerOverLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{size: DefaultMaxAnswer}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.size = DefaultMaxAnswer
 		k := newKeeper(t, testOptions(log, "a"))
 		out, _, err := within(k, time.Second, testAction(1, "pay"), svc)
 		is.NoErr(err)
--- a/claim/failure_test.go
+++ b/claim/failure_test.go
@@ -16,9 +16,7 @@
 
 // In an outage a request must fail at once with not-run, loaded stream or not.
 func TestOutageIsNotRunAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		loaded, fresh := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 		action := testAction(1, "pay")
 		_, err := loaded.State(t.Context(), action)
@@ -40,9 +38,7 @@
 
 // Requests that wait for a log that hangs must share one timeout, not queue up behind each other's.
 func TestHangingLogFailsAllWaitersTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		log.latency = time.Hour
 		k := newKeeper(t, testOptions(log, "a"))
 		start := time.Now()
@@ -119,9 +115,8 @@
 
 // Duplicates at one instance must not spend log records.
 func TestLocalDuplicatesShareOneClaim(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{delay: time.Second}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.delay = time.Second
 		log.latency = 5 * time.Millisecond
 		k := newKeeper(t, testOptions(log, "a"))
 		action := testAction(1, "pay")
@@ -154,9 +149,8 @@
 
 // A proven not-run must free the key for a retry at another sidecar.
 func TestReleaseAfterNotRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{err: verdict.New(verdict.NotRun, verdict.ReasonLeaving, "leaving")}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.err = verdict.New(verdict.NotRun, verdict.ReasonLeaving, "leaving")
 		a, b := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 		action := testAction(1, "pay")
 		_, _, err := within(a, time.Second, action, svc)
@@ -185,9 +179,8 @@
 
 // An outcome that cannot be appended must not delay the caller, and must reach the log later.
 func TestOutcomeIsAppendedAfterOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{delay: time.Second}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.delay = time.Second
 		a, b := newKeeper(t, testOptions(log, "a")), newKeeper(t, testOptions(log, "b"))
 		action := testAction(1, "pay")
 		go func() {
@@ -212,9 +205,8 @@
 
 // Whatever waits for the log in an outage must stay within its bounds.
 func TestOutageIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{size: 1000, delay: time.Second}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.size, svc.delay = 1000, time.Second
 		opts := testOptions(log, "a")
 		opts.Partitions, opts.MaxPendingBytes = 1, 2500
 		k := newKeeper(t, opts)
@@ -240,9 +232,8 @@
 
 // Claims over MaxPending must be refused with not-run instead of queued.
 func TestTooManyClaims(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{delay: time.Second}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.delay = time.Second
 		opts := testOptions(log, "a")
 		opts.MaxPending = 10
 		k := newKeeper(t, opts)
@@ -261,9 +252,8 @@
 
 // Eviction must keep the memory bound and must not forget a key.
 func TestEviction(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{size: 1000}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.size = 1000
 		opts := testOptions(log, "a")
 		opts.MaxMemory = 20_000
 		k := newKeeper(t, opts)
@@ -289,9 +279,7 @@
 // An answer that was dropped from memory must be read from the log, and an outage must then give
 // ran and not a second run.
 func TestDroppedAnswerIsRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		k := newKeeper(t, testOptions(log, "a"))
 		action := testAction(1, "pay")
 		first, _, err := within(k, time.Second, action, svc)
@@ -312,9 +300,7 @@
 
 // A record that this version cannot read may hold a claim, so its stream must refuse every key.
 func TestUnreadableRecord(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		k := newKeeper(t, testOptions(log, "a"))
 		action := testAction(1, "pay")
 		stream, err := k.layout.Stream(action)
@@ -346,9 +332,8 @@
 
 // Concurrent claims must share appends, and a sole writer must not read.
 func TestGroupAppend(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{delay: 100 * time.Millisecond}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		svc.delay = 100 * time.Millisecond
 		log.latency = 5 * time.Millisecond
 		opts := testOptions(log, "a")
 		opts.Partitions = 1
--- a/claim/layout_test.go
+++ b/claim/layout_test.go
@@ -59,9 +59,7 @@
 
 // Two layouts that start on an empty log at the same time must not both run.
 func TestLayoutRace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log, svc := newMemLog(), &service{}
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
 		log.latency = 5 * time.Millisecond
 		opts := testOptions(log, "a")
 		a := newKeeper(t, opts)
