--- a/claim/layout_test.go
+++ b/claim/layout_test.go
@@ -89,3 +89,17 @@
 		expect(t, k.checkLayout(t.Context()), verdict.NotRun, verdict.ReasonLogUnavailable)
 	})
 }
+
+// Another layout that is appended between the last read and the append must still be seen.
+func TestLayoutIsReadAfterTheAppend(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, _ *service) {
+		k := newKeeper(t, testOptions(log, "a"))
+		log.latency, log.loseAppends = 5*time.Millisecond, 1
+		go func() {
+			// Reads end after 5 and 15 ms, appends after 10 (lost) and 20 ms.
+			time.Sleep(17 * time.Millisecond)
+			log.set(func(l *memLog) { l.store(k.layoutStream(), []byte{8, 9}) })
+		}()
+		expect(t, k.checkLayout(t.Context()), verdict.NotRun, verdict.ReasonNotReady)
+	})
+}
