--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -13,11 +13,14 @@
 // Keeper runs actions at most once for one instance. It is safe for concurrent use.
 type Keeper struct {
 	opts   Options
+	layout Layout
+	guard  *layoutGuard
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	counts *expvar.Map
 
+	runs         atomic.Int64
 	memory       atomic.Int64
 	pending      atomic.Int64
 	pendingBytes atomic.Int64
@@ -36,6 +39,8 @@
 		return nil, err
 	}
 	k := &Keeper{opts: opts, streams: make(map[string]*stream), counts: opts.Counters.Map("claims")}
+	k.layout = Layout{Pool: opts.Pool, Partitions: opts.Partitions, Bucket: opts.Bucket}
+	k.guard = newLayoutGuard()
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	opts.Counters.Func("claims_memory_bytes", func() any { return k.memory.Load() })
 	opts.Counters.Func("claims_pending", func() any { return k.pending.Load() })
@@ -63,6 +68,13 @@
 	if err := k.checkWindow(h); err != nil {
 		return Outcome{}, false, err
 	}
+	defer k.runs.Add(-1)
+	if k.runs.Add(1) > int64(k.opts.MaxRuns) {
+		return Outcome{}, false, overCapacity("too many actions are in progress")
+	}
+	if err := k.checkLayout(ctx); err != nil {
+		return Outcome{}, false, err
+	}
 	s, err := k.acquire(h.stream)
 	if err != nil {
 		return Outcome{}, false, err
@@ -86,14 +98,6 @@
 	}
 }
 
-// Stream returns the name of the stream that holds the key of an action. A router that sends
-// actions of one stream to one sidecar makes that sidecar its only writer, which saves gap reads
-// and lets more entries share an append. The error is a *verdict.Error for an invalid key.
-func (k *Keeper) Stream(a Action) (string, error) {
-	h, err := k.hash(a)
-	return h.stream, err
-}
-
 // Flush waits until every outcome and release is in the log. A sidecar calls it after its last
 // action and before Close. It returns the error of ctx if that ends first.
 func (k *Keeper) Flush(ctx context.Context) error {
@@ -137,6 +141,8 @@
 	if s == nil {
 		s = newStream(k, name)
 		k.streams[name] = s
+		s.counted.Store(s.view.bytes)
+		k.memory.Add(s.view.bytes)
 	}
 	s.refs++
 	k.uses++
@@ -165,6 +171,12 @@
 	s.refs--
 }
 
+// overMemory tries to bring the memory below the bound and reports whether that failed.
+func (k *Keeper) overMemory() bool {
+	k.relieve()
+	return k.memory.Load() > k.opts.MaxMemory
+}
+
 // relieve brings the memory below the bound: it evicts idle streams, least recently used first,
 // and then drops answers that can be read from the log again.
 func (k *Keeper) relieve() {
@@ -205,6 +217,15 @@
 	return false
 }
 
+// reserveBytes reserves room for a body that waits for the log.
+func (k *Keeper) reserveBytes(n int) bool {
+	if k.pendingBytes.Add(int64(n)) <= k.opts.MaxPendingBytes {
+		return true
+	}
+	k.pendingBytes.Add(-int64(n))
+	return false
+}
+
 func (k *Keeper) note(h hashed, text string, fields ...journal.Field) {
 	k.opts.Journal.Add(journal.KindClaim, h.keyText, text, fields...)
 }
--- a/claim/run.go
+++ b/claim/run.go
@@ -11,7 +11,10 @@
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
-var errLogDown = errors.New("the last append or read failed")
+var (
+	errLogDown   = errors.New("the last append or read failed")
+	errNoRecords = errors.New("a read below the end of the stream returned no records")
+)
 
 // inProgressRetry is the Retry-After of a key that another request is running.
 const inProgressRetry = time.Second
@@ -198,11 +201,14 @@
 	if s.k.memory.Load() > s.k.opts.MaxMemory {
 		return nil, overCapacity("claims in memory are at their bound")
 	}
+	r.nonce = newNonce()
+	p := newPending(r.entry(&claimpb.Entry_Claim{Claim: r.claimRecord()}))
+	if p.size > s.k.opts.MaxRecord/2 {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "organisation, method and path exceed the size of a log record")
+	}
 	if !s.k.takeSlot() {
 		return nil, overCapacity("too many claims and outcomes wait for the log")
 	}
-	r.nonce = newNonce()
-	p := newPending(r.entry(&claimpb.Entry_Claim{Claim: r.claimRecord()}))
 	s.enqueue(p)
 	return p, nil
 }
@@ -215,9 +221,9 @@
 
 func (r *run) claimRecord() *claimpb.Claim {
 	return &claimpb.Claim{
-		Organisation:   r.h.action.Organisation,
-		Method:         r.h.action.Method,
-		Path:           r.h.action.Path,
+		Organisation:   []byte(r.h.action.Organisation),
+		Method:         []byte(r.h.action.Method),
+		Path:           []byte(r.h.action.Path),
 		IdempotencyKey: r.h.keyText,
 		Fingerprint:    r.h.fingerprint[:],
 		Instance:       r.k.opts.Instance,
@@ -274,13 +280,34 @@
 	case <-d.changed:
 	case <-timer.C:
 	case <-ctx.Done():
-		e := verdict.New(verdict.Unknown, verdict.ReasonKeyInProgress, "another request with this key is in progress")
-		e.RetryAfter = inProgressRetry
-		return e
+		return inProgress(d)
 	}
 	return nil
 }
 
+// HeldError is the error of a request whose key is in progress at another instance, which can be
+// asked for the outcome. It wraps a *verdict.Error with ReasonKeyInProgress.
+type HeldError struct {
+	Instance    string
+	Incarnation uint64
+	Err         *verdict.Error
+}
+
+// Error implements the error interface.
+func (e *HeldError) Error() string { return fmt.Sprintf("%v at %s", e.Err, e.Instance) }
+
+// Unwrap returns the *verdict.Error.
+func (e *HeldError) Unwrap() error { return e.Err }
+
+func inProgress(d decision) error {
+	e := verdict.New(verdict.Unknown, verdict.ReasonKeyInProgress, "another request with this key is in progress")
+	e.RetryAfter = inProgressRetry
+	if d.situation != keyBusyElsewhere {
+		return e
+	}
+	return &HeldError{Instance: d.holder.instance, Incarnation: d.holder.incarnation, Err: e}
+}
+
 func (r *run) holderGone(d decision) error {
 	r.k.note(r.h, "outcome unknown: the holder vanished",
 		journal.Field{Name: "holder", Value: d.holder.instance},
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -25,11 +26,14 @@
 	// counted is the part of Keeper.memory that belongs to this stream.
 	counted atomic.Int64
 
-	mu      sync.Mutex
-	view    *view
-	loaded  bool
-	fault   *verdict.Error
-	changed chan struct{}
+	mu     sync.Mutex
+	view   *view
+	loaded bool
+	// loadError is the last failure to load.
+	loadError    error
+	loadFailedAt time.Time
+	fault        *verdict.Error
+	changed      chan struct{}
 	// active has the request of this instance that claims or runs a key.
 	active map[id]*run
 
@@ -67,12 +71,19 @@
 	case <-ctx.Done():
 		return contextError(ctx, "waiting for the stream of the key to be read")
 	}
-	if s.isLoaded() {
-		return nil
-	}
-	if err := s.catchUp(ctx); err != nil {
+	if loaded, err := s.loadState(); loaded || err != nil {
 		return err
 	}
+	for more := true; more; {
+		var err error
+		if more, err = s.read(ctx, 0); err != nil {
+			s.loadFailed(err)
+			return err
+		}
+		if s.k.overMemory() {
+			return overCapacity("the records of the key do not fit into memory")
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loaded = true
@@ -80,10 +91,26 @@
 	return nil
 }
 
-func (s *stream) isLoaded() bool {
+// loadState returns the error of a failed load for a while, so that the requests that waited for
+// it fail at once and not one timeout after another.
+func (s *stream) loadState() (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loaded && s.loadError != nil && time.Since(s.loadFailedAt) < s.k.opts.RetryInterval {
+		return false, s.loadError
+	}
+	return s.loaded, nil
+}
+
+// loadFailed keeps an error of the log. The end of one request's context says nothing about it.
+func (s *stream) loadFailed(err error) {
+	if verdict.As(err).Reason != verdict.ReasonLogUnavailable {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loaded
+	s.loadError = err
+	s.loadFailedAt = time.Now()
 }
 
 // catchUp reads until the end of the stream.
@@ -124,6 +151,7 @@
 	if err := s.checkPage(from, page); err != nil {
 		return false, err
 	}
+	before := s.view.next
 	for _, r := range page.Records {
 		if r.Offset < s.view.next {
 			continue
@@ -136,7 +164,11 @@
 		}
 	}
 	s.settled()
-	return s.view.next < page.Next, nil
+	more := s.view.next < page.Next
+	if more && s.view.next == before && before == from {
+		return false, s.k.logError(errNoRecords)
+	}
+	return more, nil
 }
 
 func (s *stream) checkPage(from uint64, page platform.Page) error {
@@ -194,8 +226,10 @@
 func (s *stream) dropAnswers() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.dropAnswers()
-	s.settled()
+	if len(s.view.kept) > 0 {
+		s.view.dropAnswers()
+		s.settled()
+	}
 }
 
 // watch keeps a long poll on the stream until the returned function is called.
@@ -249,9 +283,9 @@
 
 // contextError is the not-run error of a request whose context ended before the dispatch.
 func contextError(ctx context.Context, doing string) *verdict.Error {
-	reason := verdict.ReasonDeadline
-	if context.Cause(ctx) == context.Canceled {
-		reason = verdict.ReasonCancelled
+	reason := verdict.ReasonCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = verdict.ReasonDeadline
 	}
 	e := verdict.Wrap(verdict.NotRun, reason, ctx.Err())
 	e.Detail = doing + ": " + e.Detail
