Test the invariants of admission under random interleavings

Cause: the load bound, the counts, the queue limit and draining must hold under any order of admissions, progress, completions, crashes and drains.

What: a rapid model of up to three controllers that see each other's load, with stale members, engine reports and isolated requests. The test restates the bound at each grant and compares the counts with the sum over the grants. Ties in the choice of the organisation to refuse are broken by name, and ReasonOverShare is given only to an organisation above its share.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -15,6 +15,8 @@
 	pool     Pool
 	limiter  *Limiter
 	now      func() time.Time
+	// onGrant is called by tests before each grant is counted.
+	onGrant func(c *Controller, req *Request, work uint64)
 
 	mu            sync.Mutex
 	own           uint64
--- a/admission/fair.go
+++ b/admission/fair.go
@@ -181,7 +181,8 @@
 		if o == arriving || len(o.waiting) == 0 {
 			continue
 		}
-		if p := c.pressure(o, len(o.waiting)); p > highest {
+		p := c.pressure(o, len(o.waiting))
+		if p > highest || (p == highest && o.name < worst.name) {
 			worst = o
 			highest = p
 		}
@@ -191,7 +192,7 @@
 
 // overflowError is the refusal of a request that finds no place in the queue.
 func (c *Controller) overflowError(o *organisation) *verdict.Error {
-	if c.usage(o.tokens, o.requests) > c.share(o) || len(c.organisations) > 1 {
+	if len(c.organisations) > 1 && c.pressure(o, len(o.waiting))*o.weight > c.share(o) {
 		return retryLater(verdict.ReasonOverShare, "the organisation is furthest over its share", c.retryAfter())
 	}
 	return retryLater(verdict.ReasonOverCapacity, "the engine and its queue are full", c.retryAfter())
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -79,6 +79,9 @@
 
 // grant counts the request as in flight. The caller has checked that it may run.
 func (c *Controller) grant(o *organisation, req *Request, work uint64) *Grant {
+	if c.onGrant != nil {
+		c.onGrant(c, req, work)
+	}
 	prompt := min(req.PromptTokens, maxTokens)
 	prompt -= min(prompt, req.CachedTokens)
 	g := &Grant{
