Test the number of engines that one crashing request can cost

Cause: the design asks for a documented bound that holds while the caller repeats the request at many routers, news is late, the log is down and sidecars restart.

--- a/suspect/doc.go
+++ b/suspect/doc.go
@@ -21,7 +21,7 @@
 //
 // A request that crashes every engine that runs it crashes at most
 //
-//	Settings.MaxEngines() = ExposureGroup + ExposureFingerprint + 1 + RefuseAfter
+//	Settings.MaxEngines() = max(ExposureGroup + ExposureFingerprint + 3, RefuseAfter)
 //
 // engines within Retention, plus 1 for each of the following events: a crash whose evidence reached
 // no other sidecar before the sidecar itself restarted; a change of the target while the request
--- a/suspect/settings.go
+++ b/suspect/settings.go
@@ -49,7 +49,7 @@
 		errs = append(errs, errors.New("refuse_after must be at least 2"))
 	}
 	if s.MaxEngines() > maxEvidence {
-		errs = append(errs, errors.New("exposure_group + exposure_fingerprint + 1 + refuse_after must be at most 16"))
+		errs = append(errs, errors.New("exposure_group + exposure_fingerprint must be at most 13"))
 	}
 	if s.MaxEntries < 1 {
 		errs = append(errs, errors.New("max_entries must be positive"))
@@ -65,8 +65,9 @@
 func (s Settings) MaxEngines() int {
 	// 1 for the instance named by a placement token.
 	exposed := s.ExposureGroup + s.ExposureFingerprint + 1
-	// One crash beside others in probation; alone, RefuseAfter-1 crashes follow the first one.
-	return exposed + 1 + s.RefuseAfter - 1
+	// One crash beside others in probation and one alone. More follow only when fewer crashes than
+	// RefuseAfter came before.
+	return max(exposed+2, s.RefuseAfter)
 }
 
 // exposureOff reports whether clean requests may run everywhere.
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -140,3 +140,100 @@
 	is.True(base != Fingerprint("o", []byte(`{"model":"m","messages":[{"role":"user","content":"y"}]}`)))
 	is.True(Fingerprint("o", []byte("a")) != Fingerprint("o", []byte("b")))
 }
+
+// lose runs the request on a table, crashes the engine and gives the evidence to all tables.
+func lose(t *testing.T, table *Table, r Request, isolated bool, all map[string]*Table) {
+	t.Helper()
+	if _, d := table.Start(r, isolated); d.Err != nil {
+		t.Fatal(d.Err)
+	}
+	table.Crash()
+	for _, other := range all {
+		other.Merge(table.Export(100))
+	}
+}
+
+// MaxEngines must be the exact worst case: copies on the whole exposure set before any news, one
+// crash in probation, then crashes alone on one target until the refusal.
+func TestWorstCase(t *testing.T) {
+	bystander := Request{Fingerprint: 8, ByToken: true}
+	for refuseAfter := 2; refuseAfter <= 4; refuseAfter++ {
+		is := is.New(t)
+		c := newClock()
+		settings := DefaultSettings()
+		settings.RefuseAfter = refuseAfter
+		members := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o"}
+		all := make(map[string]*Table)
+		for _, id := range members {
+			all[id] = newTable(t, c, settings, id, members)
+		}
+		var exposed []*Table
+		tokenUsed := false
+		r := Request{Fingerprint: 7, Group: 12} // a group whose places differ from the fingerprint's
+		for _, id := range members {
+			named := Request{Fingerprint: 7, Group: 12}
+			if all[id].Check(r).Err != nil {
+				named.ByToken = !tokenUsed // one token, naming one more instance
+				tokenUsed = true
+			}
+			if _, d := all[id].Start(named, false); d.Err == nil {
+				exposed = append(exposed, all[id])
+				_, d = all[id].Start(bystander, false) // no crash is known to be alone
+				is.Equal(d.Err, (*verdict.Error)(nil))
+			}
+		}
+		lost := len(exposed)
+		for _, table := range exposed {
+			table.Crash()
+			for _, id := range members {
+				all[id].Merge(table.Export(100))
+			}
+		}
+		target := all[exposed[0].entries[r.Fingerprint].target]
+		c.at = c.at.Add(settings.ExcuseAfter + time.Second)
+		bystander.Fingerprint++ // the first one is a suspect now
+		_, d := target.Start(bystander, false)
+		is.Equal(d.Err, (*verdict.Error)(nil))
+		lose(t, target, r, false, all)
+		lost++
+		for target.State(7) != Refused {
+			lose(t, target, r, true, all)
+			lost++
+		}
+		is.Equal(lost, settings.MaxEngines())
+		for _, id := range members {
+			is.Equal(all[id].Check(r).Err.Reason, verdict.ReasonCrashRefused)
+		}
+	}
+}
+
+// A sidecar that has just started, and a new target, must wait until news of earlier crashes has
+// had time to arrive.
+func TestSettle(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	settings := everywhere()
+	fresh, err := NewTable("b", 1, settings)
+	is.NoErr(err)
+	fresh.now = c.now
+	fresh.started = c.at
+	fresh.SetMembers([]string{"a", "b"})
+	is.Equal(fresh.Check(Request{Fingerprint: 1}).Err.Reason, verdict.ReasonNotReady)
+	fresh.Warm()
+	is.Equal(fresh.Check(Request{Fingerprint: 1}).Err.Reason, verdict.ReasonNotReady)
+	c.at = c.at.Add(settings.Settle)
+	is.Equal(fresh.Check(Request{Fingerprint: 1}).Err, (*verdict.Error)(nil))
+
+	crashed := newTable(t, c, settings, "a", []string{"a"})
+	start(t, crashed, 1, false)
+	crashed.Crash()
+	fresh.SetMembers([]string{"a"}) // "a" is the target
+	fresh.Merge(crashed.Export(10))
+	c.at = c.at.Add(settings.Settle)
+	is.Equal(fresh.Check(Request{Fingerprint: 1}).Ask, "a")
+	fresh.SetMembers([]string{"b"})
+	fresh.members = []string{"b", "c"} // two members, so that Settle counts
+	d := fresh.Check(Request{Fingerprint: 1})
+	is.Equal(d.Err.Reason, verdict.ReasonCrashSuspect)
+	is.Equal(d.Err.RetryAfter, settings.Settle)
+}
