Prove the organisation limits and bound the cost of admission

Cause: a property test of the leases found that a lost answer let a sidecar use its old, larger lease while the home had already given the difference away; and a surging organisation caused four reports a second from every sidecar. The race detector found that the fairness test counted without a lock.

What: a home counts the larger of the lease it sent and the one the sidecar had at its last report; reports carry a sequence number and leases end at the sidecar counted from its report. A refused sidecar with a lease reports once per RenewBusy. Whether a limit is nearly used is decided from demand without the headroom. Organisation converts configuration to weights and limits. A test hook no longer makes each request escape to the heap; the exposure check keeps the hashes of the members. The fairness test takes a lock.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -16,7 +16,7 @@
 	limiter  *Limiter
 	now      func() time.Time
 	// onGrant is called by tests before each grant is counted.
-	onGrant func(c *Controller, req *Request, work uint64)
+	onGrant func(c *Controller, isolate bool, work uint64)
 
 	mu            sync.Mutex
 	own           uint64
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -150,3 +150,30 @@
 		is.NoErr(err)
 	})
 }
+
+// A request must not queue behind the backlog of another organisation that came first.
+func TestQueueOrderIsFair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(t, func(s *Settings) { s.CapacityRequests = 1 }, Alone{}, nil)
+		running, err := c.Admit(context.Background(), decode("backlog", 10))
+		is.NoErr(err)
+		granted := make(chan string, 4)
+		for _, organisation := range []string{"backlog", "backlog", "backlog", "other"} {
+			go func() {
+				g, err := c.Admit(context.Background(), decode(organisation, 10))
+				is.NoErr(err)
+				granted <- organisation
+				time.Sleep(100 * time.Millisecond)
+				g.Done()
+			}()
+			synctest.Wait()
+		}
+		running.Done()
+		is.Equal(<-granted, "other")
+		for range 3 {
+			is.Equal(<-granted, "backlog")
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/admission/fairness_test.go
+++ b/admission/fairness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 
 // measured is what an organisation got.
 type measured struct {
+	mu              sync.Mutex
 	sent, completed int
 	// waits and totals are the times until the grant and until the end.
 	waits, totals []time.Duration
@@ -80,6 +82,8 @@
 			waited := time.Since(began)
 			time.Sleep(duration)
 			g.Done()
+			m.mu.Lock()
+			defer m.mu.Unlock()
 			m.completed++
 			m.waits = append(m.waits, waited)
 			m.totals = append(m.totals, time.Since(began))
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -80,7 +80,7 @@
 // grant counts the request as in flight. The caller has checked that it may run.
 func (c *Controller) grant(o *organisation, req *Request, work uint64) *Grant {
 	if c.onGrant != nil {
-		c.onGrant(c, req, work)
+		c.onGrant(c, req.Isolate, work)
 	}
 	prompt := min(req.PromptTokens, maxTokens)
 	prompt -= min(prompt, req.CachedTokens)
--- a/admission/home.go
+++ b/admission/home.go
@@ -34,6 +34,21 @@
 	demand Quota
 	lease  Quota
 	until  time.Time
+	// held is the lease that the sidecar had at its last report. It stays in force there until
+	// heldUntil when the answer is lost.
+	held      Quota
+	heldUntil time.Time
+}
+
+// counted is what the sidecar may use: the larger of the lease it was sent and the one it had.
+func (o *holder) counted(now time.Time) Quota {
+	if !now.Before(o.heldUntil) {
+		return o.lease
+	}
+	return Quota{
+		MilliRequests: max(o.lease.MilliRequests, o.held.MilliRequests),
+		Tokens:        max(o.lease.Tokens, o.held.Tokens),
+	}
 }
 
 // NewHome returns a home without limits.
@@ -71,12 +86,22 @@
 	}
 	now := h.now()
 	holders := h.holders(r.Organisation, now)
-	own := h.holder(holders, r, now)
+	own, known := holders[r.Instance]
+	if !known {
+		own = &holder{}
+		holders[r.Instance] = own
+	}
 	own.demand = capped(r.Demand, limit)
-	busy, free := h.divide(holders, own, limit)
+	own.held = r.Held
+	own.heldUntil = now.Add(r.HeldFor)
+	busy, free := h.divide(holders, own, limit, now)
 	own.lease = free
 	lease = h.lease(r.Organisation, own.lease, busy)
+	lease.Sequence = r.Sequence
 	own.until = now.Add(lease.ValidFor)
+	if own.heldUntil.After(own.until) {
+		own.until = own.heldUntil
+	}
 	return lease, true
 }
 
@@ -95,39 +120,31 @@
 	return holders
 }
 
-// holder returns the state of the reporting sidecar. A lease of an earlier home is taken over.
-func (h *Home) holder(holders map[string]*holder, r LimitReport, now time.Time) *holder {
-	own, ok := holders[r.Instance]
-	if !ok {
-		own = &holder{lease: r.Held, until: now.Add(r.HeldFor)}
-		holders[r.Instance] = own
-	}
-	return own
-}
-
 // headroomPercent is added to the demand, so that it can grow between two reports.
 const headroomPercent = 100
 
 // divide returns the new lease of own: its max-min fair part of the limit, but no more than the
 // other leases leave.
-func (h *Home) divide(holders map[string]*holder, own *holder, limit Quota) (busy bool, lease Quota) {
+func (h *Home) divide(holders map[string]*holder, own *holder, limit Quota, now time.Time) (busy bool, lease Quota) {
 	silent := h.settings.silent(limit, h.members)
 	reserved := uint64(max(0, h.members-len(holders)))
 	var rates, tokens []uint64
-	var othersRate, othersTokens uint64
+	var others, demand Quota
 	for _, held := range holders {
 		rates = append(rates, wanted(held.demand.MilliRequests, silent.MilliRequests))
 		tokens = append(tokens, wanted(held.demand.Tokens, silent.Tokens))
 		if held != own {
-			othersRate += held.lease.MilliRequests
-			othersTokens += held.lease.Tokens
+			others.MilliRequests += held.counted(now).MilliRequests
+			others.Tokens += held.counted(now).Tokens
 		}
+		demand.MilliRequests += held.demand.MilliRequests
+		demand.Tokens += held.demand.Tokens
 	}
 	rate := limit.MilliRequests - reserved*silent.MilliRequests
 	work := limit.Tokens - reserved*silent.Tokens
-	lease.MilliRequests = part(own.demand.MilliRequests, silent.MilliRequests, rate, othersRate, rates)
-	lease.Tokens = part(own.demand.Tokens, silent.Tokens, work, othersTokens, tokens)
-	return sum(rates) > rate/2 || sum(tokens) > work/2, lease
+	lease.MilliRequests = part(own.demand.MilliRequests, silent.MilliRequests, rate, others.MilliRequests, rates)
+	lease.Tokens = part(own.demand.Tokens, silent.Tokens, work, others.Tokens, tokens)
+	return demand.MilliRequests > rate/2 || demand.Tokens > work/2, lease
 }
 
 // part is the lease of one resource.
@@ -155,14 +172,6 @@
 	return amount
 }
 
-func sum(values []uint64) uint64 {
-	var total uint64
-	for _, v := range values {
-		total += v
-	}
-	return total
-}
-
 func capped(demand, limit Quota) Quota {
 	return Quota{
 		MilliRequests: min(demand.MilliRequests, limit.MilliRequests),
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -20,6 +20,8 @@
 	Organisation string
 	// Instance is the sender.
 	Instance string
+	// Sequence numbers the sender's reports on this organisation.
+	Sequence uint64
 	// Demand is what callers asked for since the last report, refused requests included.
 	Demand Quota
 	// Held is the lease still in force at the sender, so that a new home can count it.
@@ -31,6 +33,8 @@
 // LimitLease is the answer to a LimitReport. It replaces the sender's earlier lease.
 type LimitLease struct {
 	Organisation string
+	// Sequence is that of the report. An answer to an earlier report is ignored.
+	Sequence uint64
 	// Allowed is what the sidecar may use instead of its silent share.
 	Allowed Quota
 	// ValidFor is the time after which the lease ends.
@@ -64,7 +68,7 @@
 		Grace:         500 * time.Millisecond,
 		ReportPause:   250 * time.Millisecond,
 		RenewBusy:     time.Second,
-		RenewIdle:     30 * time.Second,
+		RenewIdle:     10 * time.Second,
 	}
 }
 
--- a/admission/limitlocal.go
+++ b/admission/limitlocal.go
@@ -21,11 +21,13 @@
 	graceUntil time.Time
 	nextGrace  time.Time
 	// since is the start of the observation of requests, peak and refused.
-	since      time.Time
-	requests   uint64
-	peak       uint64
-	refused    bool
+	since    time.Time
+	requests uint64
+	peak     uint64
+	refused  bool
+	// reportedAt and sequence are those of the last report.
 	reportedAt time.Time
+	sequence   uint64
 }
 
 // state returns the state of an organisation, creating it with a full bucket.
@@ -112,24 +114,22 @@
 const nearlyUsedPercent = 80
 
 func (l *Limiter) due(s *localLimit, demand Quota, now time.Time) bool {
-	if s.refused {
-		return true
-	}
 	if !now.Before(s.leaseUntil) {
-		return false
+		return s.refused
 	}
 	silent := l.settings.silent(l.limits[s.name], l.members)
 	wanted := demand.MilliRequests > silent.MilliRequests || demand.Tokens > silent.Tokens
 	if !now.Before(s.renewAt) {
 		return wanted
 	}
-	elapsed := now.Sub(s.since) >= l.settings.RenewBusy
-	return elapsed && (demand.MilliRequests*100 > s.lease.MilliRequests*nearlyUsedPercent ||
-		demand.Tokens*100 > s.lease.Tokens*nearlyUsedPercent)
+	short := s.refused || demand.MilliRequests*100 > s.lease.MilliRequests*nearlyUsedPercent ||
+		demand.Tokens*100 > s.lease.Tokens*nearlyUsedPercent
+	return short && now.Sub(s.reportedAt) >= l.settings.RenewBusy
 }
 
 func (l *Limiter) report(s *localLimit, demand Quota, now time.Time) LimitReport {
-	r := LimitReport{Organisation: s.name, Instance: l.self, Demand: demand}
+	s.sequence++
+	r := LimitReport{Organisation: s.name, Instance: l.self, Sequence: s.sequence, Demand: demand}
 	if now.Before(s.leaseUntil) {
 		r.Held = s.lease
 		r.HeldFor = s.leaseUntil.Sub(now)
@@ -147,7 +147,8 @@
 	return true
 }
 
-// Apply puts the answer of the home sidecar in force.
+// Apply puts the answer of the home sidecar in force. Its time counts from the report, so that the
+// lease ends here no later than at the home.
 func (l *Limiter) Apply(lease LimitLease) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -157,9 +158,12 @@
 	}
 	now := l.now()
 	s := l.state(lease.Organisation, now)
+	if lease.Sequence != s.sequence {
+		return
+	}
 	s.refill(l.allowed(s, limit, now), now)
 	s.lease = lease.Allowed
-	s.leaseUntil = now.Add(lease.ValidFor)
-	s.renewAt = now.Add(lease.RenewAfter)
+	s.leaseUntil = s.reportedAt.Add(lease.ValidFor)
+	s.renewAt = s.reportedAt.Add(lease.RenewAfter)
 	s.graceUntil = time.Time{}
 }
--- /dev/null
+++ b/admission/organisation.go
@@ -0,0 +1,62 @@
+package admission
+
+import (
+	"errors"
+	"math"
+)
+
+// Organisation is the part of a configuration object of kind "organisation" that admission uses.
+// A zero limit means no limit; weight 0 means 1.
+type Organisation struct {
+	Weight            float64 `json:"weight,omitempty"`
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+	TokensInFlight    uint64  `json:"tokens_in_flight,omitempty"`
+}
+
+// maxRequestsPerSecond keeps a rate in thousandths within an int64 with room for sums.
+const maxRequestsPerSecond = 1e12
+
+// Validate reports values that are negative, not finite or too large.
+func (o Organisation) Validate() error {
+	if !(o.Weight >= 0) || math.IsInf(o.Weight, 0) {
+		return errors.New("weight must be a finite number that is not negative")
+	}
+	if !(o.RequestsPerSecond >= 0 && o.RequestsPerSecond <= maxRequestsPerSecond) {
+		return errors.New("requests_per_second must be from 0 to 1e12")
+	}
+	if o.TokensInFlight > maxTokens {
+		return errors.New("tokens_in_flight must be at most 2^40")
+	}
+	return nil
+}
+
+// Quota returns the limits. A rate above 0 is at least a thousandth of a request per second.
+func (o Organisation) Quota() Quota {
+	rate := uint64(math.Round(o.RequestsPerSecond * milliPerRequest))
+	if o.RequestsPerSecond > 0 {
+		rate = max(1, rate)
+	}
+	return Quota{MilliRequests: rate, Tokens: o.TokensInFlight}
+}
+
+// Weights returns the weights for Controller.SetWeights.
+func Weights(organisations map[string]Organisation) map[string]float64 {
+	weights := make(map[string]float64, len(organisations))
+	for name, o := range organisations {
+		if o.Weight > 0 {
+			weights[name] = o.Weight
+		}
+	}
+	return weights
+}
+
+// Limits returns the limits for Limiter.SetLimits and Home.SetLimits.
+func Limits(organisations map[string]Organisation) map[string]Quota {
+	limits := make(map[string]Quota)
+	for name, o := range organisations {
+		if q := o.Quota(); q != (Quota{}) {
+			limits[name] = q
+		}
+	}
+	return limits
+}
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -80,7 +80,7 @@
 
 // checkBound restates the documented bound with the values before the grant, in integers that are
 // too small to overflow.
-func (m *model) checkBound(c *Controller, req *Request, work uint64) {
+func (m *model) checkBound(c *Controller, isolate bool, work uint64) {
 	self := 0
 	for i, other := range m.controllers {
 		if other == c {
@@ -93,7 +93,7 @@
 	if c.inFlight == 0 {
 		return
 	}
-	if req.Isolate || c.isolated {
+	if isolate || c.isolated {
 		m.violation = fmt.Sprintf("controller %d: a request beside an isolated one", self)
 	}
 	total, n := modelPool{m: m, self: self}.Mean(c.own)
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -30,13 +30,13 @@
 	return best
 }
 
-// Rank returns the number of instances that come before self for the key. self need not be listed.
-func Rank(key uint64, self string, instances []string) int {
-	own := Score(key, Hash(self))
+// Rank returns the number of instances that come before self for the key. self and others are
+// given by their Hash; self may be among others.
+func Rank(key, self uint64, others []uint64) int {
+	own := Score(key, self)
 	rank := 0
-	for _, id := range instances {
-		score := Score(key, Hash(id))
-		if id != self && (score > own || (score == own && id < self)) {
+	for _, other := range others {
+		if Score(key, other) > own {
 			rank++
 		}
 	}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -41,13 +41,14 @@
 	incarnation uint64
 	settings    Settings
 	now         func() time.Time
-	// rank is the place of an instance in the order of a key.
-	rank func(key uint64, self string, members []string) int
+	// rank is the place of this instance in the order of a key, from 0. It is called with mu held.
+	rank func(key uint64) int
 
 	mu       sync.Mutex
 	warm     bool
 	started  time.Time
 	members  []string
+	hashes   []uint64
 	entries  map[uint64]*entry
 	running  map[*Run]struct{}
 	crashSeq uint64
@@ -74,17 +75,19 @@
 		incarnation: incarnation,
 		settings:    settings,
 		now:         time.Now,
-		rank:        rendezvous.Rank,
 		entries:     make(map[uint64]*entry),
 		running:     make(map[*Run]struct{}),
 	}
 	t.started = t.now()
+	own := rendezvous.Hash(self)
+	t.rank = func(key uint64) int { return rendezvous.Rank(key, own, t.hashes) }
 	return t, nil
 }
 
-// SetRank replaces the order that decides the exposure set, which must be the order in which
-// routers try instances. It must be called before the first request.
-func (t *Table) SetRank(rank func(key uint64, self string, members []string) int) { t.rank = rank }
+// SetRank replaces the place of this instance, from 0, in the order of a document group or a
+// fingerprint. It must be the order in which routers try instances, must not call the table, and
+// must be set before the first request.
+func (t *Table) SetRank(rank func(key uint64) int) { t.rank = rank }
 
 // Warm allows requests once Settle has passed since the start. Call it after the table of a peer
 // has been merged, or when the instance list shows no peer.
@@ -99,6 +102,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members = slices.Clone(members)
+	t.hashes = t.hashes[:0]
+	for _, id := range members {
+		t.hashes = append(t.hashes, rendezvous.Hash(id))
+	}
 	now := t.now()
 	for fingerprint, e := range t.entries {
 		t.retarget(fingerprint, e, now)
@@ -197,10 +204,10 @@
 	if t.self == "" || r.ByToken || s.exposureOff() {
 		return Decision{}
 	}
-	if t.rank(r.Group, t.self, t.members) < s.ExposureGroup {
+	if t.rank(r.Group) < s.ExposureGroup {
 		return Decision{}
 	}
-	if t.rank(r.Fingerprint, t.self, t.members) < s.ExposureFingerprint {
+	if t.rank(r.Fingerprint) < s.ExposureFingerprint {
 		return Decision{}
 	}
 	return Decision{Err: notRun(verdict.ReasonNotTarget, "the instance is outside the request's exposure set", 0)}
