Limit the reports that a home gets for one organisation

Cause: with one renewal per second from each sidecar, an organisation that surges on 600 sidecars would send 600 reports a second to its home.

What: leases renew no faster than 20 ms times the number of sidecars that hold one, so that a home gets about 50 renewals a second and organisation.

On 50 sidecars nothing changes.

Conclusion: the cost at the home no longer grows with the number of sidecars; with many of them, leases follow shifts of traffic more slowly.

--- a/admission/home.go
+++ b/admission/home.go
@@ -96,7 +96,7 @@
 	own.heldUntil = now.Add(r.HeldFor)
 	busy, free := h.divide(holders, own, limit, now)
 	own.lease = free
-	lease = h.lease(r.Organisation, own.lease, busy)
+	lease = h.lease(r.Organisation, own.lease, busy, len(holders))
 	lease.Sequence = r.Sequence
 	own.until = now.Add(lease.ValidFor)
 	if own.heldUntil.After(own.until) {
@@ -179,15 +179,17 @@
 	}
 }
 
-func (h *Home) lease(organisation string, allowed Quota, busy bool) LimitLease {
-	renew := h.settings.RenewIdle
+func (h *Home) lease(organisation string, allowed Quota, busy bool, holders int) LimitLease {
+	pause := max(h.settings.RenewBusy, time.Duration(holders)*h.settings.RenewPerHolder)
+	renew := max(pause, h.settings.RenewIdle)
 	if busy {
-		renew = h.settings.RenewBusy
+		renew = pause
 	}
 	return LimitLease{
 		Organisation: organisation,
 		Allowed:      allowed,
 		ValidFor:     renew * leaseRenewals,
 		RenewAfter:   renew,
+		Pause:        pause,
 	}
 }
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -41,6 +41,8 @@
 	ValidFor time.Duration
 	// RenewAfter is the time after which the sidecar reports again.
 	RenewAfter time.Duration
+	// Pause is the shortest time until the next report when the lease is too small.
+	Pause time.Duration
 }
 
 // LimitSettings are shared by Limiter and Home; all sidecars must use the same values.
@@ -58,17 +60,21 @@
 	// RenewBusy and RenewIdle are the renewal times above and below half of a limit.
 	RenewBusy time.Duration `toml:"renew_busy" min:"1ms"`
 	RenewIdle time.Duration `toml:"renew_idle" min:"1ms"`
+	// RenewPerHolder stretches both with the number of sidecars that hold a lease, so that a home
+	// gets at most one renewal per RenewPerHolder and organisation.
+	RenewPerHolder time.Duration `toml:"renew_per_holder" min:"0s"`
 }
 
 // DefaultLimitSettings returns the settings for the target size.
 func DefaultLimitSettings() LimitSettings {
 	return LimitSettings{
-		SilentPercent: 10,
-		GracePercent:  25,
-		Grace:         500 * time.Millisecond,
-		ReportPause:   250 * time.Millisecond,
-		RenewBusy:     time.Second,
-		RenewIdle:     10 * time.Second,
+		SilentPercent:  10,
+		GracePercent:   25,
+		Grace:          500 * time.Millisecond,
+		ReportPause:    250 * time.Millisecond,
+		RenewBusy:      time.Second,
+		RenewIdle:      10 * time.Second,
+		RenewPerHolder: 20 * time.Millisecond,
 	}
 }
 
--- a/admission/limitlocal.go
+++ b/admission/limitlocal.go
@@ -18,6 +18,8 @@
 	// leaseUntil and renewAt are zero without a lease.
 	leaseUntil time.Time
 	renewAt    time.Time
+	// pause is that of the lease.
+	pause      time.Duration
 	graceUntil time.Time
 	nextGrace  time.Time
 	// since is the start of the observation of requests, peak and refused.
@@ -124,7 +126,7 @@
 	}
 	short := s.refused || demand.MilliRequests*100 > s.lease.MilliRequests*nearlyUsedPercent ||
 		demand.Tokens*100 > s.lease.Tokens*nearlyUsedPercent
-	return short && now.Sub(s.reportedAt) >= l.settings.RenewBusy
+	return short && now.Sub(s.reportedAt) >= s.pause
 }
 
 func (l *Limiter) report(s *localLimit, demand Quota, now time.Time) LimitReport {
@@ -165,5 +167,6 @@
 	s.lease = lease.Allowed
 	s.leaseUntil = s.reportedAt.Add(lease.ValidFor)
 	s.renewAt = s.reportedAt.Add(lease.RenewAfter)
+	s.pause = lease.Pause
 	s.graceUntil = time.Time{}
 }
