Count queued work against organisation limits; let suspects wait once

Cause: reading the code again showed that work in the queue was not counted against tokens in flight, so a full queue could exceed a limit when it was granted; and that a router would spend all free redirects of a crash suspect at once while its target waits for Settle.

What: an organisation's queued work counts as in flight for its limit. A crash-suspect refusal with RetryAfter is a charged retry after that time.

Conclusion: tests for both.

--- a/admission/fair.go
+++ b/admission/fair.go
@@ -14,8 +14,9 @@
 	weight   float64
 	tokens   uint64
 	requests int
-	// waiting is ordered by priority, then arrival.
+	// waiting is ordered by priority, then arrival; queued is its work in tokens.
 	waiting []*waiter
+	queued  uint64
 	// finish is the virtual time at which the work granted so far is paid for.
 	finish float64
 	// seen is the time of the last request.
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -147,7 +147,7 @@
 func (l *Limiter) Notify() <-chan struct{} { return l.notify }
 
 // take charges one request against the limit of its organisation, of which inFlight tokens are in
-// flight here. It returns nil when the request may run.
+// flight or queued here. It returns nil when the request may run.
 func (l *Limiter) take(name string, inFlight, work uint64) *verdict.Error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -232,7 +232,7 @@
 	if c.limiter == nil {
 		return nil
 	}
-	return c.limiter.take(o.name, o.tokens, work)
+	return c.limiter.take(o.name, o.tokens+o.queued, work)
 }
 
 func (c *Controller) returnLimit(o *organisation) {
--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -241,7 +241,7 @@
 			g.grant.Done()
 		}
 		for name, o := range c.organisations {
-			if o.tokens != 0 || o.requests != 0 || len(o.waiting) != 0 {
+			if o.tokens != 0 || o.requests != 0 || o.queued != 0 || len(o.waiting) != 0 {
 				m.t.Fatalf("controller %d: organisation %s left %+v", i, name, o)
 			}
 		}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -48,6 +48,7 @@
 	o.waiting = append(o.waiting, nil)
 	copy(o.waiting[at+1:], o.waiting[at:])
 	o.waiting[at] = w
+	o.queued += work
 	c.waiting++
 	c.counts.Queued++
 	if req.Isolate {
@@ -83,6 +84,7 @@
 			break
 		}
 	}
+	o.queued -= w.work
 	w.queued = false
 	c.waiting--
 	if c.pending == w {
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -93,7 +93,9 @@
 // Pool is the view of the pool's load, supplied by package membership.
 type Pool interface {
 	// Mean returns the summed work of all members in tokens and their number, both with this
-	// instance, whose own work is given. A member whose news is stale counts with zero work.
+	// instance, whose own work is given. A member whose news is stale counts with zero work. It is
+	// called for each request with the controller's lock held, so it must be fast and must not
+	// call the controller.
 	Mean(own uint64) (total uint64, members int)
 }
 
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -102,7 +102,7 @@
 	if class == Never || a.Streamed || a.Made >= p.settings.MaxAttempts {
 		return Decision{}
 	}
-	free := class == Redirect && a.Redirected < p.settings.MaxRedirects
+	free := class == Redirect && a.Redirected < p.settings.MaxRedirects && !mustWait(err)
 	pause := time.Duration(0)
 	if !free {
 		pause = p.pause(a.charged, err.RetryAfter)
@@ -121,6 +121,12 @@
 	return Decision{Retry: true, Pause: pause}
 }
 
+// mustWait reports whether no other candidate can run the request before the advised time: a crash
+// suspect has one target only.
+func mustWait(err *verdict.Error) bool {
+	return err.Reason == verdict.ReasonCrashSuspect && err.RetryAfter > 0
+}
+
 // pause is the backoff with full jitter: uniform between the advice of the refusing sidecar and
 // that plus an upper limit that doubles with each charged retry.
 func (p *Policy) pause(charged int, advice time.Duration) time.Duration {
--- a/retry/policy_test.go
+++ b/retry/policy_test.go
@@ -63,3 +63,23 @@
 	}
 	is.True(p.Next(&a, err, true, epoch, time.Time{}).Retry) // ten requests pay for one retry
 }
+
+// A redirect must be free and immediate, but a crash suspect that must wait at its target must not
+// use up its redirects at once.
+func TestRedirects(t *testing.T) {
+	is := is.New(t)
+	s := DefaultSettings()
+	p := NewPolicy(s)
+	a := Attempts{Made: 1}
+	suspect := verdict.New(verdict.NotRun, verdict.ReasonCrashSuspect, "")
+	suspect.RetryAfter = 2 * time.Second
+	is.True(p.Next(&a, suspect, false, epoch, time.Time{}).Pause >= 2*time.Second)
+	for range s.MaxRedirects {
+		is.Equal(p.Next(&a, verdict.New(verdict.NotRun, verdict.ReasonOverBound, ""), false, epoch, time.Time{}), Decision{Retry: true})
+	}
+	spent, _ := p.Budget().Totals()
+	is.Equal(spent, uint64(1)) // only the wait
+	p.Next(&a, verdict.New(verdict.NotRun, verdict.ReasonOverBound, ""), false, epoch, time.Time{})
+	spent, _ = p.Budget().Totals()
+	is.Equal(spent, uint64(2)) // more redirects are charged
+}
