Add the trace-driven comparison of placement policies

Cause: the targets for cache reuse and skew need the same trace for every policy.

Affinity judges room by the expected uncached work: without the document on its own instances.

--- /dev/null
+++ b/placement/fleet_test.go
@@ -0,0 +1,405 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"jacinthfork.example/jacinthfork/placement"
+)
+
+const (
+	ticksPerSecond = int(1 / tick)
+	meanDelay      = 10 // ticks until a sidecar knows the mean
+	maxListLag     = 40 // ticks until a router's list shows a change
+	heatHalfLife   = 5 * time.Minute
+	maxRetries     = 3  // of a caller whose request was refused everywhere
+	retryAfter     = 20 // ticks
+)
+
+// fleet replays a trace against fake engines through the views of the routers.
+type fleet struct {
+	w       *workload
+	policy  placement.Policy // nil: omniscient
+	bound   bound
+	picked  int // engine of the last churn event
+	now     int // ticks
+	engines []*fakeEngine
+	states  [][]state // by engine, in order of time
+	means   []float64 // by tick
+	loads   []int64   // by engine, as of the last whole second
+	views   []*view
+	tokens  map[int]*placement.Token // by chat
+	actions map[int][]func()
+	retries map[int][]retry // by tick
+	result
+}
+
+// state is what the instance list says of an engine from a tick on.
+type state struct {
+	at                      int
+	present, ready, leaving bool
+	incarnation             uint64
+}
+
+// retry is a turn that every engine refused and that the caller sends again.
+type retry struct {
+	turn *turn
+	left int
+}
+
+// view is what one router knows.
+type view struct {
+	pool      *placement.Pool
+	heat      *placement.Heat
+	refreshed int
+	domain    string
+	lagSeed   uint64
+	seen      []int // by engine, index into its states
+	dst       []int
+}
+
+// result is what one replay measured after the warm-up.
+type result struct {
+	requests, returning, hits  int
+	shed, attempts             int
+	promptTokens, cachedTokens int
+	misses                     misses
+	skew                       []float64 // busiest engine over mean, each second
+	overKnown, overTrue        float64   // highest load at admission over the bound
+}
+
+// misses counts returning turns without their whole prefix, by cause.
+type misses struct {
+	first   int // no earlier turn ran in this trace
+	gone    int // the engine of the last turn is gone, restarted or not reachable
+	evicted int // that engine no longer caches the prefix
+	refused int // that engine caches it but was at its bound
+	skipped int // that engine caches it and had room, but was not tried
+}
+
+func (r *result) chatReuse() float64  { return float64(r.hits) / float64(r.returning) }
+func (r *result) tokenReuse() float64 { return float64(r.cachedTokens) / float64(r.promptTokens) }
+func (r *result) skewAt(q float64) float64 {
+	slices.Sort(r.skew)
+	return r.skew[int(q*float64(len(r.skew)-1))]
+}
+
+func replay(w *workload, turns []turn, policy placement.Policy, b bound) *result {
+	f := &fleet{w: w, policy: policy, bound: b,
+		tokens: make(map[int]*placement.Token), actions: make(map[int][]func()),
+		retries: make(map[int][]retry)}
+	for range w.engines {
+		f.join()
+	}
+	for r := range w.routers {
+		f.views = append(f.views, &view{heat: placement.NewHeat(heatHalfLife, time.Unix(0, 0)), refreshed: -1,
+			domain: fmt.Sprint("d", r%w.domains), lagSeed: uint64(r) + 1})
+	}
+	f.scheduleChurn()
+	end := int((w.warmup + w.duration) / tick)
+	for f.now = 0; f.now < end; f.now++ {
+		f.step()
+		for len(turns) > 0 && turns[0].at < float64(f.now+1)*tick {
+			f.place(retry{&turns[0], maxRetries})
+			turns = turns[1:]
+		}
+		for _, again := range f.retries[f.now] {
+			f.place(again)
+		}
+	}
+	return &f.result
+}
+
+func (f *fleet) measuring() bool { return float64(f.now)*tick >= f.w.warmup }
+
+func (f *fleet) step() {
+	for _, e := range f.engines {
+		e.advance(f.now)
+	}
+	for _, action := range f.actions[f.now] {
+		action()
+	}
+	mean, busiest, _ := f.load()
+	f.means = append(f.means, mean)
+	if f.now%ticksPerSecond != 0 {
+		return
+	}
+	f.loads = f.loads[:0]
+	for _, e := range f.engines {
+		f.loads = append(f.loads, int64(e.load))
+	}
+	if f.measuring() && mean > 0 {
+		f.skew = append(f.skew, busiest/mean)
+	}
+}
+
+// load returns mean and highest load and the number of engines that take work.
+func (f *fleet) load() (mean, busiest float64, n int) {
+	for _, e := range f.engines {
+		if e.reachable && !e.leaving {
+			n++
+			mean += e.load
+			busiest = max(busiest, e.load)
+		}
+	}
+	return mean / float64(n), busiest, n
+}
+
+func (f *fleet) knownMean() float64 { return f.means[max(0, f.now-meanDelay)] }
+
+func (f *fleet) place(r retry) {
+	t, v := r.turn, f.views[r.turn.router]
+	f.refresh(v)
+	mean, _, n := f.load()
+	for _, i := range f.order(v, t, n) {
+		e := f.engines[i]
+		f.count(&f.attempts, 1)
+		if work := e.work(t); e.admits(f.bound, work, f.knownMean(), n) {
+			f.checkBound(e, work, mean, n)
+			f.measure(t, e)
+			e.start(t, f.now)
+			f.learn(v, e)
+			f.tokens[t.chat] = &placement.Token{Group: t.group, Instance: e.id, Incarnation: e.incarnation}
+			return
+		}
+		f.learn(v, e)
+	}
+	if r.left > 0 {
+		f.retries[f.now+retryAfter] = append(f.retries[f.now+retryAfter], retry{t, r.left - 1})
+		return
+	}
+	f.count(&f.shed, 1)
+	f.measure(t, nil)
+}
+
+// checkBound records how close an admission comes to the bound, by the known and the true mean.
+func (f *fleet) checkBound(e *fakeEngine, work, mean float64, n int) {
+	if f.measuring() && e.load >= 1 {
+		b := bound{f.w.factor, f.w.oneRequest}
+		f.overKnown = max(f.overKnown, (e.load+work)/b.limit(work, f.knownMean(), n))
+		f.overTrue = max(f.overTrue, (e.load+work)/b.limit(work, mean, n))
+	}
+}
+
+func (f *fleet) count(counter *int, n int) {
+	if f.measuring() {
+		*counter += n
+	}
+}
+
+func (f *fleet) measure(t *turn, e *fakeEngine) {
+	doc, history := 0, 0
+	if e != nil {
+		doc, history = e.cache.cached(t)
+	}
+	f.count(&f.requests, 1)
+	f.count(&f.promptTokens, t.docTokens+t.history+t.question)
+	f.count(&f.cachedTokens, doc+history)
+	if t.returning {
+		f.count(&f.returning, 1)
+	}
+	if t.returning && doc+history == t.docTokens+t.history {
+		f.count(&f.hits, 1)
+	} else if t.returning {
+		f.count(f.missCause(t), 1)
+	}
+}
+
+func (f *fleet) missCause(t *turn) *int {
+	last := f.tokens[t.chat]
+	if last == nil {
+		return &f.misses.first
+	}
+	e := f.engines[engineNumber(last.Instance)]
+	doc, history := e.cache.cached(t)
+	_, _, n := f.load()
+	switch {
+	case !e.reachable || e.leaving || e.incarnation != last.Incarnation:
+		return &f.misses.gone
+	case doc+history != t.docTokens+t.history:
+		return &f.misses.evicted
+	case e.admits(f.bound, e.work(t), f.knownMean(), n):
+		return &f.misses.skipped
+	}
+	return &f.misses.refused
+}
+
+// order returns engines, best first.
+func (f *fleet) order(v *view, t *turn, n int) []int {
+	if f.policy == nil {
+		return f.omniscient(t, n)
+	}
+	req := &placement.Request{
+		Chat: t.chatHash, Group: t.group, FailureDomain: v.domain,
+		Work:         int64(t.docTokens + t.history + t.question + t.decode),
+		DocumentWork: int64(t.docTokens), ChatWork: int64(t.docTokens + t.history),
+	}
+	req.GroupShare = v.heat.Observe(t.group, req.Work-req.ChatWork, time.Unix(int64(f.now/ticksPerSecond), 0))
+	if !f.w.noTokens {
+		req.Token = f.tokens[t.chat]
+	}
+	v.dst = f.policy.Order(v.dst, req, v.pool)
+	for position, i := range v.dst {
+		v.dst[position] = engineNumber(v.pool.At(i).ID)
+	}
+	return v.dst
+}
+
+// omniscient returns the engine that admits the turn and caches most of its prefix, of several the
+// least loaded.
+func (f *fleet) omniscient(t *turn, n int) []int {
+	best, bestCached := -1, -1
+	for i, e := range f.engines {
+		doc, history := e.cache.cached(t)
+		work := float64(t.docTokens+t.history+t.question+t.decode) - float64(doc+history)
+		if !e.admits(f.bound, work, f.knownMean(), n) {
+			continue
+		}
+		if doc+history > bestCached || doc+history == bestCached && e.load < f.engines[best].load {
+			best, bestCached = i, doc+history
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return []int{best}
+}
+
+// learn updates the router's view from a response or a failed connection.
+func (f *fleet) learn(v *view, e *fakeEngine) {
+	i := v.pool.Find(e.id)
+	if i < 0 {
+		return
+	}
+	c := v.pool.At(i)
+	c.Ready, c.Leaving = e.reachable, e.leaving
+	c.Load, c.LoadAge = int64(e.load), 0
+}
+
+// refresh gives a router the list with its lags and the loads of the last whole second.
+func (f *fleet) refresh(v *view) {
+	second := f.now / ticksPerSecond
+	if v.refreshed == second {
+		return
+	}
+	v.refreshed = second
+	if f.sees(v) {
+		list := make([]placement.Candidate, 0, len(f.engines))
+		for i, e := range f.engines {
+			if s := f.states[i][v.seen[i]]; s.present {
+				list = append(list, placement.Candidate{ID: e.id, FailureDomain: e.domain,
+					Incarnation: s.incarnation, Ready: s.ready, Leaving: s.leaving})
+			}
+		}
+		v.pool = placement.NewPool(f.w.name, list, 0)
+	}
+	v.pool = v.pool.WithLoads(int64(f.knownMean()), func(c *placement.Candidate) (int64, time.Duration) {
+		return f.loads[engineNumber(c.ID)], time.Second
+	})
+}
+
+// sees reports whether the router's list changes: each engine's state shows after a lag.
+func (f *fleet) sees(v *view) bool {
+	changed := v.pool == nil
+	for i := range f.engines {
+		if i == len(v.seen) {
+			v.seen = append(v.seen, f.initial(i))
+		}
+		lag := int(placement.Score(v.lagSeed, uint64(i)) % maxListLag)
+		for next := v.seen[i] + 1; next < len(f.states[i]) && f.states[i][next].at+lag <= f.now; next++ {
+			v.seen[i] = next
+			changed = true
+		}
+	}
+	return changed
+}
+
+// initial returns the first state that routers see: engines of the start are listed at once.
+func (f *fleet) initial(i int) int {
+	if i < f.w.engines {
+		return 1
+	}
+	return 0
+}
+
+func engineNumber(id string) int {
+	n := 0
+	for _, digit := range id[1:] {
+		n = n*10 + int(digit-'0')
+	}
+	return n
+}
+
+func (f *fleet) join() {
+	n := len(f.engines)
+	f.engines = append(f.engines, &fakeEngine{id: fmt.Sprint("w", n), domain: fmt.Sprint("d", n%f.w.domains),
+		incarnation: 1, cache: newFakeCache(f.w.cache), reachable: true})
+	f.loads = append(f.loads, 0)
+	f.states = append(f.states, []state{{at: f.now, present: false}})
+	f.list(n, state{present: true, ready: true})
+}
+
+func (f *fleet) list(i int, s state) {
+	s.at, s.incarnation = f.now, f.engines[i].incarnation
+	f.states[i] = append(f.states[i], s)
+}
+
+func (f *fleet) at(second float64, action func()) {
+	t := int(second / tick)
+	f.actions[t] = append(f.actions[t], action)
+}
+
+// scheduleChurn lets engines leave in good order and be replaced, crash and restart, and flap.
+func (f *fleet) scheduleChurn() {
+	kind := 0
+	for s := f.w.churnEvery; s < f.w.warmup+f.w.duration; s += f.w.churnEvery {
+		switch kind++; kind % 3 {
+		case 0:
+			f.at(s, func() { f.leave(f.pick()) })
+		case 1:
+			f.at(s, func() { f.crash(f.pick()) })
+		case 2:
+			f.at(s, func() { f.flap(f.pick()) })
+		}
+	}
+}
+
+// pick goes through the engines in turn, so that every policy loses each engine equally often.
+func (f *fleet) pick() int {
+	for {
+		f.picked = (f.picked + 1) % len(f.engines)
+		if e := f.engines[f.picked]; e.reachable && !e.leaving {
+			return f.picked
+		}
+	}
+}
+
+func (f *fleet) leave(i int) {
+	f.engines[i].leaving = true
+	f.list(i, state{present: true, ready: true, leaving: true})
+	now := float64(f.now) * tick
+	f.at(now+30, func() { f.engines[i].reachable = false; f.list(i, state{}) })
+	f.at(now+20, f.join)
+}
+
+func (f *fleet) crash(i int) {
+	f.setReachable(i, false)
+	f.at(float64(f.now)*tick+15, func() {
+		f.engines[i].restart(f.w.cache)
+		f.setReachable(i, true)
+	})
+}
+
+func (f *fleet) flap(i int) {
+	now := float64(f.now) * tick
+	for round := range 3 {
+		f.at(now+float64(10*round)+0.1, func() { f.setReachable(i, false) })
+		f.at(now+float64(10*round)+4, func() { f.setReachable(i, true) })
+	}
+}
+
+func (f *fleet) setReachable(i int, reachable bool) {
+	f.engines[i].reachable = reachable
+	f.list(i, state{present: true, ready: reachable})
+}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -16,8 +16,12 @@
 	// GroupShare is the share of the pool's recent work that the group carries, from Heat. A group
 	// with a large share is spread over several instances.
 	GroupShare float64
-	// Work is the expected work in tokens: prompt and decode.
+	// Work is the expected work in tokens when nothing is cached: prompt and decode.
 	Work int64
+	// DocumentWork is the part of Work that is saved where the document is cached, and ChatWork
+	// the part that is saved where the whole chat is cached, document included.
+	DocumentWork int64
+	ChatWork     int64
 	// Token is the verified placement token, or nil.
 	Token *Token
 	// KeyHash is the hash of the idempotency key of a non-idempotent action, otherwise 0.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -61,6 +61,19 @@
 	return p
 }
 
+// WithLoads returns a snapshot of the same instances with another mean and the loads that report
+// returns for each candidate. It is cheaper than NewPool.
+func (p *Pool) WithLoads(meanLoad int64, report func(*Candidate) (load int64, age time.Duration)) *Pool {
+	next := *p
+	next.mean = max(meanLoad, 0)
+	next.candidates = slices.Clone(p.candidates)
+	for i := range next.candidates {
+		c := &next.candidates[i]
+		c.Load, c.LoadAge = report(c)
+	}
+	return &next
+}
+
 func compareCandidates(a, b Candidate) int {
 	if c := strings.Compare(a.ID, b.ID); c != 0 {
 		return c
--- a/plugin/placement/affinity/affinity.go
+++ b/plugin/placement/affinity/affinity.go
@@ -54,11 +54,14 @@
 
 // decision is what Order derives from request and pool before it ranks candidates.
 type decision struct {
-	target     int
-	token      placement.TokenState
-	width      int
+	target int
+	token  placement.TokenState
+	width  int
+	// soft and hard are the highest loads after admission without and with a token.
 	soft, hard int64
 	domain     int
+	// homeWork and spillWork are the expected work where the document is cached and elsewhere.
+	homeWork, spillWork int64
 }
 
 func (p *Policy) decide(req *placement.Request, pool *placement.Pool) decision {
@@ -67,6 +70,9 @@
 		soft:   pool.Bound(1+(p.BoundFactor-1)*(1-p.Headroom), req.Work),
 		hard:   pool.Bound(p.BoundFactor, req.Work),
 		domain: pool.Domain(req.FailureDomain),
+
+		homeWork:  req.Work - req.DocumentWork,
+		spillWork: req.Work,
 	}
 	d.target, d.token = placement.TokenTarget(req, pool)
 	return d
@@ -91,7 +97,7 @@
 	r := placement.NewRanking()
 	defer r.Release()
 	for position, i := range dst {
-		class := p.class(&d, pool.At(i), req.Work, position)
+		class := p.class(&d, pool.At(i), position)
 		if i == d.target {
 			class = classToken
 		}
@@ -100,17 +106,17 @@
 	return r.Append(dst[:0])
 }
 
-func (p *Policy) class(d *decision, c *placement.Candidate, work int64, position int) int {
+func (p *Policy) class(d *decision, c *placement.Candidate, position int) int {
 	if !c.Ready {
 		return classNotReady
 	}
-	after := c.Load + work
+	after, withRoom := c.Load+d.spillWork, classSpill
+	if position < d.width {
+		after, withRoom = c.Load+d.homeWork, classHome
+	}
 	switch {
 	case c.LoadAge < 0 || c.LoadAge > p.HintMaxAge || after <= d.soft:
-		if position < d.width {
-			return classHome
-		}
-		return classSpill
+		return withRoom
 	case after <= d.hard:
 		return classTight
 	}
