Place by cache hints, token age and load of the document's instances

Cause: most misses are evictions. Document copies on instances outside the home set and long histories recomputed at stale tokens fill the caches.

Changed: CacheHints (bounded table of instances that hold a document), Retention (age from which prefixes are gone, learned from responses), affinity ranks a document's instances by load, drops tokens older than the retention and ranks chats without a token by chat.

--- a/placement/engine_test.go
+++ b/placement/engine_test.go
@@ -6,6 +6,7 @@
 	capacity, used int
 	entries        map[int]*cacheEntry
 	head           cacheEntry // ring: head.next is the most recently used
+	evicted        func(doc int)
 }
 
 type cacheEntry struct {
@@ -58,6 +59,9 @@
 		last.unlink()
 		c.used -= last.tokens
 		delete(c.entries, last.key)
+		if last.key < 0 && c.evicted != nil {
+			c.evicted(-last.key - 1)
+		}
 	}
 }
 
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	heatHalfLife   = 5 * time.Minute
 	maxRetries     = 3  // of a caller whose request was refused everywhere
 	retryAfter     = 20 // ticks
+	eventDelay     = 20 // ticks until a cache event reaches the routers
+	eventGap       = 3  // one of so many cache events is lost
 )
 
 // fleet replays a trace against fake engines through the views of the routers.
@@ -22,6 +25,8 @@
 	w       *workload
 	policy  placement.Policy // nil: omniscient
 	bound   bound
+	events  *placement.CacheHints // from engine cache events, when routers share them
+	rng     *rand.Rand
 	picked  int // engine of the last churn event
 	now     int // ticks
 	engines []*fakeEngine
@@ -42,6 +47,9 @@
 	incarnation             uint64
 }
 
+// tokenOfPrehistory is what chats hold that began before the trace.
+var tokenOfPrehistory = &placement.Token{Instance: "gone"}
+
 // retry is a turn that every engine refused and that the caller sends again.
 type retry struct {
 	turn *turn
@@ -55,6 +63,9 @@
 	refreshed int
 	domain    string
 	lagSeed   uint64
+	hints     *placement.CacheHints
+	holders   [8]uint64
+	retention *placement.Retention
 	seen      []int // by engine, index into its states
 	dst       []int
 }
@@ -86,15 +97,20 @@
 }
 
 func replay(w *workload, turns []turn, policy placement.Policy, b bound) *result {
-	f := &fleet{w: w, policy: policy, bound: b,
+	f := &fleet{w: w, policy: policy, bound: b, rng: rand.New(rand.NewPCG(w.seed, 2)),
 		tokens: make(map[int]*placement.Token), actions: make(map[int][]func()),
 		retries: make(map[int][]retry)}
 	for range w.engines {
 		f.join()
 	}
+	f.events = placement.NewCacheHints(2*w.orgs*w.docsPerOrg, time.Unix(0, 0))
 	for r := range w.routers {
+		hints := f.events
+		if w.hints == hintsOwnTraffic {
+			hints = placement.NewCacheHints(min(512, 2*w.orgs*w.docsPerOrg), time.Unix(0, 0))
+		}
 		f.views = append(f.views, &view{heat: placement.NewHeat(heatHalfLife, time.Unix(0, 0)), refreshed: -1,
-			domain: fmt.Sprint("d", r%w.domains), lagSeed: uint64(r) + 1})
+			domain: fmt.Sprint("d", r%w.domains), lagSeed: uint64(r) + 1, hints: hints, retention: placement.NewRetention(2 * time.Minute)})
 	}
 	f.scheduleChurn()
 	end := int((w.warmup + w.duration) / tick)
@@ -158,9 +174,10 @@
 		if work := e.work(t); e.admits(f.bound, work, f.knownMean(), n) {
 			f.checkBound(e, work, mean, n)
 			f.measure(t, e)
+			f.learnCache(v, t, e)
 			e.start(t, f.now)
 			f.learn(v, e)
-			f.tokens[t.chat] = &placement.Token{Group: t.group, Instance: e.id, Incarnation: e.incarnation}
+			f.tokens[t.chat] = &placement.Token{Group: t.group, Instance: e.id, Incarnation: e.incarnation, Issued: f.clock()}
 			return
 		}
 		f.learn(v, e)
@@ -235,9 +252,18 @@
 		Work:         int64(t.docTokens + t.history + t.question + t.decode),
 		DocumentWork: int64(t.docTokens), ChatWork: int64(t.docTokens + t.history),
 	}
-	req.GroupShare = v.heat.Observe(t.group, req.Work-req.ChatWork, time.Unix(int64(f.now/ticksPerSecond), 0))
-	if !f.w.noTokens {
-		req.Token = f.tokens[t.chat]
+	req.GroupShare = v.heat.Observe(t.group, req.Work-req.ChatWork, f.clock())
+	req.Returning = t.returning
+	if last := f.tokens[t.chat]; last != nil {
+		req.Token, req.TokenAge, req.Retention = last, f.clock().Sub(last.Issued), v.retention.Estimate()
+	} else if t.returning {
+		req.Token = tokenOfPrehistory
+	}
+	if f.w.noTokens {
+		req.Token = nil
+	}
+	if f.w.hints != hintsNone {
+		req.Holders = v.hints.Holders(v.holders[:0], t.group, f.clock(), v.retention.Estimate())
 	}
 	v.dst = f.policy.Order(v.dst, req, v.pool)
 	for position, i := range v.dst {
@@ -266,6 +292,35 @@
 	return []int{best}
 }
 
+func (f *fleet) clock() time.Time {
+	return time.Unix(0, 0).Add(time.Duration(f.now) * time.Second / time.Duration(ticksPerSecond))
+}
+
+// learnCache notes what a response says about caches: the document is now on this engine, and the
+// chat was or was not still cached.
+func (f *fleet) learnCache(v *view, t *turn, e *fakeEngine) {
+	instance := placement.HashID(e.id)
+	if f.w.hints == hintsOwnTraffic {
+		v.hints.Add(t.group, instance, f.clock())
+	}
+	seen := f.clock()
+	f.event(func() { f.events.Add(t.group, instance, seen) })
+	e.cache.evicted = func(doc int) {
+		f.event(func() { f.events.Remove(groupHash(doc), instance) })
+	}
+	if last := f.tokens[t.chat]; last != nil && last.Instance == e.id && last.Incarnation == e.incarnation {
+		doc, history := e.cache.cached(t)
+		v.retention.Observe(f.clock().Sub(last.Issued), doc+history == t.docTokens+t.history)
+	}
+}
+
+// event delivers an engine cache event to the routers, late and with gaps.
+func (f *fleet) event(action func()) {
+	if f.rng.IntN(eventGap) > 0 {
+		f.actions[f.now+eventDelay] = append(f.actions[f.now+eventDelay], action)
+	}
+}
+
 // learn updates the router's view from a response or a failed connection.
 func (f *fleet) learn(v *view, e *fakeEngine) {
 	i := v.pool.Find(e.id)
@@ -274,7 +329,7 @@
 	}
 	c := v.pool.At(i)
 	c.Ready, c.Leaving = e.reachable, e.leaving
-	c.Load, c.LoadAge = int64(e.load), 0
+	c.Load, c.LoadAge, c.Incarnation = int64(e.load), 0, e.incarnation
 }
 
 // refresh gives a router the list with its lags and the loads of the last whole second.
--- a/placement/order.go
+++ b/placement/order.go
@@ -56,6 +56,49 @@
 	return r.Append(dst[:0])
 }
 
+// smallWidth is the largest width for which Threshold keeps the best scores in an array.
+const smallWidth = 16
+
+// Threshold returns the rendezvous score of the last of the first width candidates that are ready,
+// so that exactly those have at least this score. It is 0 when there are not more than width.
+func Threshold(key uint64, width int, pool *Pool) uint64 {
+	if width >= pool.Members() {
+		return 0
+	}
+	if width > smallWidth {
+		return wideThreshold(key, width, pool)
+	}
+	var best [smallWidth + 1]uint64
+	for i := range pool.candidates {
+		c := &pool.candidates[i]
+		score := Score(key, c.Hash)
+		if score <= best[width-1] || !c.Ready || c.Leaving {
+			continue
+		}
+		j := width - 1
+		for ; j > 0 && best[j-1] < score; j-- {
+			best[j] = best[j-1]
+		}
+		best[j] = score
+	}
+	return best[width-1]
+}
+
+func wideThreshold(key uint64, width int, pool *Pool) uint64 {
+	r := NewRanking()
+	defer r.Release()
+	for i := range pool.candidates[:min(pool.Len(), maxCandidates)] {
+		if c := &pool.candidates[i]; c.Ready && !c.Leaving {
+			r.Add(classReady, Score(key, c.Hash), i)
+		}
+	}
+	if width >= len(r.keys) {
+		return 0
+	}
+	r.sort()
+	return Score(key, pool.candidates[r.keys[width-1]&(maxCandidates-1)].Hash)
+}
+
 // Ranking sorts candidates by class and score without allocation. It is for one goroutine.
 type Ranking struct {
 	keys, other []uint64
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Request is what a policy knows about one request.
@@ -22,8 +23,15 @@
 	// the part that is saved where the whole chat is cached, document included.
 	DocumentWork int64
 	ChatWork     int64
-	// Token is the verified placement token, or nil.
-	Token *Token
+	// Token is the verified placement token, or nil. TokenAge is the time since its issue.
+	Token    *Token
+	TokenAge time.Duration
+	// Returning is true when the chat has had a response, the inverse of Grouping.FirstTurn.
+	Returning bool
+	// Holders are the hashes of instances that probably cache the document, from CacheHints.
+	Holders []uint64
+	// Retention is the time for which engines keep a chat cached, from Retention. 0 when unknown.
+	Retention time.Duration
 	// KeyHash is the hash of the idempotency key of a non-idempotent action, otherwise 0.
 	KeyHash uint64
 	// FailureDomain is the router's own failure domain.
@@ -48,6 +56,7 @@
 const (
 	TokenNone       TokenState = "none"
 	TokenUsed       TokenState = "used"
+	TokenOld        TokenState = "older-than-retention"
 	TokenOtherGroup TokenState = "other-group"
 	TokenGone       TokenState = "instance-gone"
 	TokenRestarted  TokenState = "instance-restarted"
@@ -56,8 +65,8 @@
 )
 
 // TokenTarget returns the index of the instance that the request's token names, or -1 with the
-// reason why the token does not count. A token of another document group or of an earlier
-// incarnation names an instance that no longer caches the prefix.
+// reason why the token does not count. A token of another document group, of an earlier
+// incarnation or older than the retention names an instance that no longer caches the prefix.
 func TokenTarget(req *Request, pool *Pool) (int, TokenState) {
 	if req.Token == nil {
 		return -1, TokenNone
@@ -77,6 +86,8 @@
 		return -1, TokenNotReady
 	case c.Incarnation != 0 && req.Token.Incarnation != 0 && c.Incarnation != req.Token.Incarnation:
 		return -1, TokenRestarted
+	case req.Retention > 0 && req.TokenAge > req.Retention:
+		return -1, TokenOld
 	}
 	return i, TokenUsed
 }
--- a/placement/trace_test.go
+++ b/placement/trace_test.go
@@ -21,9 +21,19 @@
 	warmup, duration float64
 	churnEvery       float64
 	noTokens         bool
+	hints            hintSource
 	seed             uint64
 }
 
+// hintSource is what routers know of the engines' caches besides tokens.
+type hintSource int
+
+const (
+	hintsEvents     hintSource = iota // from late and gappy engine cache events
+	hintsOwnTraffic                   // from responses that the router passed on
+	hintsNone
+)
+
 // A turn is one request of a chat in the trace.
 type turn struct {
 	at                 float64
@@ -73,7 +83,7 @@
 			at: at, doc: doc, chat: chat, router: rng.IntN(w.routers),
 			docTokens: docs.tokens[doc], history: history,
 			question: 10 + int(rng.ExpFloat64()*meanQuestion), decode: min(maxDecode, 20+int(rng.ExpFloat64()*meanDecode)),
-			returning: i > 0, group: placement.Score(uint64(doc)+1, 1), chatHash: placement.Score(uint64(chat)+1, 2),
+			returning: i > 0, group: groupHash(doc), chatHash: placement.Score(uint64(chat)+1, 2),
 		}
 		if at >= 0 {
 			turns = append(turns, t)
@@ -87,6 +97,8 @@
 	return turns
 }
 
+func groupHash(doc int) uint64 { return placement.Score(uint64(doc)+1, 1) }
+
 // pause draws the time until a chat returns: most within minutes, some after hours.
 func pause(rng *rand.Rand) float64 {
 	switch p := rng.Float64(); {
--- a/plugin/placement/affinity/affinity.go
+++ b/plugin/placement/affinity/affinity.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/kernel"
@@ -35,19 +36,18 @@
 
 // New returns a policy with default settings.
 func New() *Policy {
-	return &Policy{BoundFactor: 1.25, Headroom: 0.5, Spread: 1.5, MinSpread: 1, HintMaxAge: 5 * time.Second}
+	return &Policy{BoundFactor: 1.25, Headroom: 0, Spread: 2, MinSpread: 1, HintMaxAge: 5 * time.Second}
 }
 
 // Classes of candidates, best first.
 const (
 	classToken = iota
-	// classHome are the instances of the document with room for a chat without a token.
+	// classHome are the instances of the document with room, classSpill the others with room.
 	classHome
-	// classSpill are the other instances with such room.
 	classSpill
-	// classFull have room under the bound only for chats with a token, or no room by their hint.
-	// The hint may be old, so they are still tried.
+	// classTight have room for chats with a token only.
 	classTight
+	// classFull have no room by their last report, which may be old, so they are still tried.
 	classFull
 	classNotReady
 )
@@ -56,25 +56,35 @@
 type decision struct {
 	target int
 	token  placement.TokenState
-	width  int
+	// width is the number of instances that share the document when its holders are not known.
+	width int
+	// threshold is the lowest score of those instances.
+	threshold uint64
 	// soft and hard are the highest loads after admission without and with a token.
 	soft, hard int64
 	domain     int
 	// homeWork and spillWork are the expected work where the document is cached and elsewhere.
 	homeWork, spillWork int64
+	// byChat is set for a chat that returns without a token, useHolders when the instances of the
+	// document are known from hints.
+	byChat, useHolders bool
 }
 
 func (p *Policy) decide(req *placement.Request, pool *placement.Pool) decision {
 	d := decision{
-		width:  p.width(req, pool),
-		soft:   pool.Bound(1+(p.BoundFactor-1)*(1-p.Headroom), req.Work),
-		hard:   pool.Bound(p.BoundFactor, req.Work),
-		domain: pool.Domain(req.FailureDomain),
-
+		width:     p.width(req, pool),
+		soft:      pool.Bound(1+(p.BoundFactor-1)*(1-p.Headroom), req.Work),
+		hard:      pool.Bound(p.BoundFactor, req.Work),
+		domain:    pool.Domain(req.FailureDomain),
+		byChat:    req.Returning && req.Token == nil,
 		homeWork:  req.Work - req.DocumentWork,
 		spillWork: req.Work,
 	}
 	d.target, d.token = placement.TokenTarget(req, pool)
+	d.useHolders = !d.byChat && len(req.Holders) > 0
+	if !d.useHolders {
+		d.threshold = placement.Threshold(req.Group, d.width, pool)
+	}
 	return d
 }
 
@@ -93,25 +103,37 @@
 		return placement.KeyOrder(dst, req.KeyHash, pool)
 	}
 	d := p.decide(req, pool)
-	dst = placement.KeyOrder(dst, req.Group, pool)
 	r := placement.NewRanking()
 	defer r.Release()
-	for position, i := range dst {
-		class := p.class(&d, pool.At(i), position)
+	for i := range pool.Len() {
+		c := pool.At(i)
+		if c.Leaving {
+			continue
+		}
+		rank := placement.Score(req.Group, c.Hash)
+		home := rank >= d.threshold
+		if d.useHolders {
+			home = slices.Contains(req.Holders, c.Hash)
+		}
+		rank >>= 1
+		if home {
+			rank = homeRank(&d, req, c, pool.Near(i, d.domain))
+		}
+		class := p.class(&d, c, home)
 		if i == d.target {
 			class = classToken
 		}
-		r.Add(class, score(&d, req, pool, position, i), i)
+		r.Add(class, rank, i)
 	}
 	return r.Append(dst[:0])
 }
 
-func (p *Policy) class(d *decision, c *placement.Candidate, position int) int {
+func (p *Policy) class(d *decision, c *placement.Candidate, home bool) int {
 	if !c.Ready {
 		return classNotReady
 	}
 	after, withRoom := c.Load+d.spillWork, classSpill
-	if position < d.width {
+	if home {
 		after, withRoom = c.Load+d.homeWork, classHome
 	}
 	switch {
@@ -123,22 +145,31 @@
 	return classFull
 }
 
-// firstBit puts the instances of the document before the others of their class, and for a request
-// without a document the near failure domain before the others.
-const firstBit = 1 << 63
+// Layout of a rank: the instances of the document go before the others of their class, then the
+// near failure domain when there is no document whose reuse that would cost, then the lower load.
+const (
+	homeBit = 1 << 63
+	nearBit = 1 << 62
+	// loadUnit is the number of tokens by which loads must differ to count, as a power of two.
+	loadUnit  = 6
+	loadBits  = 31 - loadUnit
+	loadShift = 62 - loadBits
+)
 
-// score ranks the instances of the document by the chat, so that chats are spread evenly and a
-// chat without a token finds the same instance again, and the others by their position in the
-// order of the document.
-func score(d *decision, req *placement.Request, pool *placement.Pool, position, i int) uint64 {
-	if position >= d.width {
-		return firstBit - 1 - uint64(position)<<32
+// homeRank ranks an instance of the document by load, and among equal loads by the chat. A chat
+// that returns without a token is ranked by the chat alone, so that it finds the same instance on
+// every later turn.
+func homeRank(d *decision, req *placement.Request, c *placement.Candidate, near bool) uint64 {
+	rank := uint64(homeBit)
+	if req.Group == 0 && near {
+		rank |= nearBit
 	}
-	s := placement.Score(req.Chat, pool.At(i).Hash) >> 1
-	if req.Group != 0 || pool.Near(i, d.domain) {
-		s |= firstBit
+	byChat := placement.Score(req.Chat, c.Hash) >> 2
+	if d.byChat {
+		return rank | byChat
 	}
-	return s
+	room := uint64(math.MaxInt32-min(c.Load, math.MaxInt32)) >> loadUnit
+	return rank | room<<loadShift | byChat>>loadBits
 }
 
 // Explain implements placement.Policy.
@@ -147,7 +178,7 @@
 		return placement.Explain("affinity", fmt.Sprintf("key=%016x", req.KeyHash), pool, order)
 	}
 	d := p.decide(req, pool)
-	details := fmt.Sprintf("token=%s; group=%016x; spread=%d; bound=%d; bound without token=%d; work=%d",
-		d.token, req.Group, d.width, d.hard, d.soft, req.Work)
+	details := fmt.Sprintf("token=%s; group=%016x; spread=%d; holders=%d; bound=%d; bound without token=%d; work=%d",
+		d.token, req.Group, d.width, len(req.Holders), d.hard, d.soft, req.Work)
 	return placement.Explain("affinity", details, pool, order)
 }
