--- a/placement/order.go
+++ b/placement/order.go
@@ -56,6 +56,49 @@
 	return r.Append(dst[:0])
 }
 
+// smallWidth is the largest width for which Threshold keeps the best scores in an array.
+const smallWidth = 16
+
+// Threshold returns the rendezvous score of the last of the first width candidates that are ready,
+// so that exactly those have at least this score. It is 0 when there are not more than width.
+func Threshold(key uint64, width int, pool *Pool) uint64 {
+	if width >= pool.Members() {
+		return 0
+	}
+	if width > smallWidth {
+		return wideThreshold(key, width, pool)
+	}
+	var best [smallWidth + 1]uint64
+	for i := range pool.candidates {
+		c := &pool.candidates[i]
+		score := Score(key, c.Hash)
+		if score <= best[width-1] || !c.Ready || c.Leaving {
+			continue
+		}
+		j := width - 1
+		for ; j > 0 && best[j-1] < score; j-- {
+			best[j] = best[j-1]
+		}
+		best[j] = score
+	}
+	return best[width-1]
+}
+
+func wideThreshold(key uint64, width int, pool *Pool) uint64 {
+	r := NewRanking()
+	defer r.Release()
+	for i := range pool.candidates[:min(pool.Len(), maxCandidates)] {
+		if c := &pool.candidates[i]; c.Ready && !c.Leaving {
+			r.Add(classReady, Score(key, c.Hash), i)
+		}
+	}
+	if width >= len(r.keys) {
+		return 0
+	}
+	r.sort()
+	return Score(key, pool.candidates[r.keys[width-1]&(maxCandidates-1)].Hash)
+}
+
 // Ranking sorts candidates by class and score without allocation. It is for one goroutine.
 type Ranking struct {
 	keys, other []uint64
@@ -92,10 +135,11 @@
 // Radix sort on the leading 24 bits takes a third of the time of a comparison sort at 600 keys;
 // the insertion sort that follows puts the few keys with equal leading bits in order.
 const (
-	radixBits     = 8
-	radixPasses   = 3
+	radixBits     = 6
+	radixPasses   = 4
 	radixShift    = 64 - radixBits*radixPasses
-	radixSmallest = 48
+	radixSmallest = 32
+	digitMask     = 1<<radixBits - 1
 )
 
 func (r *Ranking) sort() {
@@ -113,14 +157,13 @@
 }
 
 func (r *Ranking) countDigits() {
-	clear(r.counts[0][:])
-	clear(r.counts[1][:])
-	clear(r.counts[2][:])
+	r.counts = [radixPasses][1 << radixBits]uint16{}
 	for _, k := range r.keys {
 		k >>= radixShift
-		r.counts[0][uint8(k)]++
-		r.counts[1][uint8(k>>radixBits)]++
-		r.counts[2][uint8(k>>(2*radixBits))]++
+		r.counts[0][k&digitMask]++
+		r.counts[1][k>>radixBits&digitMask]++
+		r.counts[2][k>>(2*radixBits)&digitMask]++
+		r.counts[3][k>>(3*radixBits)&digitMask]++
 	}
 }
 
@@ -133,7 +176,7 @@
 	}
 	shift := radixShift + radixBits*pass
 	for _, k := range r.keys {
-		digit := uint8(k >> shift)
+		digit := k >> shift & digitMask
 		r.other[counts[digit]] = k
 		counts[digit]++
 	}
--- a/plugin/placement/affinity/affinity.go
+++ b/plugin/placement/affinity/affinity.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/kernel"
@@ -27,7 +28,7 @@
 	// Spread scales the number of instances that a document is spread over: its share of the
 	// pool's work, times instances, times Spread.
 	Spread float64 `toml:"spread" min:"0" max:"16"`
-	// MinSpread is the least number of instances for a document.
+	// MinSpread is the least number of instances for a document; the less loaded goes first.
 	MinSpread int `toml:"min_spread" min:"1"`
 	// HintMaxAge is the age from which a load report is ignored.
 	HintMaxAge time.Duration `toml:"hint_max_age" min:"100ms" max:"1m"`
@@ -35,43 +36,80 @@
 
 // New returns a policy with default settings.
 func New() *Policy {
-	return &Policy{BoundFactor: 1.25, Headroom: 0.5, Spread: 1.5, MinSpread: 1, HintMaxAge: 5 * time.Second}
+	return &Policy{BoundFactor: 1.25, Headroom: 0, Spread: 2, MinSpread: 2, HintMaxAge: 5 * time.Second}
 }
 
 // Classes of candidates, best first.
 const (
 	classToken = iota
-	// classHome are the instances of the document with room for a chat without a token.
+	// classHome are the instances of the document with room, classSpill the others with room.
 	classHome
-	// classSpill are the other instances with such room.
 	classSpill
-	// classFull have room under the bound only for chats with a token, or no room by their hint.
-	// The hint may be old, so they are still tried.
+	// classTight have room for chats with a token only.
 	classTight
+	// classFull have no room by their last report, which may be old, so they are still tried.
 	classFull
 	classNotReady
 )
 
 // decision is what Order derives from request and pool before it ranks candidates.
 type decision struct {
-	target     int
-	token      placement.TokenState
-	width      int
+	target int
+	token  placement.TokenState
+	// width is the number of instances that share the document.
+	width int
+	// threshold is the lowest rendezvous score of those instances.
+	threshold uint64
+	// soft and hard are the highest loads after admission without and with a token.
 	soft, hard int64
+	loadScale  float64
 	domain     int
+	// homeWork and spillWork are the expected work where the document is cached and elsewhere.
+	homeWork, spillWork int64
+	// byChat is set for a chat that returns without a token, useHolders when the instances of the
+	// document are known from hints.
+	byChat, useHolders bool
+	// holderBits has bit Hash mod 64 set for each holder, which spares most searches.
+	holderBits uint64
 }
 
 func (p *Policy) decide(req *placement.Request, pool *placement.Pool) decision {
 	d := decision{
-		width:  p.width(req, pool),
-		soft:   pool.Bound(1+(p.BoundFactor-1)*(1-p.Headroom), req.Work),
-		hard:   pool.Bound(p.BoundFactor, req.Work),
-		domain: pool.Domain(req.FailureDomain),
+		width:     p.width(req, pool),
+		soft:      pool.Bound(1+(p.BoundFactor-1)*(1-p.Headroom), req.Work),
+		hard:      pool.Bound(p.BoundFactor, req.Work),
+		domain:    pool.Domain(req.FailureDomain),
+		byChat:    req.Returning && req.Token == nil,
+		homeWork:  req.Work - req.DocumentWork,
+		spillWork: req.Work,
 	}
+	d.loadScale = loadSteps / float64(max(d.hard, 1))
 	d.target, d.token = placement.TokenTarget(req, pool)
+	d.useHolders = !d.byChat && len(req.Holders) > 0
+	if d.useHolders {
+		d.holderBits, d.threshold = holders(req, d.width)
+	} else {
+		d.threshold = placement.Threshold(req.Group, d.width, pool)
+	}
 	return d
 }
 
+// holders returns a bit set of the hashes of the document's instances, and the rendezvous score that
+// the first width of them have at least.
+func holders(req *placement.Request, width int) (bits, threshold uint64) {
+	var buffer [placement.MaxHolders]uint64
+	scores := buffer[:0]
+	for _, hash := range req.Holders[:min(len(req.Holders), placement.MaxHolders)] {
+		bits |= 1 << (hash % 64)
+		scores = append(scores, placement.Score(req.Group, hash))
+	}
+	if width >= len(scores) {
+		return bits, 0
+	}
+	slices.Sort(scores)
+	return bits, scores[len(scores)-width]
+}
+
 // width returns the number of instances that share the group's chats.
 func (p *Policy) width(req *placement.Request, pool *placement.Pool) int {
 	if req.Group == 0 {
@@ -87,52 +125,86 @@
 		return placement.KeyOrder(dst, req.KeyHash, pool)
 	}
 	d := p.decide(req, pool)
-	dst = placement.KeyOrder(dst, req.Group, pool)
 	r := placement.NewRanking()
 	defer r.Release()
-	for position, i := range dst {
-		class := p.class(&d, pool.At(i), req.Work, position)
+	for i := range pool.Len() {
+		c := pool.At(i)
+		if c.Leaving {
+			continue
+		}
+		home, rank := p.rank(&d, req, c, pool.Near(i, d.domain))
+		class := p.class(&d, c, home)
 		if i == d.target {
 			class = classToken
 		}
-		r.Add(class, score(&d, req, pool, position, i), i)
+		r.Add(class, rank, i)
 	}
 	return r.Append(dst[:0])
 }
 
-func (p *Policy) class(d *decision, c *placement.Candidate, work int64, position int) int {
+func (p *Policy) class(d *decision, c *placement.Candidate, home bool) int {
 	if !c.Ready {
 		return classNotReady
 	}
-	after := c.Load + work
+	after, withRoom := c.Load+d.spillWork, classSpill
+	if home {
+		after, withRoom = c.Load+d.homeWork, classHome
+	}
 	switch {
 	case c.LoadAge < 0 || c.LoadAge > p.HintMaxAge || after <= d.soft:
-		if position < d.width {
-			return classHome
-		}
-		return classSpill
+		return withRoom
 	case after <= d.hard:
 		return classTight
 	}
 	return classFull
 }
 
-// firstBit puts the instances of the document before the others of their class, and for a request
-// without a document the near failure domain before the others.
-const firstBit = 1 << 63
+// Layout of a rank: the instances of the document go before the others of their class, then the
+// near failure domain when there is no document whose reuse that would cost, then the lower load,
+// then the rendezvous score.
+const (
+	homeBit   = 1 << 63
+	nearBit   = 1 << 62
+	loadBits  = 14
+	loadShift = 62 - loadBits
+	maxLoad   = 1<<loadBits - 1
+	// loadSteps is the number of steps that a load equal to the bound is divided into.
+	loadSteps = 4096
+)
 
-// score ranks the instances of the document by the chat, so that chats are spread evenly and a
-// chat without a token finds the same instance again, and the others by their position in the
+// rank says whether the instance is one of the document's, and ranks it within its class. Of the
+// instances known to hold the document the first width go first, so that the other copies are no
+// longer used and leave their caches; instances that do not hold it are ranked by load, because
+// routers learn where a chat went. When no holders are known the others are ranked in the rendezvous
 // order of the document.
-func score(d *decision, req *placement.Request, pool *placement.Pool, position, i int) uint64 {
-	if position >= d.width {
-		return firstBit - 1 - uint64(position)<<32
+func (p *Policy) rank(d *decision, req *placement.Request, c *placement.Candidate, near bool) (home bool, rank uint64) {
+	score := placement.Score(req.Group, c.Hash)
+	if d.useHolders {
+		switch {
+		case d.holderBits>>(c.Hash%64)&1 == 0 || !slices.Contains(req.Holders, c.Hash):
+			return false, loadRank(d, c, score)
+		case score < d.threshold:
+			return true, homeBit>>1 | loadRank(d, c, score)
+		}
+		return true, homeBit | loadRank(d, c, score)
+	}
+	if score < d.threshold {
+		return false, score >> 2
 	}
-	s := placement.Score(req.Chat, pool.At(i).Hash) >> 1
-	if req.Group != 0 || pool.Near(i, d.domain) {
-		s |= firstBit
+	rank = homeBit
+	if req.Group == 0 && near {
+		rank |= nearBit
 	}
-	return s
+	if d.byChat {
+		return true, rank | placement.Score(req.Chat, c.Hash)>>2
+	}
+	return true, rank | loadRank(d, c, score)
+}
+
+// loadRank ranks lower loads higher, and equal loads by the score.
+func loadRank(d *decision, c *placement.Candidate, score uint64) uint64 {
+	load := min(uint64(float64(c.Load)*d.loadScale), maxLoad)
+	return (maxLoad-load)<<loadShift | score>>(2+loadBits)
 }
 
 // Explain implements placement.Policy.
@@ -141,7 +213,7 @@
 		return placement.Explain("affinity", fmt.Sprintf("key=%016x", req.KeyHash), pool, order)
 	}
 	d := p.decide(req, pool)
-	details := fmt.Sprintf("token=%s; group=%016x; spread=%d; bound=%d; bound without token=%d; work=%d",
-		d.token, req.Group, d.width, d.hard, d.soft, req.Work)
+	details := fmt.Sprintf("token=%s; group=%016x; spread=%d; holders=%d; bound=%d; bound without token=%d; work=%d",
+		d.token, req.Group, d.width, len(req.Holders), d.hard, d.soft, req.Work)
 	return placement.Explain("affinity", details, pool, order)
 }
