Prove that all nodes follow one configuration sequence

Cause: the acceptance rule, restatements and transfers must hold in any order of lost answers, late copies, expiry, restarts and peers that are behind.

The property test found one fault: a node that skipped versions through a transfer kept a body that a delete had taken out of force. The sender now says whether it can judge the body, and what is in force. A node shows no view until it reached the end of the stream or took a peer's state, so that a restart does not go through old revisions.

--- /dev/null
+++ b/config/fake_test.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/wire"
+)
+
+// fakeLog is a log service whose records expire, whose answers get lost and which has outages.
+type fakeLog struct {
+	mu       sync.Mutex
+	records  []platform.Record
+	earliest uint64
+	down     bool
+	// lose makes the answers of so many appends get lost after the record was stored.
+	lose    int
+	appends int
+	grown   chan struct{}
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{grown: make(chan struct{})} }
+
+var errDown = errors.New("log is down")
+
+func (l *fakeLog) Append(_ context.Context, _ string, payload []byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, &platform.AppendError{Err: errDown}
+	}
+	l.appends++
+	offset := uint64(len(l.records))
+	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now(), Payload: payload})
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.lose > 0 {
+		l.lose--
+		return 0, &platform.AppendError{MayBeStored: true, Err: errDown}
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) page(from uint64, limit int) (platform.Page, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Page{}, nil, errDown
+	}
+	next := uint64(len(l.records))
+	from = min(max(from, l.earliest), next)
+	end := min(from+uint64(limit), next)
+	return platform.Page{Records: l.records[from:end:end], Earliest: l.earliest, Next: next}, l.grown, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+	page, grown, err := l.page(from, limit)
+	if err != nil || len(page.Records) > 0 || wait == 0 {
+		return page, err
+	}
+	select {
+	case <-ctx.Done():
+		return platform.Page{}, ctx.Err()
+	case <-time.After(wait):
+	case <-grown:
+	}
+	page, _, err = l.page(from, limit)
+	return page, err
+}
+
+func (l *fakeLog) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+func newTestStore() *Store {
+	return NewStore(slog.New(slog.NewTextHandler(io.Discard, nil)), journal.New(0), kernel.NewCounters())
+}
+
+var poolKey = Key{KindPool, "limon-llm", 2}
+
+const poolBody = `{"workload":"model"}`
+
+func setRecord(key Key, base uint64, nonce, body string) *wire.ConfigRecord {
+	return &wire.ConfigRecord{
+		Operation: wire.ConfigOperation_CONFIG_SET, Kind: string(key.Kind), Name: key.Name,
+		Schema: key.Schema, Base: base, Nonce: nonce, Author: "operator", Body: []byte(body),
+	}
+}
+
+func decodeRecord(payload []byte) *wire.ConfigRecord {
+	var r wire.ConfigRecord
+	if err := proto.Unmarshal(payload, &r); err != nil {
+		panic(err)
+	}
+	return &r
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -67,12 +67,12 @@
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
-	page, err := f.platform.Read(ctx, Stream, f.store.View().AsOf, readLimit, wait)
+	page, err := f.platform.Read(ctx, Stream, f.store.asOf(), readLimit, wait)
 	if err != nil {
 		return err
 	}
 	f.store.ApplyPage(page)
-	f.caughtUp = f.store.View().AsOf >= page.Next
+	f.caughtUp = f.store.asOf() >= page.Next
 	return nil
 }
 
--- a/config/kinds.go
+++ b/config/kinds.go
@@ -41,6 +41,12 @@
 	return err
 }
 
+// known says whether this software knows the kind and schema version.
+func known(key Key) bool {
+	_, ok := parsers[key.Kind][key.Schema]
+	return ok
+}
+
 func parse(key Key, body []byte) (any, error) {
 	versions, ok := parsers[key.Kind]
 	if !ok {
--- a/config/object.go
+++ b/config/object.go
@@ -70,11 +70,16 @@
 	o.InForce, o.inForceBody, o.value = o.Revision, o.Body, value
 }
 
-// fallBack puts an older body in force if it is valid.
-func (o *Object) fallBack(revision uint64, body []byte) {
-	value, err := parse(o.Key, body)
-	if err == nil {
-		o.InForce, o.inForceBody, o.value = revision, body, value
+// takeInForce puts in force what a node that knows the schema has in force, while the newest body is
+// invalid. This node may have missed the versions that decide it.
+func (o *Object) takeInForce(m *wire.ConfigObject) {
+	if !m.GetJudged() || o.Fault == "" {
+		return
+	}
+	o.InForce, o.inForceBody, o.value = 0, nil, nil
+	value, err := parse(o.Key, m.GetInForceBody())
+	if err == nil && m.GetInForceRevision() != 0 {
+		o.InForce, o.inForceBody, o.value = m.GetInForceRevision(), m.GetInForceBody(), value
 	}
 }
 
@@ -83,7 +88,7 @@
 		Kind: string(o.Kind), Name: o.Name, Schema: o.Schema,
 		Revision: o.Revision, Body: o.Body, Author: o.Author, Deleted: o.Deleted,
 		StatedMs: o.StatedAt.UnixMilli(), Stated: o.Stated, Restated: o.Restated,
-		Nonce: o.nonce,
+		Nonce: o.nonce, Judged: known(o.Key),
 	}
 	if o.InForce != 0 && o.InForce != o.Revision {
 		m.InForceRevision, m.InForceBody = o.InForce, o.inForceBody
@@ -92,7 +97,7 @@
 }
 
 // objectFrom returns the object in m. previous is the version held so far or nil; its body stays in
-// force when neither body in m is valid.
+// force when the newest one is invalid and the sender can't say what is in force.
 func objectFrom(m *wire.ConfigObject, previous *Object) *Object {
 	o := &Object{
 		Key:      Key{Kind(m.GetKind()), m.GetName(), m.GetSchema()},
@@ -103,10 +108,8 @@
 	if previous != nil {
 		o.InForce, o.inForceBody, o.value = previous.InForce, previous.inForceBody, previous.value
 	}
-	if m.GetInForceRevision() > o.InForce {
-		o.fallBack(m.GetInForceRevision(), m.GetInForceBody())
-	}
 	o.enforce()
+	o.takeInForce(m)
 	return o
 }
 
--- a/config/restate.go
+++ b/config/restate.go
@@ -102,12 +102,9 @@
 	if !s.complete || s.asOf == 0 {
 		return nil, next
 	}
-	from := s.asOf
-	for _, object := range s.objects {
-		if object.Restated == 0 {
-			return nil, next
-		}
-		from = min(from, object.Restated)
+	from, ok := s.restatedFrom()
+	if !ok {
+		return nil, next
 	}
 	if due := p.censusDue(s); due.After(now) {
 		return nil, earlier(next, due)
@@ -118,6 +115,19 @@
 	return record, next
 }
 
+// restatedFrom returns the lowest as-of offset of the objects' newest restatements. ok is false when
+// an object was never restated.
+func (s *state) restatedFrom() (from uint64, ok bool) {
+	from = s.asOf
+	for _, object := range s.objects {
+		if object.Restated == 0 {
+			return 0, false
+		}
+		from = min(from, object.Restated)
+	}
+	return from, true
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/config/state.go
+++ b/config/state.go
@@ -248,11 +248,9 @@
 		return
 	}
 	object.Restated = max(object.Restated, m.GetRestated())
-	if object.Fault != "" && m.GetInForceRevision() > object.InForce {
-		object.fallBack(m.GetInForceRevision(), m.GetInForceBody())
-		s.touched = true
-	}
 	if m.GetRevision() == revision {
+		s.touched = s.touched || object.Fault != ""
+		object.takeInForce(m)
 		object.Stated, object.StatedAt = m.GetStated(), time.UnixMilli(m.GetStatedMs())
 	}
 }
--- a/config/store.go
+++ b/config/store.go
@@ -27,6 +27,9 @@
 	mu          sync.Mutex
 	state       *state
 	subscribers map[chan struct{}]struct{}
+	// warm is set once the end of the stream was reached or a peer's state was taken. Before that
+	// the view stays empty, so that a node which restarts does not go through old revisions.
+	warm bool
 }
 
 // NewStore returns an empty store. Its view is empty and as of offset 0.
@@ -36,7 +39,7 @@
 		state: newState(), subscribers: make(map[chan struct{}]struct{}),
 	}
 	s.state.decided, s.state.fault = s.decided, s.fault
-	s.view.Store(&View{values: map[Key]value{}, Complete: true})
+	s.view.Store(&View{values: map[Key]value{}})
 	counters.Func("config_revision", func() any { return s.Revision() })
 	counters.Func("config_as_of", func() any { return s.View().AsOf })
 	return s
@@ -55,6 +58,21 @@
 	return view.Revision
 }
 
+// Ready reports whether the view is in use: the end of the stream was reached once, or a peer's state
+// was taken. A node that is not ready should take no requests.
+func (s *Store) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warm
+}
+
+// asOf is the position at which the next read starts.
+func (s *Store) asOf() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.asOf
+}
+
 // Subscribe returns a channel that gets a token after each change of the view, and a function that
 // ends the subscription. Tokens are merged while the reader is busy.
 func (s *Store) Subscribe() (<-chan struct{}, func()) {
@@ -74,6 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.applyPage(page)
+	s.warm = s.warm || s.state.asOf >= page.Next
 	s.refresh()
 }
 
@@ -96,6 +115,7 @@
 	}
 	s.counters.Map("config_imports").Add("taken", 1)
 	s.log.Info("configuration taken from a peer", "as_of", s.state.asOf)
+	s.warm = true
 	s.refresh()
 	return nil
 }
@@ -125,6 +145,9 @@
 
 // refresh publishes a new view. The values are copied only after a change.
 func (s *Store) refresh() {
+	if !s.warm {
+		return
+	}
 	old := s.view.Load()
 	next := &View{
 		AsOf: s.state.asOf, Revision: s.state.changed, Complete: s.state.complete, values: old.values,
--- a/traffic/meter.go
+++ b/traffic/meter.go
@@ -85,7 +85,7 @@
 	m := &Meter{
 		messages: counters.Map("traffic_messages"), messageBytes: counters.Map("traffic_message_bytes"),
 		started: time.Now(),
-		totals: make(map[key]int64), connections: make(map[string]*Conn),
+		totals:  make(map[key]int64), connections: make(map[string]*Conn),
 	}
 	counters.Func("traffic_bytes", func() any { return m.Totals() })
 	counters.Func("control_bytes", func() any { return m.Control() })
