Test the view and the exchange, and fix a starved load in the exchange

Cause: sending only the freshest loads starved single members for a minute and more once the sidecars' rounds had locked to fixed phases: a load was then among the older ones in every message on its way.

A third of the loads in a message is random now. Rounds are given in turn at a fixed pace, so that a sidecar that no other one chose hears news within a round, and repair of a differing view starts with the members that changed last. A first restart needs no pause, since the new process has spoken.

--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -150,10 +150,14 @@
 	}
 }
 
-// restart notes a new incarnation. One that replaces a process that was up counts as a flap.
+// restart notes a new incarnation. One that replaces a process that was up counts as a flap, but the
+// first one needs no pause: the new process has spoken.
 func (e *evidence) restart(incarnation uint64, now time.Time, rules Rules) {
 	if e.incarnation != 0 && !now.Before(e.readmitAt) {
 		e.flap(now, rules)
+		if e.refusals <= 1 {
+			e.readmitAt = time.Time{}
+		}
 	}
 	e.incarnation, e.version = incarnation, 0
 	e.wordLeaving, e.wordReady = false, false
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -45,21 +47,19 @@
 	return h * 0xbf58476d1ce4e5b9
 }
 
-// members returns the news to send to a receiver with the given digest: members whose state changed
-// recently, and when the views differ some others as well.
+// news returns what to send to a receiver with the given digest: members whose state changed recently,
+// and when the views differ some others as well.
 func (p *Pool) news(now time.Time, theirs *wire.ViewDigest) []*wire.Member {
 	var out []*wire.Member
-	sent := make(map[*member]bool)
-	add := func(m *member) {
-		news := cloneMember(m.news)
-		news.AgeMs = uint32(min(now.Sub(m.born), p.rules.ForgetAge) / time.Millisecond)
-		sent[m] = true
-		out = append(out, news)
-	}
+	var others []*member
 	for _, m := range p.members {
-		if m.news != nil && m.fresh > 0 && len(out) < newcomerMembers {
+		switch {
+		case m.news == nil:
+		case m.fresh > 0 && len(out) < newcomerMembers:
 			m.fresh--
-			add(m)
+			out = append(out, p.aged(m, now))
+		default:
+			others = append(others, m)
 		}
 	}
 	mine := p.digest()
@@ -67,19 +67,34 @@
 		return out
 	}
 	out = append(out, p.own)
-	limit := len(out) + repairMembers
-	if theirs.GetCount()+newcomerGap < mine.GetCount() {
-		limit = len(out) + newcomerMembers
-	}
-	// The order of a map's elements varies, so that repeated messages cover all members.
-	for _, m := range p.members {
-		if m.news != nil && !sent[m] && len(out) < limit {
-			add(m)
-		}
+	for _, m := range repair(others, theirs.GetCount()+newcomerGap < mine.GetCount()) {
+		out = append(out, p.aged(m, now))
 	}
 	return out
 }
 
+func (p *Pool) aged(m *member, now time.Time) *wire.Member {
+	news := cloneMember(m.news)
+	news.AgeMs = uint32(min(now.Sub(m.born), p.rules.ForgetAge) / time.Millisecond)
+	return news
+}
+
+// repair selects members that a receiver with another view may not know: one half changed last, the
+// other half is random, so that repeated messages cover all members.
+func repair(members []*member, newcomer bool) []*member {
+	limit := repairMembers
+	if newcomer {
+		limit = newcomerMembers
+	}
+	if len(members) <= limit {
+		return members
+	}
+	slices.SortFunc(members, func(a, b *member) int { return b.changedAt.Compare(a.changedAt) })
+	rest := members[limit/2:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return members[:limit]
+}
+
 // request returns the message to a neighbour. theirs is the digest of its last reply or nil; a
 // request about a changed state carries no loads.
 func (p *Pool) request(theirs *wire.ViewDigest, withLoads bool) *wire.ExchangeRequest {
--- /dev/null
+++ b/membership/exchange_test.go
@@ -0,0 +1,239 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/wire"
+)
+
+// noConfig and noSuspects stand for the packages that the lead wires in.
+type noConfig struct{ revision atomic.Uint64 }
+
+func (c *noConfig) Revision() uint64                       { return c.revision.Load() }
+func (c *noConfig) Saw(string, uint64, wire.SidecarClient) {}
+
+type noSuspects struct{}
+
+func (noSuspects) Newest(int) []*wire.Suspect { return nil }
+func (noSuspects) Merge([]*wire.Suspect)      {}
+
+// sidecar is one member of a pool in a test.
+type sidecar struct {
+	pool      *Pool
+	exchanger *Exchanger
+	work      atomic.Uint64
+	stop      context.CancelFunc
+	dead      atomic.Bool
+}
+
+func newSidecar(i int, dial Dial, address string) *sidecar {
+	s := &sidecar{}
+	id := Identity{
+		Pool: "limon-llm", Instance: instanceName(i), Incarnation: uint64(time.Now().UnixNano()),
+		Address: address, FailureDomain: fmt.Sprintf("bq-%d", i%3), Region: "bq",
+	}
+	s.pool = NewPool(id, DefaultPoolRules, s.work.Load, kernel.NewCounters())
+	s.exchanger = NewExchanger(s.pool, dial, &noConfig{}, noSuspects{})
+	return s
+}
+
+func instanceName(i int) string { return fmt.Sprintf("limon-llm-%05d", i) }
+
+// bytesPerMessage is what gRPC adds to a message on an open connection: frame headers, the indexed
+// HTTP/2 headers, window updates and pings; BenchmarkExchange gives the sum with the real transport.
+const bytesPerMessage = 100
+
+// memoryPool connects sidecars without a network, so that time is that of synctest.
+type memoryPool struct {
+	sidecars map[string]*sidecar
+	bytes    atomic.Int64
+	messages atomic.Int64
+	latency  time.Duration
+	ctx      context.Context
+}
+
+type memoryConn struct {
+	pool   *memoryPool
+	target string
+}
+
+func (c memoryConn) Close() error { return nil }
+
+func (c memoryConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, errors.New("no streams")
+}
+
+func (c memoryConn) Invoke(ctx context.Context, _ string, args, reply any, _ ...grpc.CallOption) error {
+	target := c.pool.sidecars[c.target]
+	sleep(ctx, c.pool.latency)
+	if target == nil || target.dead.Load() {
+		return errors.New("refused")
+	}
+	request := proto.Clone(args.(proto.Message)).(*wire.ExchangeRequest)
+	answer := target.exchanger.Answer(request)
+	sleep(ctx, c.pool.latency)
+	proto.Merge(reply.(proto.Message), answer)
+	c.pool.bytes.Add(int64(proto.Size(request) + proto.Size(answer) + 2*bytesPerMessage))
+	c.pool.messages.Add(2)
+	return ctx.Err()
+}
+
+func (p *memoryPool) dial(address string) (Conn, error) { return memoryConn{p, address}, nil }
+
+// withPool runs n sidecars that know each other from the list, and waits until all loads are known.
+func withPool(t *testing.T, n int, body func(is *is.I, p *memoryPool, sidecars []*sidecar)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &memoryPool{sidecars: map[string]*sidecar{}, latency: 5 * time.Millisecond}
+		sidecars := make([]*sidecar, n)
+		ctx, cancel := context.WithCancel(t.Context())
+		p.ctx = ctx
+		for i := range sidecars {
+			sidecars[i] = newSidecar(i, p.dial, instanceName(i))
+			sidecars[i].work.Store(uint64(1000 + i))
+			p.sidecars[instanceName(i)] = sidecars[i]
+		}
+		for _, s := range sidecars {
+			s.pool.SetListed(addresses(n))
+			s.pool.SetState(true, false)
+			var own context.Context
+			own, s.stop = context.WithCancel(ctx)
+			go s.exchanger.Run(own)
+		}
+		body(is.New(t), p, sidecars)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func addresses(n int) []Member {
+	members := make([]Member, n)
+	for i := range members {
+		members[i] = Member{Instance: instanceName(i), Address: instanceName(i)}
+	}
+	return members
+}
+
+// settleTime is long enough for a pool to know all its members.
+const settleTime = time.Minute
+
+// The mean must be known, and not staler than it says, within the budget of bytes: 5 KB/s for the
+// whole node, of which the exchange may take two fifths.
+func TestExchangeWithinBudget(t *testing.T) {
+	for _, n := range []int{2, 8, 32, 75} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			withPool(t, n, func(is *is.I, p *memoryPool, sidecars []*sidecar) {
+				time.Sleep(settleTime)
+				p.bytes.Store(0)
+				const seconds = 120
+				stale := 0
+				for range seconds {
+					time.Sleep(time.Second)
+					for _, s := range sidecars {
+						mean := s.pool.Mean()
+						is.Equal(mean.Members, n)
+						is.True(mean.Oldest <= DefaultPoolRules.StaleAge+meanAge)
+						stale += mean.Stale
+						if mean.Stale == 0 {
+							is.Equal(mean.Others+s.work.Load(), uint64(n*1000+n*(n-1)/2))
+						}
+					}
+				}
+				// The age has a long tail; a load that counts as zero now and then lowers the bound a little.
+				is.True(stale <= seconds*n*n/1000)
+				// Each message is counted at both of its ends.
+				perNode := 2 * p.bytes.Load() / int64(n) / seconds
+				t.Logf("%d sidecars: %d B/s per node", n, perNode)
+				is.True(perNode <= 2000)
+			})
+		})
+	}
+}
+
+// A counted load must never be older than Oldest says, although loads travel over several sidecars,
+// messages are delayed and clocks of sidecars do not agree.
+func TestMeanIsNotStalerThanItSays(t *testing.T) {
+	withPool(t, 20, func(is *is.I, p *memoryPool, sidecars []*sidecar) {
+		p.latency = 700 * time.Millisecond
+		// The work is the time at which it was read, so a load tells its own age.
+		start := time.Now()
+		for _, s := range sidecars {
+			s.pool.mu.Lock()
+			s.pool.work = func() uint64 { return uint64(time.Since(start).Milliseconds()) + 1 }
+			s.pool.mu.Unlock()
+		}
+		time.Sleep(settleTime)
+		for range 200 {
+			time.Sleep(500 * time.Millisecond)
+			now := uint64(time.Since(start).Milliseconds()) + 1
+			for _, s := range sidecars {
+				mean := s.pool.Mean()
+				s.pool.mu.Lock()
+				for _, m := range s.pool.members {
+					age := time.Duration(now-m.work) * time.Millisecond
+					is.True(m.version == 0 || age <= time.Since(m.born)+time.Millisecond)
+					is.True(m.version == 0 || time.Since(m.born) >= DefaultPoolRules.StaleAge || age <= mean.Oldest)
+				}
+				s.pool.mu.Unlock()
+			}
+		}
+	})
+}
+
+// A departure must reach the whole pool within the target of 3 s.
+func TestDepartureReachesThePool(t *testing.T) {
+	withPool(t, 75, func(is *is.I, p *memoryPool, sidecars []*sidecar) {
+		time.Sleep(settleTime)
+		p.bytes.Store(0)
+		sidecars[7].pool.SetState(true, true)
+		start := time.Now()
+		for _, s := range sidecars {
+			for s.pool.Mean().Members != 74 && s != sidecars[7] && time.Since(start) < settleTime {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		t.Logf("departure known to 75 sidecars after %v, %d B per node", time.Since(start), 2*p.bytes.Load()/75)
+		is.True(time.Since(start) < 3*time.Second)
+	})
+}
+
+// A sidecar that dies without a word counts as a member with zero load while it is listed and its
+// news is fresh enough, and stops counting afterwards. Another incarnation joins again.
+func TestDeadMember(t *testing.T) {
+	withPool(t, 8, func(is *is.I, p *memoryPool, sidecars []*sidecar) {
+		time.Sleep(settleTime)
+		dead := sidecars[3]
+		dead.dead.Store(true)
+		dead.stop()
+		time.Sleep(DefaultPoolRules.StaleAge + time.Second)
+		mean := sidecars[0].pool.Mean()
+		is.Equal(mean.Members, 8)
+		is.Equal(mean.Stale, 1)
+		time.Sleep(DefaultPoolRules.ForgetAge)
+		mean = sidecars[0].pool.Mean()
+		is.Equal(mean.Members, 7)
+		is.Equal(mean.Stale, 0)
+		next := newSidecar(3, p.dial, instanceName(3))
+		next.pool.SetListed(addresses(8))
+		p.sidecars[instanceName(3)] = next
+		ctx, cancel := context.WithCancel(p.ctx)
+		defer cancel()
+		go next.exchanger.Run(ctx)
+		time.Sleep(settleTime)
+		is.Equal(next.pool.Mean().Members, 8)
+		is.Equal(sidecars[0].pool.Mean().Members, 8)
+		is.Equal(sidecars[0].pool.Mean().Stale, 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -22,8 +22,14 @@
 	superviseInterval = time.Second
 )
 
-// Dial opens a connection to the gRPC server of an instance. The caller closes it.
-type Dial func(address string) (*grpc.ClientConn, error)
+// Conn is a connection to the gRPC server of an instance. A *grpc.ClientConn is one.
+type Conn interface {
+	grpc.ClientConnInterface
+	Close() error
+}
+
+// Dial opens a connection for control methods. The caller closes it.
+type Dial func(address string) (Conn, error)
 
 // Config is the node's configuration, as far as first contact between nodes needs it.
 type Config interface {
@@ -39,7 +45,7 @@
 	dial       Dial
 	config     Config
 	suspects   Suspects
-	neighbours map[string]context.CancelFunc
+	neighbours map[string]*neighbour
 	ended      chan string
 }
 
@@ -47,7 +53,7 @@
 func NewExchanger(pool *Pool, dial Dial, config Config, suspects Suspects) *Exchanger {
 	return &Exchanger{
 		pool: pool, dial: dial, config: config, suspects: suspects,
-		neighbours: make(map[string]context.CancelFunc), ended: make(chan string),
+		neighbours: make(map[string]*neighbour), ended: make(chan string),
 	}
 }
 
@@ -61,12 +67,14 @@
 }
 
 // Run keeps exchanges with the neighbours until ctx ends: one goroutine for each, and this one to
-// choose them.
+// choose them and to give them their turns. Turns at a fixed pace bound the time until a sidecar
+// that no other one chose as its neighbour hears news.
 func (e *Exchanger) Run(ctx context.Context) {
-	check := time.NewTicker(superviseInterval)
-	defer check.Stop()
 	mix := time.NewTicker(mixInterval)
 	defer mix.Stop()
+	sleep(ctx, rand.N(e.pool.rules.Interval))
+	turn := time.NewTicker(e.pool.rules.Interval)
+	defer turn.Stop()
 	e.choose(ctx)
 	for {
 		select {
@@ -74,12 +82,12 @@
 			e.drain()
 			return
 		case instance := <-e.ended:
-			e.neighbours[instance]()
-			delete(e.neighbours, instance)
+			e.end(instance)
 		case <-mix.C:
 			e.dropOne()
-		case <-check.C:
+		case <-turn.C:
 			e.choose(ctx)
+			e.giveTurn()
 		}
 	}
 }
@@ -87,18 +95,39 @@
 // drain waits for the neighbours' goroutines.
 func (e *Exchanger) drain() {
 	for len(e.neighbours) > 0 {
-		instance := <-e.ended
-		e.neighbours[instance]()
-		delete(e.neighbours, instance)
+		e.end(<-e.ended)
 	}
 }
 
+func (e *Exchanger) end(instance string) {
+	e.neighbours[instance].cancel()
+	delete(e.neighbours, instance)
+}
+
 // dropOne ends the exchange with one neighbour; choose replaces it.
 func (e *Exchanger) dropOne() {
-	for _, cancel := range e.neighbours {
-		cancel()
+	for _, n := range e.neighbours {
+		n.cancel()
+		return
+	}
+}
+
+// giveTurn lets the neighbour exchange whose last turn is the longest ago.
+func (e *Exchanger) giveTurn() {
+	var next *neighbour
+	for _, n := range e.neighbours {
+		if next == nil || n.turnAt.Before(next.turnAt) {
+			next = n
+		}
+	}
+	if next == nil {
 		return
 	}
+	next.turnAt = time.Now()
+	select {
+	case next.turn <- struct{}{}:
+	default:
+	}
 }
 
 func (e *Exchanger) choose(ctx context.Context) {
@@ -112,9 +141,10 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(ctx)
-		e.neighbours[c.instance] = cancel
+		n := &neighbour{name: c.instance, turn: make(chan struct{}, 1), cancel: cancel}
+		e.neighbours[c.instance] = n
 		go func() {
-			e.follow(ctx, c)
+			e.follow(ctx, n, c.address)
 			e.ended <- c.instance
 		}()
 	}
@@ -137,8 +167,13 @@
 
 // neighbour is the state of the exchange with one neighbour.
 type neighbour struct {
-	client wire.SidecarClient
 	name   string
+	cancel context.CancelFunc
+	// turn gets a token for each regular round; turnAt belongs to Run.
+	turn   chan struct{}
+	turnAt time.Time
+
+	client wire.SidecarClient
 	digest *wire.ViewDigest
 	// changed is closed when a member's state changes after the last request.
 	changed <-chan struct{}
@@ -148,17 +183,15 @@
 }
 
 // follow exchanges with one neighbour until an exchange fails or ctx ends.
-func (e *Exchanger) follow(ctx context.Context, c candidate) {
-	conn, err := e.dial(c.address)
+func (e *Exchanger) follow(ctx context.Context, n *neighbour, address string) {
+	conn, err := e.dial(address)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	n := &neighbour{client: wire.NewSidecarClient(conn), name: c.instance, changed: e.pool.Changed()}
-	period := e.pool.rules.Interval * time.Duration(e.pool.rules.Neighbours)
-	next := time.Now().Add(rand.N(period))
+	n.client, n.changed = wire.NewSidecarClient(conn), e.pool.Changed()
 	for {
-		urgent := n.sleep(ctx, time.Until(next))
+		urgent := n.await(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -167,20 +200,15 @@
 			return
 		}
 		e.pool.counters.Map("exchange_rounds").Add("done", 1)
-		if !urgent {
-			next = time.Now().Add(period - period/8 + rand.N(period/4))
-		}
 	}
 }
 
-// sleep waits for the next round and returns true when a member's state changed before.
-func (n *neighbour) sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// await waits for the next turn and returns true when a member's state changed before.
+func (n *neighbour) await(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-timer.C:
+	case <-n.turn:
 		return false
 	case <-n.changed:
 	}
--- a/membership/pool.go
+++ b/membership/pool.go
@@ -43,10 +43,10 @@
 	ForgetAge time.Duration
 }
 
-// DefaultPoolRules keep a pool of 75 within a fifth of the target of 5 KB/s per node; see
+// DefaultPoolRules keep a pool of 75 within two fifths of the target of 5 KB/s per node; see
 // docs/measurements-fleet.md.
 var DefaultPoolRules = PoolRules{
-	Interval:   2 * time.Second,
+	Interval:   1500 * time.Millisecond,
 	Neighbours: 6,
 	Loads:      40,
 	StaleAge:   15 * time.Second,
@@ -108,8 +108,9 @@
 	// born is a time by the local clock at which the load was not yet produced or just was, so
 	// that now minus born is at least its age.
 	born time.Time
-	// fresh counts the messages that still carry the news.
-	fresh int
+	// fresh counts the messages that still carry the news, which is from changedAt.
+	fresh     int
+	changedAt time.Time
 }
 
 // NewPool returns a pool that knows only its own sidecar, which is not ready. work returns the
@@ -224,7 +225,7 @@
 		p.byHandle[m.handle] = m
 	}
 	m.news, m.address = news, news.GetAddress()
-	m.fresh = rumourMessages
+	m.fresh, m.changedAt = rumourMessages, now
 	return true
 }
 
@@ -269,10 +270,7 @@
 			candidates = append(candidates, m)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *member) int { return b.born.Compare(a.born) })
-	if len(candidates) >= p.rules.Loads {
-		candidates = candidates[:max(0, p.rules.Loads-1)]
-	}
+	candidates = selectLoads(candidates, max(0, p.rules.Loads-1))
 	out := &wire.LoadVector{}
 	out.Member = append(out.Member, p.handle)
 	out.Version = append(out.Version, uint64(now.Sub(p.started)/ageUnit)+1)
@@ -287,6 +285,19 @@
 	return out
 }
 
+// selectLoads returns at most limit members: two thirds are the freshest, the others are random. Only
+// the freshest would starve a member for minutes, because sidecars exchange at a fixed pace and a load
+// can be among the older ones in each message on its way.
+func selectLoads(members []*member, limit int) []*member {
+	if len(members) <= limit {
+		return members
+	}
+	slices.SortFunc(members, func(a, b *member) int { return b.born.Compare(a.born) })
+	rest := members[limit*2/3:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return members[:limit]
+}
+
 // ageUnits rounds up, because an age on the wire is an upper bound.
 func ageUnits(age time.Duration) uint32 {
 	return uint32((max(0, age) + ageUnit - 1) / ageUnit)
--- /dev/null
+++ b/membership/view_test.go
@@ -0,0 +1,218 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jacinthfork.example/jacinthfork/internal/proptest"
+	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/wire"
+)
+
+// listFunc is an instance list that does not change.
+type listFunc func() []platform.Instance
+
+func (f listFunc) List(context.Context) ([]platform.Instance, error) { return f(), nil }
+
+func listed(ids ...string) []platform.Instance {
+	var out []platform.Instance
+	for _, id := range ids {
+		out = append(out, platform.Instance{
+			ID: id, Role: platform.RoleSidecar, Pool: "scribe", Address: "127.0.0.1:1",
+			FailureDomain: "gondar-1", Region: "gondar",
+		})
+	}
+	return out
+}
+
+func withView(t *testing.T, body func(is *is.I, v *View)) {
+	synctest.Test(t, func(t *testing.T) {
+		v := NewView(DefaultRules, journal.New(100), kernel.NewCounters())
+		ctx, cancel := context.WithCancel(t.Context())
+		go v.Run(ctx, listFunc(func() []platform.Instance { <-ctx.Done(); return nil }), time.Hour)
+		body(is.New(t), v)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// states returns one letter per member: r ready, l leaving, d down.
+func states(v *View) string {
+	synctest.Wait()
+	out := ""
+	for _, m := range v.Pool("scribe").Members {
+		switch {
+		case m.Ready:
+			out += m.Instance + "r"
+		case m.Leaving:
+			out += m.Instance + "l"
+		default:
+			out += m.Instance + "d"
+		}
+	}
+	return out
+}
+
+func word(incarnation uint64, leaving bool) *wire.Load {
+	return &wire.Load{Incarnation: incarnation, Work: 7, Leaving: leaving}
+}
+
+// A join without the sidecar's own word is smoothed; its own word admits it at once.
+func TestJoins(t *testing.T) {
+	withView(t, func(is *is.I, v *View) {
+		v.SetList(listed("a", "b"))
+		is.Equal(states(v), "adbd")
+		v.Heard("b", word(1, false))
+		is.Equal(states(v), "adbr")
+		time.Sleep(DefaultRules.JoinDelay)
+		is.Equal(states(v), "arbr")
+	})
+}
+
+// A departure that the list or the sidecar tells stops new work at once, whatever the other says.
+func TestLeaving(t *testing.T) {
+	withView(t, func(is *is.I, v *View) {
+		v.SetList(listed("a", "b"))
+		v.Heard("a", word(1, false))
+		v.Heard("b", word(1, false))
+		v.Heard("a", word(1, true))
+		leaving := listed("a", "b")
+		leaving[1].Leaving = true
+		v.SetList(leaving)
+		is.Equal(states(v), "albl")
+		v.Heard("a", word(1, false)) // A late answer of before the departure.
+		v.Heard("b", word(1, false))
+		is.Equal(states(v), "albl")
+		v.Heard("a", word(2, false)) // The replacement process under the same name.
+		is.Equal(states(v), "arbl")
+	})
+}
+
+// Direct evidence goes before the list: a refusal stops new work although the list has the instance,
+// and an answering instance stays although the list lost it.
+func TestDirectEvidenceGoesBeforeTheList(t *testing.T) {
+	withView(t, func(is *is.I, v *View) {
+		v.SetList(listed("a", "b"))
+		v.Heard("a", word(1, false))
+		v.Heard("b", word(1, false))
+		v.Refused("a", 1)
+		is.Equal(states(v), "adbr")
+		v.SetList(listed("a"))
+		time.Sleep(DefaultRules.RemoveDelay + time.Second)
+		is.Equal(states(v), "arbr") // a after its pause, b by its word.
+		time.Sleep(DefaultRules.WordAge)
+		is.Equal(states(v), "ar")
+		time.Sleep(DefaultRules.FlapMemory) // The refusal above is forgotten.
+		v.Refused("a", 1)
+		time.Sleep(time.Millisecond)
+		v.Heard("a", word(1, false)) // It answered after the refusal.
+		is.Equal(states(v), "ar")
+	})
+}
+
+// A flapping instance must cost fewer and fewer failed requests, and be forgiven after a while.
+func TestFlapsAreReadmittedSlower(t *testing.T) {
+	withView(t, func(is *is.I, v *View) {
+		v.SetList(listed("a"))
+		v.Heard("a", word(1, false))
+		previous := time.Duration(0)
+		for range 8 {
+			v.Refused("a", 1)
+			v.Refused("a", 1) // Requests that fail together are one flap.
+			down := time.Now()
+			for states(v) != "ar" {
+				v.Heard("a", word(1, false))
+				time.Sleep(100 * time.Millisecond)
+			}
+			pause := time.Since(down)
+			is.True(pause >= previous && pause <= DefaultRules.ReadmitMax+time.Second)
+			previous = pause
+		}
+		is.True(previous >= 20*time.Second)
+		time.Sleep(10 * DefaultRules.FlapMemory)
+		v.Refused("a", 1)
+		time.Sleep(DefaultRules.Readmit)
+		is.Equal(states(v), "ar")
+	})
+}
+
+// News through the pool must not bring back what is gone, nor override newer direct evidence.
+func TestRelayedNews(t *testing.T) {
+	withView(t, func(is *is.I, v *View) {
+		news := func(incarnation, version uint64, ready bool, age time.Duration) *wire.PoolNews {
+			return &wire.PoolNews{Pool: "scribe", Members: []*wire.Member{{
+				Instance: "a", Address: "127.0.0.1:1", Incarnation: incarnation, Version: version,
+				Ready: ready, AgeMs: uint32(age.Milliseconds()),
+			}}}
+		}
+		v.Learn(news(1, 1, true, time.Minute)) // Too old to be a join.
+		is.Equal(states(v), "")
+		v.Learn(news(1, 1, true, time.Second))
+		is.Equal(states(v), "ar") // Known before the list has it.
+		v.Refused("a", 1)
+		v.Learn(news(1, 1, true, time.Second))
+		is.Equal(states(v), "ad") // Older than the refusal.
+		v.Learn(news(1, 2, false, 0))
+		time.Sleep(DefaultRules.Readmit)
+		is.Equal(states(v), "ad")
+		v.Learn(news(1, 1, true, 0)) // An older version.
+		is.Equal(states(v), "ad")
+		v.Learn(news(1, 3, true, 0))
+		is.Equal(states(v), "ar")
+		v.Learn(&wire.PoolNews{Loads: &wire.LoadVector{Member: []uint64{handle("a", 1)}, Work: []uint64{9}, Age: []uint32{50}}})
+		work, at, ok := v.Pool("scribe").Members[0].Load()
+		is.True(ok && work == 9 && time.Since(at) == 500*time.Millisecond)
+	})
+}
+
+// In any order of evidence: a known departure is never ready, a published snapshot never changes, and
+// each change is announced.
+func TestViewInAnyOrder(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		v := NewView(DefaultRules, nil, kernel.NewCounters())
+		told := map[string]uint64{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := v.Pool("scribe")
+			copied := fmt.Sprint(before.Members)
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			incarnation := rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+			switch rapid.IntRange(0, 3).Draw(t, "evidence") {
+			case 0:
+				v.SetList(listed([]string{"a", "b", "c"}[:rapid.IntRange(0, 3).Draw(t, "listed")]...))
+			case 1:
+				v.Refused(id, incarnation)
+			default:
+				_, known := before.Find(id)
+				leaving := rapid.Bool().Draw(t, "leaving")
+				v.Heard(id, word(incarnation, leaving))
+				if known && leaving {
+					told[id] = max(told[id], incarnation)
+				}
+			}
+			after := v.Pool("scribe")
+			select {
+			case <-before.Changed():
+			default:
+				if before != after {
+					t.Fatal("a change was not announced")
+				}
+			}
+			if fmt.Sprint(before.Members) != copied {
+				t.Fatal("a published snapshot changed")
+			}
+			for _, m := range after.Members {
+				if m.Ready && told[m.Instance] >= m.Incarnation && m.Incarnation != 0 {
+					t.Fatalf("%s is ready although incarnation %d leaves", m.Instance, m.Incarnation)
+				}
+			}
+		}
+	})
+}
