--- a/config/contact.go
+++ b/config/contact.go
@@ -34,9 +34,18 @@
 	// ctx ends the transfers in progress.
 	ctx context.Context
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// last is when the newest transfer started.
 	last time.Time
 	busy bool
+	// next is the newest peer that is ahead, seen while a transfer was in progress.
+	next peer
+}
+
+// peer is another node with the revision that it told.
+type peer struct {
+	revision uint64
+	client   wire.SidecarClient
 }
 
 // NewContact returns a contact whose transfers end with ctx.
@@ -47,57 +56,93 @@
 // Revision returns the revision to put on messages.
 func (c *Contact) Revision() uint64 { return c.store.Revision() }
 
+// Taken returns a channel that gets a token when a state was taken from a peer, so that this node tells
+// others that may lack the log as well. It has one reader.
+func (c *Contact) Taken() <-chan struct{} { return c.store.taken }
+
 // Saw takes the revision that a peer told. When the two still differ after a grace time, the state is
 // moved. It does not block.
 func (c *Contact) Saw(_ string, revision uint64, client wire.SidecarClient) {
-	mine := c.store.Revision()
-	if mine == revision || !c.start() {
+	if c.store.Revision() == revision {
 		return
 	}
-	go func() {
-		defer c.end()
-		ctx, cancel := context.WithTimeout(c.ctx, offerGrace+transferTimeout)
-		defer cancel()
-		if mine < revision {
-			c.pullLater(ctx, mine, revision, client)
-			return
-		}
-		c.offerLater(ctx, client)
-	}()
+	p := peer{revision, client}
+	if c.begin(p) {
+		go c.run(p)
+	}
 }
 
-func (c *Contact) start() bool {
+// begin reserves the one transfer. While another one is in progress it keeps a peer that is ahead for
+// later, because a peer may not tell its revision again soon.
+func (c *Contact) begin(p peer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	if c.busy || now.Sub(c.last) < transferPause {
+	if c.busy {
+		if p.revision >= c.next.revision {
+			c.next = p
+		}
 		return false
 	}
-	c.busy, c.last = true, now
+	c.busy = true
 	return true
 }
 
-func (c *Contact) end() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy = false
+// run moves the state between this node and a peer, then from peers that were seen meanwhile.
+func (c *Contact) run(p peer) {
+	for {
+		c.transfer(p)
+		c.mu.Lock()
+		p, c.next = c.next, peer{}
+		if p.client == nil || c.store.Revision() >= p.revision || c.ctx.Err() != nil {
+			c.busy = false
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *Contact) transfer(p peer) {
+	ctx, cancel := context.WithTimeout(c.ctx, transferPause+offerGrace+transferTimeout)
+	defer cancel()
+	sleep(ctx, transferPause-time.Since(c.last))
+	mine := c.store.Revision()
+	if mine < p.revision {
+		c.pullLater(ctx, mine, p)
+		return
+	}
+	c.offerLater(ctx, p)
 }
 
-// pullLater pulls when this node is still behind after the grace time. A node without a state pulls at
-// once.
-func (c *Contact) pullLater(ctx context.Context, mine, theirs uint64, client wire.SidecarClient) {
-	if mine != 0 {
+// pullLater pulls when this node is still behind after the grace time. A node without a state, or
+// without the log, pulls at once. A failed pull is tried again by the next contact.
+func (c *Contact) pullLater(ctx context.Context, mine uint64, p peer) {
+	if mine != 0 && c.store.logHealthy.Load() {
 		sleep(ctx, pullGrace)
 	}
-	if c.store.Revision() < theirs {
-		c.count("pull", c.pull(ctx, client))
+	if c.store.Revision() >= p.revision {
+		return
 	}
+	c.last = time.Now()
+	c.count("pull", c.pull(ctx, p.client))
 }
 
 // offerLater offers the state when the peer is still behind after the grace time.
-func (c *Contact) offerLater(ctx context.Context, client wire.SidecarClient) {
+func (c *Contact) offerLater(ctx context.Context, p peer) {
 	sleep(ctx, offerGrace)
-	// An empty offer asks for the peer's position, because most often it has caught up.
+	if c.store.Revision() <= p.revision {
+		return
+	}
+	c.last = time.Now()
+	c.Offer(ctx, p.client)
+}
+
+// Wants says that the log can't be read here, so that peers should offer newer states at once.
+func (c *Contact) Wants() bool { return !c.store.logHealthy.Load() }
+
+// Offer gives a peer the state of this node if the peer is behind. An empty offer asks for the peer's
+// position first, because others may have given it the state already.
+func (c *Contact) Offer(ctx context.Context, client wire.SidecarClient) {
 	has, err := offer(ctx, client, []*wire.ConfigPart{{Last: true}})
 	if err == nil && has <= c.store.Revision() {
 		_, err = offer(ctx, client, c.store.Export(has))
--- a/config/follower.go
+++ b/config/follower.go
@@ -55,7 +55,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := f.restate(ctx)
-		if err := f.read(ctx, wait); err != nil {
+		err := f.read(ctx, wait)
+		f.store.logHealthy.Store(err == nil)
+		if err != nil {
 			f.pause(ctx, err)
 			continue
 		}
--- a/config/store.go
+++ b/config/store.go
@@ -23,6 +23,10 @@
 	counters *kernel.Counters
 
 	view atomic.Pointer[View]
+	// logHealthy is set while the last read of the stream succeeded.
+	logHealthy atomic.Bool
+	// taken gets a token when a state was taken from a peer.
+	taken chan struct{}
 
 	mu          sync.Mutex
 	state       *state
@@ -37,6 +41,7 @@
 	s := &Store{
 		log: log, journal: j, counters: counters,
 		state: newState(), subscribers: make(map[chan struct{}]struct{}),
+		taken: make(chan struct{}, 1),
 	}
 	s.state.decided, s.state.fault = s.decided, s.fault
 	s.view.Store(&View{values: map[Key]value{}})
@@ -117,6 +122,10 @@
 	s.log.Info("configuration taken from a peer", "as_of", s.state.asOf)
 	s.warm = true
 	s.refresh()
+	select {
+	case s.taken <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -55,8 +55,8 @@
 	hint *loadHint
 }
 
-// status is what follows from the evidence at one moment.
-type status struct {
+// standing is what follows from the evidence at one moment.
+type standing struct {
 	present bool
 	ready   bool
 	leaving bool
@@ -64,10 +64,10 @@
 	until time.Time
 }
 
-// status weighs the evidence. A word of the instance itself keeps it present against the list; a
+// standing weighs the evidence. A word of the instance itself keeps it present against the list; a
 // departure known from either side, or a refusal, stops new work.
-func (e *evidence) status(now time.Time, rules Rules) status {
-	var s status
+func (e *evidence) standing(now time.Time, rules Rules) standing {
+	var s standing
 	goneAt := e.goneAt(rules)
 	if !e.listed {
 		if !now.Before(goneAt) {
--- a/membership/exchange_test.go
+++ b/membership/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,8 +21,11 @@
 // noConfig and noSuspects stand for the packages that the lead wires in.
 type noConfig struct{ revision atomic.Uint64 }
 
-func (c *noConfig) Revision() uint64                       { return c.revision.Load() }
-func (c *noConfig) Saw(string, uint64, wire.SidecarClient) {}
+func (c *noConfig) Revision() uint64                          { return c.revision.Load() }
+func (c *noConfig) Taken() <-chan struct{}                    { return nil }
+func (c *noConfig) Wants() bool                               { return false }
+func (c *noConfig) Offer(context.Context, wire.SidecarClient) {}
+func (c *noConfig) Saw(string, uint64, wire.SidecarClient)    {}
 
 type noSuspects struct{}
 
@@ -56,7 +60,7 @@
 
 // memoryPool connects sidecars without a network, so that time is that of synctest.
 type memoryPool struct {
-	sidecars map[string]*sidecar
+	sidecars sync.Map // of *sidecar by address
 	bytes    atomic.Int64
 	messages atomic.Int64
 	latency  time.Duration
@@ -75,9 +79,13 @@
 }
 
 func (c memoryConn) Invoke(ctx context.Context, _ string, args, reply any, _ ...grpc.CallOption) error {
-	target := c.pool.sidecars[c.target]
+	found, ok := c.pool.sidecars.Load(c.target)
 	sleep(ctx, c.pool.latency)
-	if target == nil || target.dead.Load() {
+	if !ok {
+		return errors.New("refused")
+	}
+	target := found.(*sidecar)
+	if target.dead.Load() {
 		return errors.New("refused")
 	}
 	request := proto.Clone(args.(proto.Message)).(*wire.ExchangeRequest)
@@ -94,14 +102,14 @@
 // withPool runs n sidecars that know each other from the list, and waits until all loads are known.
 func withPool(t *testing.T, n int, body func(is *is.I, p *memoryPool, sidecars []*sidecar)) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &memoryPool{sidecars: map[string]*sidecar{}, latency: 5 * time.Millisecond}
+		p := &memoryPool{latency: 5 * time.Millisecond}
 		sidecars := make([]*sidecar, n)
 		ctx, cancel := context.WithCancel(t.Context())
 		p.ctx = ctx
 		for i := range sidecars {
 			sidecars[i] = newSidecar(i, p.dial, instanceName(i))
 			sidecars[i].work.Store(uint64(1000 + i))
-			p.sidecars[instanceName(i)] = sidecars[i]
+			p.sidecars.Store(instanceName(i), sidecars[i])
 		}
 		for _, s := range sidecars {
 			s.pool.SetListed(addresses(n))
@@ -225,7 +233,7 @@
 		is.Equal(mean.Stale, 0)
 		next := newSidecar(3, p.dial, instanceName(3))
 		next.pool.SetListed(addresses(8))
-		p.sidecars[instanceName(3)] = next
+		p.sidecars.Store(instanceName(3), next)
 		ctx, cancel := context.WithCancel(p.ctx)
 		defer cancel()
 		go next.exchanger.Run(ctx)
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -37,6 +37,12 @@
 	Revision() uint64
 	// Saw takes the revision of a peer and whom to ask for its state. It does not block.
 	Saw(peer string, revision uint64, client wire.SidecarClient)
+	// Wants says that the log can't be read here, so that peers should offer newer states at once.
+	Wants() bool
+	// Offer gives a peer that wants it the newer state of this node.
+	Offer(ctx context.Context, client wire.SidecarClient)
+	// Taken gets a token when a newer state was taken from a peer.
+	Taken() <-chan struct{}
 }
 
 // Exchanger runs the exchange of one sidecar with the others of its pool.
@@ -61,7 +67,7 @@
 func (e *Exchanger) Answer(r *wire.ExchangeRequest) *wire.ExchangeReply {
 	e.suspects.Merge(r.GetSuspects())
 	reply := e.pool.answer(r)
-	reply.ConfigRevision = e.config.Revision()
+	reply.ConfigRevision, reply.WantsConfig = e.config.Revision(), e.config.Wants()
 	reply.Suspects = e.suspects.Newest(suspectsPerMessage)
 	return reply
 }
@@ -85,6 +91,9 @@
 			e.end(instance)
 		case <-mix.C:
 			e.dropOne()
+		case <-e.config.Taken():
+			// The neighbours may lack the log as well.
+			e.pool.wakeNeighbours()
 		case <-turn.C:
 			e.choose(ctx)
 			e.giveTurn()
@@ -245,6 +254,12 @@
 	n.clock, n.clockAt, n.digest = reply.GetClock(), time.Now(), reply.GetDigest()
 	e.pool.absorb(reply, sent)
 	e.suspects.Merge(reply.GetSuspects())
-	e.config.Saw(n.name, reply.GetConfigRevision(), n.client)
+	// A peer without any state pulls the whole of it from one peer, so it is not offered by several.
+	theirs := reply.GetConfigRevision()
+	if reply.GetWantsConfig() && theirs > 0 && theirs < e.config.Revision() {
+		e.config.Offer(ctx, n.client)
+		return nil
+	}
+	e.config.Saw(n.name, theirs, n.client)
 	return nil
 }
--- a/membership/pool.go
+++ b/membership/pool.go
@@ -178,6 +178,13 @@
 	p.mean.Store(nil)
 }
 
+// wakeNeighbours starts an exchange with each neighbour at once.
+func (p *Pool) wakeNeighbours() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announce()
+}
+
 // lifetime is how long a member without news is kept as one.
 func (p *Pool) lifetime(listed bool) time.Duration {
 	if listed {
--- a/membership/view.go
+++ b/membership/view.go
@@ -236,7 +236,7 @@
 	v.due = time.Time{}
 	pools := make(map[string][]Member)
 	for id, e := range v.evidence {
-		s := e.status(now, v.rules)
+		s := e.standing(now, v.rules)
 		if !s.present {
 			delete(v.evidence, id)
 			continue
@@ -260,7 +260,7 @@
 	}
 }
 
-func (e *evidence) member(id string, s status) Member {
+func (e *evidence) member(id string, s standing) Member {
 	return Member{
 		Instance: id, Address: e.instance.Address, FailureDomain: e.instance.FailureDomain,
 		Region: e.instance.Region, Incarnation: e.incarnation,
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/wire"
 )
@@ -155,9 +158,13 @@
 			continue
 		}
 		failed = member.Instance
-		if err := w.watch(ctx, member); err != nil && ctx.Err() == nil {
+		heard, err := w.watch(ctx, member)
+		if err != nil && ctx.Err() == nil {
 			w.counters.Int("watch_breaks").Add(1)
 		}
+		if !heard && status.Code(err) == codes.Unavailable {
+			w.view.Refused(member.Instance, member.Incarnation)
+		}
 		sleep(ctx, watchRetry/2+rand.N(watchRetry))
 	}
 }
@@ -197,11 +204,12 @@
 	return rank + 6
 }
 
-// watch reads the stream of one sidecar until it breaks, ends or falls silent.
-func (w *Watcher) watch(ctx context.Context, m Member) error {
+// watch reads the stream of one sidecar until it breaks, ends or falls silent. heard is set when it
+// gave any news.
+func (w *Watcher) watch(ctx context.Context, m Member) (heard bool, err error) {
 	conn, err := w.dial(m.Address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
@@ -211,13 +219,14 @@
 	client := wire.NewSidecarClient(conn)
 	stream, err := client.Watch(ctx, &wire.WatchRequest{Router: w.router.Instance, ConfigRevision: w.config.Revision()})
 	if err != nil {
-		return err
+		return false, err
 	}
 	for {
 		news, err := stream.Recv()
 		if err != nil {
-			return err
+			return heard, err
 		}
+		heard = true
 		silence.Reset(watchSilence)
 		w.view.Learn(news)
 		w.suspects.Merge(news.GetSuspects())
--- a/traffic/grpc.go
+++ b/traffic/grpc.go
@@ -35,6 +35,15 @@
 // dataMethod is the method whose messages are data.
 const dataMethod = "Execute"
 
+const (
+	// window is a fixed flow-control window. A fixed one turns off gRPC's estimation of the bandwidth,
+	// which sends a ping of 17 bytes with every burst of data.
+	window = 1 << 20
+	// controlBuffer is the buffer of a control connection, whose messages are small. gRPC's default of
+	// 32 KiB in each direction would be most of a sidecar's memory.
+	controlBuffer = 4 << 10
+)
+
 // ClientOptions return the options of a gRPC connection from this node to a sidecar. ClassData makes
 // a connection for Execute and Cancel, ClassControl one for all other methods.
 func (m *Meter) ClientOptions(class Class) []grpc.DialOption {
@@ -51,11 +60,22 @@
 		m.register(c)
 		return c, nil
 	}
-	return []grpc.DialOption{grpc.WithContextDialer(dial), grpc.WithStatsHandler(&handler{m})}
+	options := []grpc.DialOption{grpc.WithContextDialer(dial), grpc.WithStatsHandler(&handler{m})}
+	if class == ClassControl {
+		options = append(options,
+			grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
+			grpc.WithReadBufferSize(controlBuffer), grpc.WithWriteBufferSize(controlBuffer))
+	}
+	return options
 }
 
-// ServerOption returns the option of a gRPC server whose listener is from ListenFleet.
-func (m *Meter) ServerOption() grpc.ServerOption { return grpc.StatsHandler(&handler{m}) }
+// ServerOptions return the options of a gRPC server whose listener is from ListenFleet.
+func (m *Meter) ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.StatsHandler(&handler{m}),
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
+	}
+}
 
 // handler tells the messages of Execute from the rest, and counts messages by method.
 type handler struct{ meter *Meter }
