--- a/admission/controller.go
+++ b/admission/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jacinthfork.example/jacinthfork/verdict"
@@ -18,6 +19,9 @@
 	// onGrant is called by tests before each grant is counted.
 	onGrant func(c *Controller, isolate bool, work uint64)
 
+	// work mirrors own for Work.
+	work atomic.Uint64
+
 	mu            sync.Mutex
 	own           uint64
 	inFlight      int
@@ -92,6 +96,10 @@
 	}
 }
 
+// Work returns the counted work in flight in tokens. It takes no lock, so that the pool view may
+// call it while Admit, which holds the lock, asks the pool view for the mean.
+func (c *Controller) Work() uint64 { return c.work.Load() }
+
 // Counts returns a copy of the totals.
 func (c *Controller) Counts() Counts {
 	c.mu.Lock()
@@ -197,6 +205,7 @@
 	defer c.mu.Unlock()
 	c.epoch++
 	c.own = 0
+	c.work.Store(0)
 	c.inFlight = 0
 	c.isolated = false
 	c.notReady = true
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -57,12 +57,18 @@
 	return g.remaining
 }
 
+// noteOwn records a change of the counted work.
+func (c *Controller) noteOwn() {
+	c.work.Store(c.own)
+	c.history.add(c.now(), c.own)
+}
+
 // reduce lowers the counts by tokens of one grant.
 func (c *Controller) reduce(g *Grant, tokens uint64) {
 	g.remaining -= tokens
 	g.organisation.tokens -= tokens
 	c.own -= tokens
-	c.history.add(c.now(), c.own)
+	c.noteOwn()
 }
 
 // release removes a grant from the counts.
@@ -99,6 +105,6 @@
 	o.requests++
 	c.isolated = req.Isolate
 	c.charge(o, req, work)
-	c.history.add(c.now(), c.own)
+	c.noteOwn()
 	return g
 }
--- a/config/follower.go
+++ b/config/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -55,7 +56,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := f.restate(ctx)
-		if err := f.read(ctx, wait); err != nil {
+		err := f.read(ctx, wait)
+		f.store.logHealthy.Store(err == nil)
+		if err != nil {
 			f.pause(ctx, err)
 			continue
 		}
@@ -67,15 +70,34 @@
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
-	page, err := f.platform.Read(ctx, Stream, f.store.View().AsOf, readLimit, wait)
+	page, err := f.platform.Read(ctx, Stream, f.store.asOf(), readLimit, wait)
 	if err != nil {
 		return err
 	}
 	f.store.ApplyPage(page)
-	f.caughtUp = f.store.View().AsOf >= page.Next
+	f.caughtUp = f.store.asOf() >= page.Next
 	return nil
 }
 
+// CatchUp reads the stream to its end, so that the store's view is not older than the call. An error
+// means that the view may be old.
+func CatchUp(ctx context.Context, pl platform.Log, store *Store) error {
+	for {
+		from := store.asOf()
+		page, err := pl.Read(ctx, Stream, from, readLimit, 0)
+		if err != nil {
+			return err
+		}
+		store.ApplyPage(page)
+		if store.asOf() >= page.Next {
+			return nil
+		}
+		if store.asOf() == from {
+			return fmt.Errorf("log returned no records from %d although it ends at %d", from, page.Next)
+		}
+	}
+}
+
 // restate appends what is due and returns how long the next read may wait.
 func (f *Follower) restate(ctx context.Context) time.Duration {
 	if !f.caughtUp {
--- a/membership/pool.go
+++ b/membership/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/wire"
@@ -43,10 +44,10 @@
 	ForgetAge time.Duration
 }
 
-// DefaultPoolRules keep a pool of 75 within a fifth of the target of 5 KB/s per node; see
+// DefaultPoolRules keep a pool of 75 within two fifths of the target of 5 KB/s per node; see
 // docs/measurements-fleet.md.
 var DefaultPoolRules = PoolRules{
-	Interval:   2 * time.Second,
+	Interval:   1500 * time.Millisecond,
 	Neighbours: 6,
 	Loads:      40,
 	StaleAge:   15 * time.Second,
@@ -108,8 +109,9 @@
 	// born is a time by the local clock at which the load was not yet produced or just was, so
 	// that now minus born is at least its age.
 	born time.Time
-	// fresh counts the messages that still carry the news.
-	fresh int
+	// fresh counts the messages that still carry the news, which is from changedAt.
+	fresh     int
+	changedAt time.Time
 }
 
 // NewPool returns a pool that knows only its own sidecar, which is not ready. work returns the
@@ -129,18 +131,51 @@
 
 // SetState sets what the pool and the routers are told of this sidecar. A change is spread at once.
 func (p *Pool) SetState(ready, leaving bool) {
+	p.state(func(own *wire.Member) { own.Ready, own.Leaving = ready, leaving })
+}
+
+// SetLoading tells the pool that this sidecar is about to give its engine an order, or is done.
+func (p *Pool) SetLoading(loading bool) {
+	p.state(func(own *wire.Member) { own.Loading = loading })
+}
+
+func (p *Pool) state(change func(own *wire.Member)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.own.GetReady() == ready && p.own.GetLeaving() == leaving {
+	next := cloneMember(p.own)
+	change(next)
+	if proto.Equal(next, p.own) {
 		return
 	}
-	next := cloneMember(p.own)
-	next.Ready, next.Leaving = ready, leaving
 	next.Version++
 	p.own = next
 	p.announce()
 }
 
+// Peer is another sidecar of the pool, as far as the pool's news tell.
+type Peer struct {
+	Instance string
+	Ready    bool
+	Loading  bool
+}
+
+// Peers returns the other members that do not leave. One without news is not ready.
+func (p *Pool) Peers() []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	out := make([]Peer, 0, len(p.members))
+	for _, m := range p.members {
+		age := now.Sub(m.born)
+		if m.news.GetLeaving() || age > p.lifetime(m.listed) {
+			continue
+		}
+		fresh := age < p.rules.StaleAge
+		out = append(out, Peer{m.instance, fresh && m.news.GetReady(), m.news.GetLoading()})
+	}
+	return out
+}
+
 // SetListed takes the members of this pool in the node's view, from which the first neighbours are
 // chosen. A member that the list dropped is forgotten once its load is stale.
 func (p *Pool) SetListed(members []Member) {
@@ -177,6 +212,13 @@
 	p.mean.Store(nil)
 }
 
+// wakeNeighbours starts an exchange with each neighbour at once.
+func (p *Pool) wakeNeighbours() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announce()
+}
+
 // lifetime is how long a member without news is kept as one.
 func (p *Pool) lifetime(listed bool) time.Duration {
 	if listed {
@@ -224,7 +266,7 @@
 		p.byHandle[m.handle] = m
 	}
 	m.news, m.address = news, news.GetAddress()
-	m.fresh = rumourMessages
+	m.fresh, m.changedAt = rumourMessages, now
 	return true
 }
 
@@ -269,10 +311,7 @@
 			candidates = append(candidates, m)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *member) int { return b.born.Compare(a.born) })
-	if len(candidates) >= p.rules.Loads {
-		candidates = candidates[:max(0, p.rules.Loads-1)]
-	}
+	candidates = selectLoads(candidates, max(0, p.rules.Loads-1))
 	out := &wire.LoadVector{}
 	out.Member = append(out.Member, p.handle)
 	out.Version = append(out.Version, uint64(now.Sub(p.started)/ageUnit)+1)
@@ -287,6 +326,19 @@
 	return out
 }
 
+// selectLoads returns at most limit members: two thirds are the freshest, the others are random. Only
+// the freshest would starve a member for minutes, because sidecars exchange at a fixed pace and a load
+// can be among the older ones in each message on its way.
+func selectLoads(members []*member, limit int) []*member {
+	if len(members) <= limit {
+		return members
+	}
+	slices.SortFunc(members, func(a, b *member) int { return b.born.Compare(a.born) })
+	rest := members[limit*2/3:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return members[:limit]
+}
+
 // ageUnits rounds up, because an age on the wire is an upper bound.
 func ageUnits(age time.Duration) uint32 {
 	return uint32((max(0, age) + ageUnit - 1) / ageUnit)
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -27,6 +27,7 @@
 	verdict.ReasonLeaving:      Redirect,
 	verdict.ReasonNotReady:     Redirect,
 	verdict.ReasonIsolation:    Redirect,
+	verdict.ReasonNotTarget:    Redirect,
 	verdict.ReasonCrashSuspect: Redirect,
 	verdict.ReasonIncarnation:  Redirect,
 	verdict.ReasonOverCapacity: Charged,
--- a/router/exposure.go
+++ b/router/exposure.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 
 	"jacinthfork.example/jacinthfork/placement"
@@ -24,20 +25,30 @@
 
 // markFirst marks the n candidates with the highest scores for a key.
 func markFirst(allowed []bool, key uint64, pool *placement.Pool, n int) {
-	for range min(n, pool.Len()) {
-		best, highest := -1, uint64(0)
-		for i := range pool.Len() {
-			if score := placement.Score(key, pool.At(i).Hash); !allowed[i] && (best < 0 || score > highest) {
-				best, highest = i, score
-			}
-		}
-		if best < 0 {
-			return
+	if n <= 0 {
+		return
+	}
+	highest := make([]uint64, 0, n)
+	for i := range pool.Len() {
+		highest = keepHighest(highest, placement.Score(key, pool.At(i).Hash), n)
+	}
+	for i := range pool.Len() {
+		if placement.Score(key, pool.At(i).Hash) >= highest[len(highest)-1] {
+			allowed[i] = true
 		}
-		allowed[best] = true
 	}
 }
 
+// keepHighest adds a score to a list of at most n scores in falling order.
+func keepHighest(list []uint64, score uint64, n int) []uint64 {
+	at, _ := slices.BinarySearchFunc(list, score, func(a, b uint64) int { return cmp.Compare(b, a) })
+	if at == n {
+		return list
+	}
+	list = slices.Insert(list, at, score)
+	return list[:min(len(list), n)]
+}
+
 // exposureKey is the key by which the placement policy orders the instances for this call.
 func (c *call) exposureKey() uint64 {
 	switch {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -28,7 +28,7 @@
 	}
 	r.peers = newPeers(append(options[:len(options):len(options)], r.meter.ClientOptions(traffic.ClassData)...))
 	control := append(options[:len(options):len(options)], r.meter.ClientOptions(traffic.ClassControl)...)
-	r.dial = func(address string) (*grpc.ClientConn, error) {
+	r.dial = func(address string) (membership.Conn, error) {
 		return grpc.NewClient("passthrough:///"+address, control...)
 	}
 	r.store = config.NewStore(r.kernel.Log, r.journal, r.count)
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	options = append(options, s.meter.ClientOptions(traffic.ClassControl)...)
-	dial := func(address string) (*grpc.ClientConn, error) {
+	dial := func(address string) (membership.Conn, error) {
 		return grpc.NewClient("passthrough:///"+address, options...)
 	}
 	s.dial = dial
@@ -155,7 +155,7 @@
 	if s.admission == nil {
 		return 0
 	}
-	return s.admission.Load().Work
+	return s.admission.Work()
 }
 
 // serveFleet writes what this sidecar knows of its pool, for "jacinthfork status".
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -151,7 +151,7 @@
 		_ = listener.Close()
 		return err
 	}
-	s.server = grpc.NewServer(append(options, s.meter.ServerOption())...)
+	s.server = grpc.NewServer(append(options, s.meter.ServerOptions()...)...)
 	wire.RegisterSidecarServer(s.server, s)
 	go func() { _ = s.server.Serve(s.meter.ListenFleet(listener)) }()
 	s.background()
