--- a/admission/limit_test.go
+++ b/admission/limit_test.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -205,3 +207,26 @@
 	is.True(f.late[0].lease.Allowed != f.late[1].lease.Allowed)
 	is.Equal(l.local["o"].lease, f.late[1].lease.Allowed)
 }
+
+// Work in the queue must count against the tokens in flight, or a full queue would exceed the limit
+// once it is granted.
+func TestQueuedWorkCountsAgainstLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := NewLimiter("i0", DefaultLimitSettings())
+		l.SetLimits(map[string]Quota{"o": {Tokens: 200}}) // 50 in the grace
+		c := newController(t, func(s *Settings) { s.CapacityRequests = 1 }, Alone{}, l)
+		running, err := c.Admit(t.Context(), decode("o", 20))
+		is.NoErr(err)
+		go func() {
+			g, err := c.Admit(context.Background(), decode("o", 20))
+			is.NoErr(err)
+			g.Done()
+		}()
+		synctest.Wait()
+		_, err = c.Admit(t.Context(), decode("o", 20))
+		is.Equal(verdict.As(err).Reason, verdict.ReasonOrganisationRate)
+		running.Done()
+		synctest.Wait()
+	})
+}
