Prove not-run for expired keys that were never claimed

Cause: every key older than the window was answered with unknown, although most such keys were never used. A plain not-run would be wrong for a key that ran: its caller could send the action again under a new key.

Now not-run is said when no sidecar accepts the key any more, no record of it can have expired, this layout alone was in use since then, and the stream shows no claim. TestCallerClock expects not-run there, which is the stricter statement; TestExpiredKeyIsNotRunOnlyWhenProved covers the other cases.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -164,6 +164,9 @@
 				ahead := time.Until(at)
 				_, _, err := within(k, time.Second, action, svc)
 				switch {
+				case ahead < -24*time.Hour-2*time.Second:
+					// Nobody accepts the key any more and its stream shows no claim.
+					expect(t, err, verdict.NotRun, verdict.ReasonKeyExpired)
 				case ahead < -24*time.Hour:
 					expect(t, err, verdict.Unknown, verdict.ReasonKeyExpired)
 				case ahead > time.Minute+time.Second:
@@ -311,3 +314,22 @@
 type fixed struct{ out Outcome }
 
 func (f *fixed) dispatch(context.Context) (Outcome, error) { return f.out, nil }
+
+// An expired key that was claimed, or whose records may be gone, must not be answered with not-run:
+// its caller could send the action again under a new key.
+func TestExpiredKeyIsNotRunOnlyWhenProved(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, log *memLog, svc *service) {
+		k, used, unused := newKeeper(t, testOptions(log, "a")), testAction(1, "pay"), testAction(2, "pay")
+		_, _, err := within(k, time.Second, used, svc)
+		is.NoErr(err)
+		time.Sleep(25 * time.Hour)
+		_, _, err = within(k, time.Second, used, svc)
+		expect(t, err, verdict.Unknown, verdict.ReasonKeyExpired)
+		_, _, err = within(k, time.Second, unused, svc)
+		expect(t, err, verdict.NotRun, verdict.ReasonKeyExpired)
+		time.Sleep(23 * time.Hour)
+		_, _, err = within(k, time.Second, unused, svc)
+		expect(t, err, verdict.Unknown, verdict.ReasonKeyExpired)
+		is.Equal(svc.runs.Load(), int64(1))
+	})
+}
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -66,7 +66,7 @@
 		return Outcome{}, false, err
 	}
 	if err := k.checkWindow(h); err != nil {
-		return Outcome{}, false, err
+		return Outcome{}, false, k.proveUnused(ctx, h, err)
 	}
 	defer k.runs.Add(-1)
 	if k.runs.Add(1) > int64(k.opts.MaxRuns) {
