--- a/claim/options.go
+++ b/claim/options.go
@@ -24,6 +24,12 @@
 	Gone
 )
 
+// Defaults of a Layout. Few partitions let many actions share an append.
+const (
+	DefaultPartitions = 8
+	DefaultBucket     = 10 * time.Minute
+)
+
 // Defaults of Options.
 const (
 	DefaultMaxMemory       = 64 << 20
--- a/membership/relay.go
+++ b/membership/relay.go
@@ -8,8 +8,14 @@
 	"jacinthfork.example/jacinthfork/wire"
 )
 
-// relayLoads bounds the loads that one request carries.
-const relayLoads = 12
+const (
+	// relayLoads is the number of loads that the first attempt of a request carries; each further
+	// attempt carries as many more. A router has 5 KB/s for control, and at the target size sends 12
+	// requests a second.
+	relayLoads = 4
+	// maxRelayLoads bounds the loads that one attempt carries.
+	maxRelayLoads = 12
+)
 
 // relayAge is the age from which a load is not worth relaying.
 const relayAge = 2 * time.Second
@@ -47,9 +53,10 @@
 	known[instance] = &relayed{handle(instance, load.GetIncarnation()), load.GetVersion(), load.GetWork(), time.Now()}
 }
 
-// Loads returns the freshest loads of a pool without that of the receiver. Ages are left out: the
+// Loads returns the freshest loads of a pool without that of the receiver, for the attempt of the
+// given number, from 1. Ages are left out: the
 // receiver derives them from the versions.
-func (r *Relay) Loads(pool, receiver string) *wire.LoadVector {
+func (r *Relay) Loads(pool, receiver string, attempt int) *wire.LoadVector {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -65,7 +72,7 @@
 	}
 	slices.SortFunc(fresh, func(a, b *relayed) int { return b.at.Compare(a.at) })
 	out := &wire.LoadVector{}
-	for _, load := range fresh[:min(len(fresh), relayLoads)] {
+	for _, load := range fresh[:min(len(fresh), relayLoads*attempt, maxRelayLoads)] {
 		out.Member = append(out.Member, load.handle)
 		out.Version = append(out.Version, load.version)
 		out.Work = append(out.Work, load.work)
--- /dev/null
+++ b/membership/relay_test.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/wire"
+)
+
+// A router that holds a load for a long time must not make it look fresh: the age follows from the
+// sidecar's own clock, not from when the load arrives.
+func TestRelayedLoadKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rules := DefaultPoolRules
+		pools := make([]*Pool, 2)
+		for i, name := range []string{"a", "b"} {
+			self := Identity{Pool: "p", Instance: name, Incarnation: 1, Address: name}
+			pools[i] = NewPool(self, rules, func() uint64 { return 70 }, kernel.NewCounters())
+		}
+		a, b := pools[0], pools[1]
+		sent := time.Now()
+		b.absorb(a.answer(b.request(nil, true)), sent)
+		is.Equal(b.Mean().Others, uint64(70))
+
+		time.Sleep(time.Second)
+		relay := NewRelay()
+		relay.Heard("p", "a", &wire.Load{Incarnation: 1, Version: a.LoadVersion(), Work: 90})
+		held := relay.Loads("p", "b", 1)
+		time.Sleep(5 * time.Second)
+		b.MergeRelayed(held)
+		mean := b.Mean()
+		is.Equal(mean.Others, uint64(90))
+		is.True(mean.Oldest >= 5*time.Second)
+		is.True(mean.Oldest <= 5*time.Second+meanAge+ageUnit)
+
+		// A copy that arrives again or late changes nothing.
+		b.MergeRelayed(&wire.LoadVector{Member: held.Member, Version: []uint64{held.Version[0] - 1}, Work: []uint64{1}})
+		is.Equal(b.Mean().Others, uint64(90))
+		time.Sleep(rules.StaleAge)
+		is.Equal(b.Mean().Others, uint64(0))
+	})
+}
+
+// A request must not carry more loads than the control budget allows, nor that of its receiver.
+func TestRelayIsBounded(t *testing.T) {
+	is := is.New(t)
+	relay := NewRelay()
+	for i := range 40 {
+		relay.Heard("p", string(rune('A'+i)), &wire.Load{Incarnation: 1, Version: 1, Work: 1})
+	}
+	is.Equal(len(relay.Loads("p", "A", 1).Member), relayLoads)
+	is.Equal(len(relay.Loads("p", "A", 9).Member), maxRelayLoads)
+	is.Equal(len(relay.Loads("q", "A", 1).Member), 0)
+}
--- a/plugin/instances/httplist/httplist.go
+++ b/plugin/instances/httplist/httplist.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"jacinthfork.example/jacinthfork/kernel"
@@ -30,6 +31,12 @@
 	// Timeout bounds one read.
 	Timeout time.Duration `toml:"timeout" min:"10ms" max:"1m"`
 
+	// tag and known are the newest list, which the service need not send again: at the target size a
+	// list is some 200 KB.
+	mu    sync.Mutex
+	tag   string
+	known []platform.Instance
+
 	client   *http.Client
 	reader   string
 	failures *expvar.Int
@@ -90,12 +97,34 @@
 	if err != nil {
 		return nil, err
 	}
+	tag, known := l.last()
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	var answer listAnswer
-	if err := platformhttp.Do(l.client, request, http.StatusOK, &answer); err != nil {
+	header, err := platformhttp.DoTagged(l.client, request, &answer)
+	if err != nil {
 		return nil, err
 	}
+	if header == nil {
+		return known, nil
+	}
 	if answer.Instances == nil {
 		return nil, fmt.Errorf("answer has no instances")
 	}
+	l.keep(header.Get("ETag"), *answer.Instances)
 	return *answer.Instances, nil
 }
+
+// last returns the newest list with its entity tag, which is empty when the service gives none.
+func (l *List) last() (string, []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tag, l.known
+}
+
+func (l *List) keep(tag string, list []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tag, l.known = tag, list
+}
--- a/plugin/internal/platformhttp/client.go
+++ b/plugin/internal/platformhttp/client.go
@@ -75,3 +75,26 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes))
 	return nil
 }
+
+// DoTagged is Do for a conditional request. When the service answers that nothing has changed (304),
+// the returned header is nil and target is left as it is.
+func DoTagged(client *http.Client, request *http.Request, target any) (http.Header, error) {
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return nil, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+		return nil, &StatusError{response.StatusCode, body}
+	}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, MaxAnswerBytes))
+	if err := decoder.Decode(target); err != nil {
+		return nil, fmt.Errorf("answer is not understood: %w", err)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes))
+	return response.Header, nil
+}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -32,7 +32,7 @@
 	stream, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := c.request(ctx, id, incarnation)
-	request.Loads = r.relay.Loads(c.pool, p.instance)
+	request.Loads = r.relay.Loads(c.pool, p.instance, c.attempts)
 	r.piggyback.Add(int64(proto.Size(request.Loads)))
 	chunks, err := p.client.Execute(stream, request)
 	if err == nil {
--- a/router/service.go
+++ b/router/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"jacinthfork.example/jacinthfork/claim"
 	"jacinthfork.example/jacinthfork/dialect"
 	"jacinthfork.example/jacinthfork/placement"
 	"jacinthfork.example/jacinthfork/wire"
@@ -35,7 +36,9 @@
 	c.message.Fingerprint = fingerprintBody(in.organisation, c.pool+" "+in.http.Method+" "+c.message.Path, in.body)
 	c.place = placement.Request{Organisation: in.organisation, Work: serviceWork, FailureDomain: r.settings.FailureDomain}
 	if key != "" {
-		c.place.KeyHash = placement.HashKey(in.organisation, key)
+		if err := r.placeAction(c, key); err != nil {
+			return nil, err
+		}
 	}
 	c.answer = &heldAnswer{
 		callerWriter: newCallerWriter(in.w, r.settings.Callers.WriteTimeout),
@@ -44,6 +47,20 @@
 	return c, nil
 }
 
+// placeAction sends all actions of one claim stream to one sidecar, which is then the stream's only
+// writer. An invalid key is refused here.
+func (r *Router) placeAction(c *call, key string) error {
+	layout := claim.Layout{Pool: c.pool, Partitions: r.settings.Claims.Partitions, Bucket: r.settings.Claims.Bucket}
+	stream, err := layout.Stream(claim.Action{
+		Organisation: c.organisation, Method: c.message.GetMethod(), Path: c.message.GetPath(), Key: key, Body: c.body,
+	})
+	if err != nil {
+		return err
+	}
+	c.place.KeyHash = placement.HashKey("", stream)
+	return nil
+}
+
 // servicePath returns the path and query below /services/<pool>, escaped as the caller sent it.
 func servicePath(h *http.Request) string {
 	escaped := h.URL.EscapedPath()
--- a/router/settings.go
+++ b/router/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"jacinthfork.example/jacinthfork/claim"
 	"jacinthfork.example/jacinthfork/kernel/settings"
 	"jacinthfork.example/jacinthfork/retry"
 	"jacinthfork.example/jacinthfork/suspect"
@@ -37,6 +38,13 @@
 	Suspects  suspect.Settings  `toml:"suspects"`
 	Placement PlacementSettings `toml:"placement"`
 	Callers   CallerSettings    `toml:"callers"`
+	Claims    ClaimSettings     `toml:"claims"`
+}
+
+// ClaimSettings must equal those of the sidecars; other values only cost more reads of the log.
+type ClaimSettings struct {
+	Partitions int           `toml:"partitions" min:"1" max:"65536"`
+	Bucket     time.Duration `toml:"bucket" min:"1s" max:"24h"`
 }
 
 // PlacementSettings choose the placement policy of each pool.
@@ -88,6 +96,7 @@
 		Retry:         retry.DefaultSettings(),
 		Suspects:      suspect.DefaultSettings(),
 		Placement:     PlacementSettings{Default: settings.Table{"use": "affinity"}, TokenMaxAge: 7 * 24 * time.Hour},
+		Claims:        ClaimSettings{Partitions: claim.DefaultPartitions, Bucket: claim.DefaultBucket},
 		Callers: CallerSettings{
 			MaxHeaderBytes: 64 << 10, MaxBodyBytes: 8 << 20, MaxRequests: 4096,
 			BodyTimeout: 30 * time.Second, WriteTimeout: 30 * time.Second,
--- a/sidecar/chunks.go
+++ b/sidecar/chunks.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"google.golang.org/grpc"
+	"jacinthfork.example/jacinthfork/claim"
 	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 )
@@ -52,6 +53,10 @@
 	if errors.As(err, &other) {
 		ask = other.instance
 	}
+	var held *claim.HeldError
+	if errors.As(err, &held) {
+		ask = held.Instance
+	}
 	return w.send(&wire.Chunk{Kind: &wire.Chunk_Failure{Failure: &wire.Failure{
 		Verdict: wire.FromVerdict(e.Verdict), Reason: string(e.Reason), Detail: e.Detail,
 		RetryAfterMs: e.RetryAfter.Milliseconds(), Load: w.load(), AskInstance: ask,
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"jacinthfork.example/jacinthfork/claim"
 	"jacinthfork.example/jacinthfork/kernel/settings"
 	"jacinthfork.example/jacinthfork/suspect"
 )
@@ -105,7 +106,7 @@
 		},
 		Claims: ClaimSettings{
 			Window: 24 * time.Hour, Skew: 2 * time.Minute, ClockError: 30 * time.Second,
-			Retention: 72 * time.Hour, Partitions: 16, Bucket: 10 * time.Minute,
+			Retention: 72 * time.Hour, Partitions: claim.DefaultPartitions, Bucket: claim.DefaultBucket,
 			MaxMemory: 64 << 20, MaxAnswer: 64 << 10,
 		},
 	}
--- a/standin/instances/list.go
+++ b/standin/instances/list.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthfork.example/jacinthfork/platform"
 	"jacinthfork.example/jacinthfork/standin"
 )
@@ -235,9 +237,22 @@
 		standin.WriteError(w, http.StatusServiceUnavailable, err)
 		return
 	}
+	tag := entityTag(list)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	standin.WriteJSON(w, http.StatusOK, ListAnswer{list})
 }
 
+// entityTag identifies the content of a list, so that a reader with the same one is not sent it again.
+func entityTag(list []platform.Instance) string {
+	digest := xxhash.New()
+	_ = json.NewEncoder(digest).Encode(list)
+	return fmt.Sprintf(`"%016x"`, digest.Sum64())
+}
+
 func (l *List) serveRegister(w http.ResponseWriter, r *http.Request) {
 	var instance platform.Instance
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInstanceBytes)).Decode(&instance)
