Admit strictly by the load bound first, at the mean when all candidates refused

The router now asks all candidates by the strict bound first and sets at_mean only in later rounds. A sidecar opens for work only after a peer told its suspects.

--- a/admission/bound.go
+++ b/admission/bound.go
@@ -24,11 +24,11 @@
 
 // boundHolds decides the load bound for one request. The excess of a positive correction counts
 // as own work, so that an engine report can only make the bound stricter.
-func (c *Controller) boundHolds(work uint64) bool {
+func (c *Controller) boundHolds(work uint64, atMean bool) bool {
 	if c.inFlight == 0 {
 		return true
 	}
 	total, members := c.pool.Mean(c.own)
 	own := c.own + c.excess(c.now())
-	return withinBound(own, work, total, members, c.settings.FactorPercent) || atMostMean(own, work, total, members)
+	return withinBound(own, work, total, members, c.settings.FactorPercent) || (atMean && atMostMean(own, work, total, members))
 }
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -164,7 +164,7 @@
 		return contextError(ctx)
 	case c.isolated || c.pending != nil:
 		return retryLater(verdict.ReasonIsolation, "a request runs alone on this engine", isolationRetry)
-	case !req.Isolate && !c.boundHolds(work):
+	case !req.Isolate && !c.boundHolds(work, req.AtMean):
 		return verdict.New(verdict.NotRun, verdict.ReasonOverBound, "the load bound is reached")
 	}
 	return nil
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -8,12 +8,13 @@
 //
 //	nothing else was in flight, or
 //	(own + work) * members * 100 <= FactorPercent * (total + work), or
-//	own * members <= total + work
+//	Request.AtMean is set and own * members <= total + work
 //
 // With m = (total + work) / members, the load after a grant is at most
 // max(work, FactorPercent/100 * m, m + work). The third line lets an engine that is not above the
-// mean take one more request; it matters only while one request is larger than the room between
-// mean and bound, and without it a pool whose mean is a few requests could not grow.
+// mean take one more request after every instance has refused it by the first two. That happens only
+// while one request is larger than the room between mean and bound; without it a pool whose mean is a
+// few requests could not grow.
 //
 // where own is the counted work in flight here, work is the work of the request, and total and
 // members come from Pool.Mean(own). It says nothing about the time after the grant: when the other
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -131,7 +131,7 @@
 		if w == nil {
 			return
 		}
-		if !w.req.Isolate && !c.boundHolds(w.work) {
+		if !w.req.Isolate && !c.boundHolds(w.work, w.req.AtMean) {
 			c.refuse(w, verdict.New(verdict.NotRun, verdict.ReasonOverBound, "the load bound is reached"))
 			continue
 		}
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -77,6 +77,9 @@
 	// Priority orders waiting requests of one organisation, higher first. It gives no advantage
 	// over other organisations.
 	Priority int
+	// AtMean is set when every instance that may run the request is at its load bound. It is then
+	// taken by an engine that is not above the mean.
+	AtMean bool
 	// Isolate asks for a run with nothing beside it.
 	Isolate bool
 	// Fingerprint identifies the request in reports; see package suspect.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -47,10 +47,20 @@
 	// Router and Sidecar change the settings of each instance before it starts.
 	Router  func(*router.Settings)
 	Sidecar func(*sidecar.Settings)
-	// Drain bounds the graceful end of the fleet.
-	Drain time.Duration
+	Pace    Pace
 }
 
+// Pace holds the intervals of the fleet's control traffic.
+type Pace struct {
+	List     time.Duration
+	Exchange time.Duration
+	// Settle is the wait for news of crashing requests after the start of a sidecar.
+	Settle time.Duration
+}
+
+// fastPace lets a fleet of a few instances be ready within seconds.
+var fastPace = Pace{List: 200 * time.Millisecond, Exchange: 100 * time.Millisecond, Settle: time.Second}
+
 // DefaultOptions returns those of the demo.
 func DefaultOptions() Options {
 	e := engine.DefaultSettings()
@@ -60,7 +70,7 @@
 	e.TokenInterval = 12 * time.Millisecond
 	e.CacheTokens = 1 << 18
 	e.Slots = 128
-	return Options{Size: Size{Routers: 3, Engines: 6, Services: 3}, Engine: e, Drain: 10 * time.Second}
+	return Options{Size: Size{Routers: 3, Engines: 6, Services: 3}, Engine: e, Pace: fastPace}
 }
 
 // Fleet is a running fleet.
@@ -151,9 +161,9 @@
 	s.Instance, s.Pool, s.Region, s.FailureDomain = id, pool, region, domain(i)
 	s.Listen, s.OperatorListen = anyPort, anyPort
 	s.Dialect = dialect
-	s.ListInterval = 200 * time.Millisecond
-	s.Suspects.Settle = time.Second
-	s.ExchangeInterval = 100 * time.Millisecond
+	s.ListInterval = f.options.Pace.List
+	s.Suspects.Settle = f.options.Pace.Settle
+	s.ExchangeInterval = f.options.Pace.Exchange
 	s.Log, s.Instances = f.platform()
 	if f.options.Sidecar != nil {
 		f.options.Sidecar(&s)
@@ -179,8 +189,8 @@
 	s.Instance, s.Region, s.FailureDomain = fmt.Sprintf("router-%d", i+1), region, domain(i)
 	s.Listen, s.OperatorListen = anyPort, anyPort
 	s.BalancerDelay = 0
-	s.ListInterval = 200 * time.Millisecond
-	s.Suspects.Settle = time.Second
+	s.ListInterval = f.options.Pace.List
+	s.Suspects.Settle = f.options.Pace.Settle
 	s.Placement.TokenKeys = []settings.Secret{"demo-key-for-placement-tokens-0001"}
 	s.Log, s.Instances = f.platform()
 	if f.options.Router != nil {
--- a/router/call.go
+++ b/router/call.go
@@ -50,7 +50,7 @@
 		Body: c.body, Stream: c.message.GetStream(), IdempotencyKey: c.message.GetIdempotencyKey(),
 		Repeatable: c.repeatable, PromptTokens: c.message.GetPromptTokens(), DecodeTokens: c.message.GetDecodeTokens(),
 		DocumentGroup: c.exposureKey(), ChatHash: c.place.Chat, Fingerprint: c.message.GetFingerprint(),
-		Isolate: c.message.GetIsolate(), ByToken: c.message.GetByToken(), ResumeAfter: c.answer.delivered(), ResumeOnly: c.answer.delivered() > 0,
+		Isolate: c.message.GetIsolate(), ByToken: c.message.GetByToken(), AtMean: c.message.GetAtMean(), ResumeAfter: c.answer.delivered(), ResumeOnly: c.answer.delivered() > 0,
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		m.TimeLeftMs = time.Until(deadline).Milliseconds()
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"google.golang.org/grpc"
@@ -111,15 +110,7 @@
 // ControlBytes returns the bytes that the router has spent on coordination and probes: all bytes of
 // its control connections, as counted at the connection, and the load news that travels on requests
 // and answers. The HTTP/2 framing of requests is not among them.
-func (r *Router) ControlBytes() int64 {
-	total := r.piggyback.Load()
-	for name, bytes := range r.meter.Totals() {
-		if strings.Contains(name, "/"+string(traffic.ClassControl)+"/") {
-			total += bytes
-		}
-	}
-	return total
-}
+func (r *Router) ControlBytes() int64 { return r.piggyback.Load() + r.meter.ControlClass() }
 
 // ConfigRevision returns the revision of the configuration in force.
 func (r *Router) ConfigRevision() uint64 { return r.store.Revision() }
--- a/router/loop.go
+++ b/router/loop.go
@@ -180,6 +180,7 @@
 	if w.rounds++; w.rounds >= boundRounds {
 		return false
 	}
+	w.call.message.AtMean = true
 	return pause(ctx, rand.N(boundPause<<w.rounds)) && w.advance(err)
 }
 
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -77,7 +77,7 @@
 	cached := s.prefixes.cached(req)
 	load, err := s.admission.Admit(waiting, admission.Request{
 		Organisation: req.GetOrganisation(), PromptTokens: uint64(req.GetPromptTokens()),
-		DecodeTokens: uint64(req.GetDecodeTokens()), CachedTokens: cached,
+		DecodeTokens: uint64(req.GetDecodeTokens()), CachedTokens: cached, AtMean: req.GetAtMean(),
 		Isolate: decision.Isolate, Fingerprint: req.GetFingerprint(),
 	})
 	if err != nil {
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"google.golang.org/grpc"
 	"jacinthfork.example/jacinthfork/config"
@@ -39,7 +40,7 @@
 	s.kernel.Counters.Func("admission", func() any { return s.admission.Counts() })
 	s.kernel.Counters.Func("load", func() any { return s.admission.Load() })
 	s.contact = config.NewContact(s.life, s.store)
-	s.exchanger = membership.NewExchanger(s.pool, dial, s.contact, newestSuspects{s.suspects})
+	s.exchanger = membership.NewExchanger(s.pool, dial, s.contact, newestSuspects{s.suspects, &s.heardSuspects})
 	return nil
 }
 
@@ -56,9 +57,22 @@
 	s.spawn(s.warmUp)
 }
 
+// warmWaits bounds the wait for a peer, so that a pool whose peers are all unreachable still starts.
+const warmWaits = 5
+
+// lacksPeerNews reports whether there are peers and none has told its suspects yet.
+func (s *Sidecar) lacksPeerNews() bool {
+	return len(*s.members.Load()) > 1 && !s.heardSuspects.Load()
+}
+
 // warmUp opens the sidecar for work once news of crashing requests has had time to arrive.
 func (s *Sidecar) warmUp(ctx context.Context) {
-	if !pause(ctx, s.settings.Suspects.Settle) || s.leaving.Load() {
+	for waits := 0; waits == 0 || (waits < warmWaits && s.lacksPeerNews()); waits++ {
+		if !pause(ctx, s.settings.Suspects.Settle) {
+			return
+		}
+	}
+	if s.leaving.Load() {
 		return
 	}
 	s.suspects.Warm()
@@ -112,7 +126,16 @@
 }
 
 // newestSuspects lets suspects travel with the news of the pool.
-type newestSuspects struct{ *suspect.Table }
+type newestSuspects struct {
+	*suspect.Table
+	heard *atomic.Bool
+}
+
+// Merge implements membership.Suspects.
+func (n newestSuspects) Merge(suspects []*wire.Suspect) {
+	n.Table.Merge(suspects)
+	n.heard.Store(true)
+}
 
 // Newest implements membership.Suspects.
 func (n newestSuspects) Newest(limit int) []*wire.Suspect { return n.Export(limit) }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,8 +53,10 @@
 	home      *admission.Home
 	suspects  *suspect.Table
 	crashes   *crashWatch
-	prefixes  *prefixes
-	pacer     pacer
+	// heardSuspects is set once a peer has told its suspects.
+	heardSuspects atomic.Bool
+	prefixes      *prefixes
+	pacer         pacer
 
 	meter     *traffic.Meter
 	store     *config.Store
@@ -232,3 +234,6 @@
 
 // LoadBound returns the load bound in force, as a multiple of the pool's mean.
 func (s *Sidecar) LoadBound() float64 { return float64(s.admission.FactorPercent()) / percent }
+
+// ControlBytes returns the bytes that the sidecar has spent on coordination and probes.
+func (s *Sidecar) ControlBytes() int64 { return s.meter.ControlClass() }
--- a/traffic/meter.go
+++ b/traffic/meter.go
@@ -118,6 +118,19 @@
 	return total
 }
 
+// ControlClass returns the bytes of control connections alone, in both directions.
+func (m *Meter) ControlClass() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := int64(0)
+	for k, n := range m.totals {
+		if k.class == ClassControl {
+			total += n
+		}
+	}
+	return total
+}
+
 func (k key) control() bool { return k.class != ClassData }
 
 // Rate returns the control bytes per second over the last ten whole seconds, or since the start.
