--- a/admission/atmean_test.go
+++ b/admission/atmean_test.go
@@ -8,20 +8,12 @@
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
-// fixedPool is a pool whose other members hold a fixed total.
-type fixedPool struct {
-	others  uint64
-	members int
-}
-
-func (p fixedPool) Mean(own uint64) (uint64, int) { return p.others + own, p.members }
-
 // A pool with one request on each engine must be able to take a second one somewhere, and still
 // must not put it on an engine that is above the mean.
 func TestPoolOfFewRequestsCanGrow(t *testing.T) {
 	is := is.New(t)
 	controller := func(others uint64) *Controller {
-		c, err := NewController(DefaultSettings(), fixedPool{others, 6}, nil)
+		c, err := NewController(DefaultSettings(), &fixedPool{others, 6}, nil)
 		is.NoErr(err)
 		_, err = c.Admit(context.Background(), Request{Organisation: "o", DecodeTokens: 1000})
 		is.NoErr(err)
