Ask for unknown members in the exchange; add measurements and operations

Cause: a member that missed the first messages about another one waited for the repair of differing views, which sends 3 random members a time.

A request names the members of load vectors that the caller does not know, and the reply has their news. Turns come at random pauses around the interval, because fixed pauses lock the rounds to phases.

--- /dev/null
+++ b/config/bench_test.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfork.example/jacinthfork/platform"
+)
+
+// targetOrganisations is the target size of the design.
+const targetOrganisations = 12000
+
+func fullStore() *Store {
+	s := newTestStore()
+	page := platform.Page{Next: targetOrganisations + 1}
+	page.Records = append(page.Records, platform.Record{})
+	for i := range targetOrganisations {
+		key := Key{KindOrganisation, fmt.Sprintf("organisation-%05d", i), 1}
+		record := setRecord(key, 0, fmt.Sprintf("nonce-%030d", i), `{"requests_per_second":20,"tokens_in_flight":100000}`)
+		page.Records = append(page.Records, platform.Record{Offset: uint64(i) + 1, Time: time.Now(), Payload: encode(record)})
+	}
+	s.ApplyPage(page)
+	return s
+}
+
+// BenchmarkStateAtTargetSize gives the memory of the state and the size of a whole transfer. The
+// target for all of a node is 256 MB.
+func BenchmarkStateAtTargetSize(b *testing.B) {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	s := fullStore()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	size := 0
+	for _, part := range s.Export(0) {
+		size += proto.Size(part)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+	b.ReportMetric(float64(size)/1e6, "transfer-MB")
+	if after.HeapAlloc-before.HeapAlloc > 64e6 {
+		b.Fatal("the configuration takes over a quarter of a node's memory")
+	}
+	runtime.KeepAlive(s)
+}
+
+// BenchmarkChangeAtTargetSize is one change, with the new view.
+func BenchmarkChangeAtTargetSize(b *testing.B) {
+	s := fullStore()
+	key := Key{KindOrganisation, "organisation-00007", 1}
+	for b.Loop() {
+		base := s.state.objects[key].Revision
+		record := platform.Record{
+			Offset: s.state.asOf, Time: time.Now(), Payload: encode(setRecord(key, base, "n", `{"weight":2}`)),
+		}
+		s.ApplyPage(platform.Page{Records: []platform.Record{record}, Next: record.Offset + 1})
+	}
+}
+
+// BenchmarkScheduleAtTargetSize is the check for due restatements, which runs at each read.
+func BenchmarkScheduleAtTargetSize(b *testing.B) {
+	s := fullStore()
+	plan := schedule{retention: 24 * time.Hour, node: "n"}
+	now := time.Now()
+	for b.Loop() {
+		s.restatement(plan, now)
+	}
+}
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -142,14 +143,19 @@
 	})
 }
 
+// restatingNodes can be set to the target size of 990 nodes, which takes half a minute:
+//
+//	go test ./config -run FewNodesRestate -v -args -restating-nodes 990
+var restatingNodes = flag.Int("restating-nodes", 60, "nodes in TestFewNodesRestate")
+
 // Restatements must be written in time, and by few nodes: every copy costs bytes at each node.
 func TestFewNodesRestate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		const nodes, objects = 60, 10
+		const objects = 10
 		log := newFakeLog()
 		ctx, cancel := context.WithCancel(t.Context())
-		startFollowers(ctx, log, nodes, 24*time.Hour)
+		startFollowers(ctx, log, *restatingNodes, 24*time.Hour)
 		for i := range objects {
 			c := poolChange(0, poolBody)
 			c.Name = fmt.Sprint("pool", i)
@@ -159,8 +165,9 @@
 		time.Sleep(24 * time.Hour)
 		cancel()
 		synctest.Wait()
-		restated, censuses := map[string]int{}, 0
+		restated, censuses, size := map[string]int{}, 0, 0
 		for _, record := range log.records {
+			size += len(record.Payload)
 			r := decodeRecord(record.Payload)
 			if r.Operation == wire.ConfigOperation_CONFIG_CENSUS {
 				censuses++
@@ -169,6 +176,7 @@
 				restated[o.Name]++
 			}
 		}
+		t.Logf("%d nodes wrote %d records, %d bytes in 24 h: %v", *restatingNodes, len(log.records), size, restated)
 		// Once soon after the change, and once or twice because of age.
 		is.Equal(len(restated), objects)
 		for _, n := range restated {
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 	repairMembers = 6
 	// newcomerMembers bounds them when the receiver knows far fewer.
 	newcomerMembers = 64
+	// unknownMembers bounds the members that one request asks for.
+	unknownMembers = 16
 	// newcomerGap is how many members fewer make the receiver a newcomer.
 	newcomerGap = 8
 	// suspectsPerMessage bounds the crash suspects of one message.
@@ -110,6 +113,8 @@
 		return r
 	}
 	r.Loads = p.loads(now, nil)
+	r.Unknown = slices.Collect(maps.Keys(p.unknown))
+	clear(p.unknown)
 	return r
 }
 
@@ -135,12 +140,23 @@
 	reply := &wire.ExchangeReply{
 		Members: p.news(now, r.GetDigest()), Digest: p.digest(), Clock: p.clock(now),
 	}
+	reply.Members = p.appendAsked(reply.Members, r.GetUnknown(), now)
 	if r.GetLoads() != nil {
 		reply.Loads = p.loads(now, r.GetLoads())
 	}
 	return reply
 }
 
+// appendAsked adds the news of members that the caller asked for.
+func (p *Pool) appendAsked(out []*wire.Member, asked []uint64, now time.Time) []*wire.Member {
+	for _, h := range asked[:min(len(asked), unknownMembers)] {
+		if m := p.byHandle[h]; m != nil {
+			out = append(out, p.aged(m, now))
+		}
+	}
+	return out
+}
+
 // absorb merges the reply to a request that was sent at the given time.
 func (p *Pool) absorb(r *wire.ExchangeReply, sent time.Time) {
 	p.mu.Lock()
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -73,15 +75,13 @@
 }
 
 // Run keeps exchanges with the neighbours until ctx ends: one goroutine for each, and this one to
-// choose them and to give them their turns. Turns at a fixed pace bound the time until a sidecar
+// choose them and to give them their turns. Turns at a steady pace bound the time until a sidecar
 // that no other one chose as its neighbour hears news.
 func (e *Exchanger) Run(ctx context.Context) {
 	mix := time.NewTicker(mixInterval)
 	defer mix.Stop()
-	sleep(ctx, rand.N(e.pool.rules.Interval))
-	turn := time.NewTicker(e.pool.rules.Interval)
+	turn := time.NewTimer(rand.N(e.pool.rules.Interval))
 	defer turn.Stop()
-	e.choose(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,6 +97,7 @@
 		case <-turn.C:
 			e.choose(ctx)
 			e.giveTurn()
+			turn.Reset(e.pause())
 		}
 	}
 }
@@ -121,17 +122,21 @@
 	}
 }
 
-// giveTurn lets the neighbour exchange whose last turn is the longest ago.
+// pause is the time until the next turn, up to a quarter shorter or longer than the interval. With
+// fixed pauses the rounds of a pool lock to fixed phases, in which some loads always come too late.
+func (e *Exchanger) pause() time.Duration {
+	interval := e.pool.rules.Interval
+	return interval*3/4 + rand.N(interval/2)
+}
+
+// giveTurn lets a neighbour exchange: a random one of the half whose last turn is the longest ago.
 func (e *Exchanger) giveTurn() {
-	var next *neighbour
-	for _, n := range e.neighbours {
-		if next == nil || n.turnAt.Before(next.turnAt) {
-			next = n
-		}
-	}
-	if next == nil {
+	waiting := slices.Collect(maps.Values(e.neighbours))
+	if len(waiting) == 0 {
 		return
 	}
+	slices.SortFunc(waiting, func(a, b *neighbour) int { return a.turnAt.Compare(b.turnAt) })
+	next := waiting[rand.IntN((len(waiting)+1)/2)]
 	next.turnAt = time.Now()
 	select {
 	case next.turn <- struct{}{}:
--- a/membership/pool.go
+++ b/membership/pool.go
@@ -91,6 +91,8 @@
 	own      *wire.Member
 	members  map[string]*member
 	byHandle map[uint64]*member
+	// unknown holds members of load vectors whose news did not come, to be asked for.
+	unknown map[uint64]struct{}
 	// changed is closed when a member's state changes, and replaced.
 	changed chan struct{}
 }
@@ -125,6 +127,7 @@
 			FailureDomain: self.FailureDomain, Region: self.Region,
 		},
 		members: make(map[string]*member), byHandle: make(map[uint64]*member),
+		unknown: make(map[uint64]struct{}),
 		changed: make(chan struct{}),
 	}
 }
@@ -280,6 +283,7 @@
 	for i := range n {
 		m, ok := p.byHandle[loads.Member[i]]
 		if !ok {
+			p.missing(loads.Member[i])
 			continue
 		}
 		born := now.Add(-time.Duration(loads.Age[i])*ageUnit - extra)
@@ -294,6 +298,13 @@
 	p.mean.Store(nil)
 }
 
+// missing notes a member whose news the next request asks for.
+func (p *Pool) missing(handle uint64) {
+	if handle != p.handle && len(p.unknown) < unknownMembers {
+		p.unknown[handle] = struct{}{}
+	}
+}
+
 // loads returns this sidecar's own load and the freshest loads of the others, without those that the
 // receiver has in known.
 func (p *Pool) loads(now time.Time, known *wire.LoadVector) *wire.LoadVector {
