Keep all nodes from restating at once when the log's clock is behind

Cause: restatements and the census were due by the log's time alone. With a log clock 48 h behind, 60 nodes appended 1812 records in the first minute instead of 2 (test without the fix); the first census of a stream had no delay either.

A statement that a node just learned is due again after the prompt delay with jitter at the earliest, by the node's own clock.

--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -23,7 +23,9 @@
 	earliest uint64
 	down     bool
 	// lose makes the answers of so many appends get lost after the record was stored.
-	lose    int
+	lose int
+	// behind is how far the log's clock is behind.
+	behind  time.Duration
 	appends int
 	grown   chan struct{}
 }
@@ -40,7 +42,7 @@
 	}
 	l.appends++
 	offset := uint64(len(l.records))
-	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now(), Payload: payload})
+	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now().Add(-l.behind), Payload: payload})
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if l.lose > 0 {
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -148,6 +148,25 @@
 //	go test ./config -run FewNodesRestate -v -args -restating-nodes 990
 var restatingNodes = flag.Int("restating-nodes", 60, "nodes in TestFewNodesRestate")
 
+// Nodes must not write together when the log's clock is far behind, so that all seems overdue.
+func TestNoBurstWithWrongClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := newFakeLog()
+		log.behind = 48 * time.Hour
+		_, err := NewPublisher(log).Publish(t.Context(), poolChange(0, poolBody))
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		startFollowers(ctx, log, 60, 24*time.Hour)
+		time.Sleep(promptDelay)
+		log.set(func() { is.Equal(log.appends, 2) }) // The opening record and the change.
+		time.Sleep(time.Hour)
+		cancel()
+		synctest.Wait()
+		is.True(log.appends < 2*60)
+	})
+}
+
 // Restatements must be written in time, and by few nodes: every copy costs bytes at each node.
 func TestFewNodesRestate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/config/object.go
+++ b/config/object.go
@@ -48,6 +48,8 @@
 	// Fault says why the newest body is not in force, empty when it is.
 	Fault string `json:"fault,omitempty"`
 
+	// seen is when this node learned the newest statement, by its own clock.
+	seen        time.Time
 	nonce       string
 	inForceBody []byte
 	value       any
@@ -103,7 +105,7 @@
 		Key:      Key{Kind(m.GetKind()), m.GetName(), m.GetSchema()},
 		Revision: m.GetRevision(), Body: m.GetBody(), Author: m.GetAuthor(), Deleted: m.GetDeleted(),
 		Stated: m.GetStated(), StatedAt: time.UnixMilli(m.GetStatedMs()), Restated: m.GetRestated(),
-		nonce: m.GetNonce(), decidable: true,
+		nonce: m.GetNonce(), decidable: true, seen: time.Now(),
 	}
 	if previous != nil {
 		o.InForce, o.inForceBody, o.value = previous.InForce, previous.inForceBody, previous.value
--- a/config/restate.go
+++ b/config/restate.go
@@ -47,9 +47,16 @@
 	return time.Duration(float64(d.Sum64()) / math.MaxUint64 * float64(spread))
 }
 
-// due is when this node restates the object, unless another node does it before.
+// due is when this node restates the object, unless another node does it before. A statement that the
+// node just learned is never due at once: otherwise a log clock that is far behind, or records of an
+// outage that arrive together, would make all nodes write at the same time.
 func (p schedule) due(o *Object) time.Time {
-	return o.StatedAt.Add(p.delay(o))
+	return later(o.StatedAt.Add(p.delay(o)), o.seen.Add(p.prompt(o.Key, o.Stated)))
+}
+
+// prompt is the delay of a restatement that is due soon.
+func (p schedule) prompt(key Key, stated uint64) time.Duration {
+	return min(promptDelay, p.retention/16) + p.jitter(key, stated, min(promptSpread, p.retention/16))
 }
 
 func (p schedule) delay(o *Object) time.Duration {
@@ -59,16 +66,15 @@
 		late = p.retention / 16
 	}
 	if o.Restated <= o.Revision {
-		prompt := min(promptDelay, p.retention/16)
-		spread := min(promptSpread, p.retention/16)
-		return late + prompt + p.jitter(o.Key, o.Stated, spread)
+		return late + p.prompt(o.Key, o.Stated)
 	}
 	return late + p.retention/2 + p.jitter(o.Key, o.Stated, p.retention/8)
 }
 
 func (p schedule) censusDue(s *state) time.Time {
 	pause := p.retention / censusPerRetention
-	return s.censusAt.Add(pause + p.jitter(Key{}, s.census, pause/2))
+	soon := s.censusSeen.Add(p.prompt(Key{}, s.census))
+	return later(s.censusAt.Add(pause+p.jitter(Key{}, s.census, pause/2)), soon)
 }
 
 // restatement returns the record that is due now or nil, and the time when the next one is due.
@@ -128,6 +134,13 @@
 	return from, true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/config/state.go
+++ b/config/state.go
@@ -61,6 +61,8 @@
 	// census is the highest as-of offset of a census.
 	census   uint64
 	censusAt time.Time
+	// censusSeen is when this node learned the newest census, or its first record before there is one.
+	censusSeen time.Time
 	// report gets each decision and each fault.
 	decided func(Decision)
 	fault   func(offset uint64, text string)
@@ -114,6 +116,9 @@
 		s.lose(record.Offset)
 	}
 	s.asOf = record.Offset + 1
+	if s.censusSeen.IsZero() {
+		s.censusSeen = time.Now()
+	}
 	var message wire.ConfigRecord
 	if err := proto.Unmarshal(record.Payload, &message); err != nil {
 		s.fault(record.Offset, "record is not a configuration record: "+err.Error())
@@ -164,7 +169,7 @@
 	}
 	object.decidable = true
 	object.Revision, object.Stated, object.StatedAt = c.offset, c.offset, c.at
-	object.nonce = c.record.GetNonce()
+	object.nonce, object.seen = c.record.GetNonce(), time.Now()
 	object.Author, object.Body = c.record.GetAuthor(), c.record.GetBody()
 	object.Deleted = c.record.GetOperation() == wire.ConfigOperation_CONFIG_DELETE
 	object.enforce()
@@ -251,6 +256,7 @@
 	if m.GetRevision() == revision {
 		s.touched = s.touched || object.Fault != ""
 		object.takeInForce(m)
+		object.seen = time.Now()
 		object.Stated, object.StatedAt = m.GetStated(), time.UnixMilli(m.GetStatedMs())
 	}
 }
@@ -269,7 +275,7 @@
 		return
 	}
 	if asOf > s.census {
-		s.census, s.censusAt = asOf, record.Time
+		s.census, s.censusAt, s.censusSeen = asOf, record.Time, time.Now()
 	}
 	if s.complete || from < s.floor {
 		return
