--- a/placement/order.go
+++ b/placement/order.go
@@ -132,11 +132,11 @@
 	return dst
 }
 
-// Radix sort on the leading 24 bits takes a third of the time of a comparison sort at 600 keys;
+// Radix sort on the leading 18 bits takes about 10 us for 600 keys, slices.Sort 15 to 20 us;
 // the insertion sort that follows puts the few keys with equal leading bits in order.
 const (
 	radixBits     = 6
-	radixPasses   = 4
+	radixPasses   = 3
 	radixShift    = 64 - radixBits*radixPasses
 	radixSmallest = 32
 	digitMask     = 1<<radixBits - 1
@@ -163,7 +163,6 @@
 		r.counts[0][k&digitMask]++
 		r.counts[1][k>>radixBits&digitMask]++
 		r.counts[2][k>>(2*radixBits)&digitMask]++
-		r.counts[3][k>>(3*radixBits)&digitMask]++
 	}
 }
 
