Bring engines to the state that the pool's record wants

Cause: package order was not connected to an engine. The sidecar now suspends admission, waits for its work to finish, gives the order and opens again; the chat dialect reads and gives orders over HTTP.

--- a/admission/change.go
+++ b/admission/change.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"jacinthfork.example/jacinthfork/verdict"
+)
 
 // SetBound changes the load bound and the longest wait in the queue; a factor below 100 is
 // ignored. Requests that are waiting keep their deadline.
@@ -19,3 +23,11 @@
 	defer c.mu.Unlock()
 	return c.settings.FactorPercent
 }
+
+// Suspend refuses waiting and new work with ReasonNotReady until Ready. Work in flight goes on.
+func (c *Controller) Suspend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notReady = true
+	c.refuseWaiting(verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the engine is being changed"))
+}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -68,6 +68,9 @@
 	Load(ctx context.Context) (Report, error)
 	// Order gives an order. ErrNoOrders means that the backend server takes none.
 	Order(ctx context.Context, order Order) error
+	// Running returns the order that is in force. ErrNoOrders means that the backend server takes
+	// none, ErrLoading that an order is being carried out.
+	Running(ctx context.Context) (Order, error)
 	// Alive reports whether the backend server accepts connections.
 	Alive(ctx context.Context) bool
 }
--- a/dialect/errors.go
+++ b/dialect/errors.go
@@ -13,6 +13,7 @@
 var (
 	ErrNoReport = errors.New("the backend server has no load report")
 	ErrNoOrders = errors.New("the backend server takes no orders")
+	ErrLoading  = errors.New("the engine is carrying out an order")
 	// ErrOldOrder means that the engine has seen a higher fencing number.
 	ErrOldOrder = errors.New("the engine refused an old fencing number")
 )
--- a/plugin/dialect/chat/chat.go
+++ b/plugin/dialect/chat/chat.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"jacinthfork.example/jacinthfork/dialect"
 	"jacinthfork.example/jacinthfork/kernel"
@@ -173,75 +172,3 @@
 	}
 	return nil
 }
-
-// loadReport is the body of the engine's load report.
-type loadReport struct {
-	RunningTokens uint64 `json:"running_tokens"`
-	WaitingTokens uint64 `json:"waiting_tokens"`
-	AgeMS         int64  `json:"age_ms"`
-}
-
-// Load implements dialect.Dialect.
-func (c *Chat) Load(ctx context.Context) (dialect.Report, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(c.BaseURL)+"/load", nil)
-	if err != nil {
-		return dialect.Report{}, err
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return dialect.Report{}, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return dialect.Report{}, dialect.ErrNoReport
-	}
-	var report loadReport
-	if err := json.NewDecoder(io.LimitReader(resp.Body, errorTextBytes)).Decode(&report); err != nil {
-		return dialect.Report{}, fmt.Errorf("load report: %w", err)
-	}
-	return dialect.Report{
-		Tokens: report.RunningTokens + report.WaitingTokens,
-		Age:    time.Duration(report.AgeMS) * time.Millisecond,
-	}, nil
-}
-
-// Order implements dialect.Dialect.
-func (c *Chat) Order(ctx context.Context, order dialect.Order) error {
-	body, err := json.Marshal(order)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, string(c.BaseURL)+"/orders", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return dialect.DispatchError(ctx, err)
-	}
-	defer resp.Body.Close()
-	switch {
-	case resp.StatusCode == http.StatusConflict:
-		return dialect.ErrOldOrder
-	case resp.StatusCode == http.StatusNotFound:
-		return dialect.ErrNoOrders
-	case resp.StatusCode >= 300:
-		return c.refused(resp)
-	}
-	return nil
-}
-
-// Alive implements dialect.Dialect. A connection alone does not count: an engine that restarts can
-// accept connections before it serves.
-func (c *Chat) Alive(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(c.BaseURL)+c.HealthPath, nil)
-	if err != nil {
-		return false
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode < http.StatusInternalServerError
-}
--- /dev/null
+++ b/plugin/dialect/chat/state.go
@@ -0,0 +1,118 @@
+package chat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"jacinthfork.example/jacinthfork/dialect"
+)
+
+// loadReport is the body of the engine's load report.
+type loadReport struct {
+	RunningTokens uint64 `json:"running_tokens"`
+	WaitingTokens uint64 `json:"waiting_tokens"`
+	AgeMS         int64  `json:"age_ms"`
+}
+
+// Load implements dialect.Dialect.
+func (c *Chat) Load(ctx context.Context) (dialect.Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(c.BaseURL)+"/load", nil)
+	if err != nil {
+		return dialect.Report{}, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return dialect.Report{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return dialect.Report{}, dialect.ErrNoReport
+	}
+	var report loadReport
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&report); err != nil {
+		return dialect.Report{}, fmt.Errorf("load report: %w", err)
+	}
+	return dialect.Report{
+		Tokens: report.RunningTokens + report.WaitingTokens,
+		Age:    time.Duration(report.AgeMS) * time.Millisecond,
+	}, nil
+}
+
+// orderState is the body of the engine's answer about orders.
+type orderState struct {
+	Current dialect.Order `json:"current"`
+	Loading bool          `json:"loading"`
+}
+
+// Running implements dialect.Dialect.
+func (c *Chat) Running(ctx context.Context) (dialect.Order, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(c.BaseURL)+"/orders", nil)
+	if err != nil {
+		return dialect.Order{}, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return dialect.Order{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return dialect.Order{}, dialect.ErrNoOrders
+	}
+	var state orderState
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&state); err != nil {
+		return dialect.Order{}, fmt.Errorf("state of orders: %w", err)
+	}
+	if state.Loading {
+		return state.Current, dialect.ErrLoading
+	}
+	return state.Current, nil
+}
+
+// maxStateBytes bounds the answers that are not chat completions.
+const maxStateBytes = 16 << 10
+
+// Order implements dialect.Dialect.
+func (c *Chat) Order(ctx context.Context, order dialect.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, string(c.BaseURL)+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return dialect.DispatchError(ctx, err)
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return dialect.ErrOldOrder
+	case resp.StatusCode == http.StatusNotFound:
+		return dialect.ErrNoOrders
+	case resp.StatusCode >= 300:
+		return c.refused(resp)
+	}
+	return nil
+}
+
+// Alive implements dialect.Dialect. A connection alone does not count: an engine that restarts can
+// accept connections before it serves.
+func (c *Chat) Alive(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, string(c.BaseURL)+c.HealthPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < http.StatusInternalServerError
+}
--- a/plugin/dialect/plain/plain.go
+++ b/plugin/dialect/plain/plain.go
@@ -92,5 +92,10 @@
 // Order implements dialect.Dialect; plain services take no orders.
 func (p *Plain) Order(context.Context, dialect.Order) error { return dialect.ErrNoOrders }
 
+// Running implements dialect.Dialect; plain services take no orders.
+func (p *Plain) Running(context.Context) (dialect.Order, error) {
+	return dialect.Order{}, dialect.ErrNoOrders
+}
+
 // Alive implements dialect.Dialect.
 func (p *Plain) Alive(ctx context.Context) bool { return dialect.Alive(ctx, string(p.BaseURL)) }
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -54,6 +54,7 @@
 	s.spawn(s.followConfig)
 	s.spawn(s.followReports)
 	s.spawn(s.followLimits)
+	s.spawn(s.newRunner().Run)
 	s.spawn(s.warmUp)
 }
 
--- /dev/null
+++ b/sidecar/orders.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+
+	"jacinthfork.example/jacinthfork/config"
+	"jacinthfork.example/jacinthfork/dialect"
+	"jacinthfork.example/jacinthfork/order"
+)
+
+// newRunner returns the runner that brings the engine to the state that the pool's record wants.
+func (s *Sidecar) newRunner() *order.Runner {
+	source := &order.LogSource{
+		Log: s.log, Store: s.store, Pool: s.settings.Pool, MaxSchema: uint32(s.settings.MaxPoolSchema),
+	}
+	return order.NewRunner(s.settings.Instance, order.DefaultRules, orderedEngine{s.dialect}, orderSlot{s}, source, s.kernel, s.journal)
+}
+
+// orderedEngine gives orders through the dialect.
+type orderedEngine struct{ dialect dialect.Dialect }
+
+// Running implements order.Engine.
+func (e orderedEngine) Running(ctx context.Context) (config.Desired, error) {
+	current, err := e.dialect.Running(ctx)
+	if err != nil {
+		return config.Desired{}, err
+	}
+	return config.Desired{
+		Model: current.Model, Adapter: current.Adapter, Version: current.Version, Role: config.Role(current.Role),
+	}, nil
+}
+
+// Order implements order.Engine.
+func (e orderedEngine) Order(ctx context.Context, o order.Order) error {
+	err := e.dialect.Order(ctx, dialect.Order{
+		Fencing: o.Fence, Model: o.Desired.Model, Adapter: o.Desired.Adapter,
+		Version: o.Desired.Version, Role: string(o.Desired.Role),
+	})
+	if errors.Is(err, dialect.ErrOldOrder) {
+		return order.ErrFenced
+	}
+	return err
+}
+
+// orderSlot takes the engine out of service for an order and back.
+type orderSlot struct{ side *Sidecar }
+
+// Peers implements order.Slot.
+func (o orderSlot) Peers() []order.Peer {
+	peers := o.side.pool.Peers()
+	out := make([]order.Peer, len(peers))
+	for i, p := range peers {
+		out[i] = order.Peer{Instance: p.Instance, Ready: p.Ready, Loading: p.Loading}
+	}
+	return out
+}
+
+// Serving implements order.Slot.
+func (o orderSlot) Serving() bool { return o.side.admission.Load().Ready }
+
+// Announce implements order.Slot.
+func (o orderSlot) Announce(loading bool) { o.side.pool.SetLoading(loading) }
+
+// Drain implements order.Slot.
+func (o orderSlot) Drain(ctx context.Context) error {
+	o.side.admission.Suspend()
+	o.side.pool.SetState(false, o.side.leaving.Load())
+	for o.side.admission.Load().InFlight > 0 {
+		if !pause(ctx, drainPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Resume implements order.Slot.
+func (o orderSlot) Resume() {
+	if !o.side.alive() {
+		return // The probe makes the engine ready once it is back.
+	}
+	o.side.prefixes.reset()
+	o.side.admission.Ready()
+	o.side.pool.SetState(true, o.side.leaving.Load())
+}
