Count an instance without a load report as having the mean load

Cause: an instance that just joined has no report and a load of 0, so it ranked before all others on every router at once.

Changed: affinity ranks it by the mean; a test holds the order.

--- a/plugin/placement/affinity/affinity.go
+++ b/plugin/placement/affinity/affinity.go
@@ -62,6 +62,7 @@
 	threshold uint64
 	// soft and hard are the highest loads after admission without and with a token.
 	soft, hard int64
+	mean       int64
 	loadScale  float64
 	domain     int
 	// homeWork and spillWork are the expected work where the document is cached and elsewhere.
@@ -78,6 +79,7 @@
 		width:     p.width(req, pool),
 		soft:      pool.Bound(1+(p.BoundFactor-1)*(1-p.Headroom), req.Work),
 		hard:      pool.Bound(p.BoundFactor, req.Work),
+		mean:      pool.Mean(),
 		domain:    pool.Domain(req.FailureDomain),
 		byChat:    req.Returning && req.Token == nil,
 		homeWork:  req.Work - req.DocumentWork,
@@ -142,6 +144,10 @@
 	return r.Append(dst[:0])
 }
 
+func (p *Policy) unknown(c *placement.Candidate) bool {
+	return c.LoadAge < 0 || c.LoadAge > p.HintMaxAge
+}
+
 func (p *Policy) class(d *decision, c *placement.Candidate, home bool) int {
 	if !c.Ready {
 		return classNotReady
@@ -151,7 +157,7 @@
 		after, withRoom = c.Load+d.homeWork, classHome
 	}
 	switch {
-	case c.LoadAge < 0 || c.LoadAge > p.HintMaxAge || after <= d.soft:
+	case p.unknown(c) || after <= d.soft:
 		return withRoom
 	case after <= d.hard:
 		return classTight
@@ -182,11 +188,11 @@
 	if d.useHolders {
 		switch {
 		case d.holderBits>>(c.Hash%64)&1 == 0 || !slices.Contains(req.Holders, c.Hash):
-			return false, loadRank(d, c, score)
+			return false, p.loadRank(d, c, score)
 		case score < d.threshold:
-			return true, homeBit>>1 | loadRank(d, c, score)
+			return true, homeBit>>1 | p.loadRank(d, c, score)
 		}
-		return true, homeBit | loadRank(d, c, score)
+		return true, homeBit | p.loadRank(d, c, score)
 	}
 	if score < d.threshold {
 		return false, score >> 2
@@ -198,12 +204,17 @@
 	if d.byChat {
 		return true, rank | placement.Score(req.Chat, c.Hash)>>2
 	}
-	return true, rank | loadRank(d, c, score)
+	return true, rank | p.loadRank(d, c, score)
 }
 
-// loadRank ranks lower loads higher, and equal loads by the score.
-func loadRank(d *decision, c *placement.Candidate, score uint64) uint64 {
-	load := min(uint64(float64(c.Load)*d.loadScale), maxLoad)
+// loadRank ranks lower loads higher, and equal loads by the score. An instance without a recent
+// report counts as having the mean load, or every router would send it all new chats.
+func (p *Policy) loadRank(d *decision, c *placement.Candidate, score uint64) uint64 {
+	tokens := c.Load
+	if p.unknown(c) {
+		tokens = d.mean
+	}
+	load := min(uint64(float64(tokens)*d.loadScale), maxLoad)
 	return (maxLoad-load)<<loadShift | score>>(2+loadBits)
 }
 
--- a/plugin/placement/affinity/affinity_test.go
+++ b/plugin/placement/affinity/affinity_test.go
@@ -139,6 +139,16 @@
 	}
 }
 
+// An instance without a load report must not attract every new chat, nor be left out.
+func TestUnknownLoadCountsAsMean(t *testing.T) {
+	is := is.New(t)
+	candidates := list(3)
+	candidates[0].Load, candidates[0].LoadAge = 0, -1
+	candidates[1].Load, candidates[2].Load = 900, 1100
+	pool := placement.NewPool("p", candidates, 1000)
+	is.Equal(orderIDs(New(), &placement.Request{Work: 10}, pool), []string{"w1", "w0", "w2"})
+}
+
 // Settings of a pool reach the policy, and explain names what decided.
 func TestSettingsAndExplain(t *testing.T) {
 	is := is.New(t)
