Give the placement policy what the router has learned of the caches

Cause: the router filled neither the work saved by a cached document nor the holders of a document nor the retention, so affinity judged cached homes as full and copied documents elsewhere.

--- a/placement/grouping.go
+++ b/placement/grouping.go
@@ -37,6 +37,10 @@
 	Chat uint64
 	// PromptBytes is the length of all text in the messages.
 	PromptBytes int
+	// DocumentBytes is the length of the text up to the end of the document, and HistoryBytes that up
+	// to the last message.
+	DocumentBytes int
+	HistoryBytes  int
 	// FirstTurn is true when the messages hold no response yet.
 	FirstTurn bool
 }
@@ -142,6 +146,7 @@
 	document := newPrefixHash("document", organisation)
 	first := firstTurn(messages)
 	for i, m := range messages {
+		g.HistoryBytes = g.PromptBytes
 		for _, part := range m.Parts {
 			g.PromptBytes += len(part)
 			if i >= first {
@@ -151,6 +156,7 @@
 			document.add(m.Role, r.head(part))
 			if len(part) >= r.MinDocumentBytes {
 				g.Group = document.sum()
+				g.DocumentBytes = g.PromptBytes
 			}
 		}
 		g.FirstTurn = g.FirstTurn && m.Role != roleAssistant
--- a/router/chat.go
+++ b/router/chat.go
@@ -89,7 +89,11 @@
 	work := int64(prompt + decode)
 	c.place = placement.Request{
 		Organisation: in.organisation, Group: grouping.Group, Chat: grouping.Chat, Work: work,
-		GroupShare: r.groupHeat(c.pool, grouping.Group, work), FailureDomain: r.settings.FailureDomain,
+		DocumentWork: int64(grouping.DocumentBytes / bytesPerToken), Returning: !grouping.FirstTurn,
+		FailureDomain: r.settings.FailureDomain,
+	}
+	if !grouping.FirstTurn {
+		c.place.ChatWork = int64(grouping.HistoryBytes / bytesPerToken)
 	}
 	if c.message.Chat != "" {
 		c.place.Chat = placement.HashKey(in.organisation, c.message.Chat)
@@ -99,6 +103,7 @@
 			c.place.Token = &token
 		}
 	}
+	r.learnedOf(c.pool).fill(&c.place)
 }
 
 func (r *Router) chatAnswer(c *call, in *callerRequest, stream bool, resume uint64) answer {
--- a/router/router.go
+++ b/router/router.go
@@ -30,8 +30,6 @@
 	headerReadTimeout = 10 * time.Second
 	// idleTimeout closes idle connections of callers.
 	idleTimeout = 2 * time.Minute
-	// heatHalfLife is how fast the estimate of hot documents forgets.
-	heatHalfLife = time.Minute
 )
 
 // Router is one router. Use New, then Start.
@@ -43,13 +41,13 @@
 	incarnation uint64
 	sequence    atomic.Uint64
 
-	log       platform.Log
-	instances platform.InstanceList
-	policies  map[string]placement.Policy
-	fallback  placement.Policy
-	keyring   *placement.Keyring
-	heat      map[string]*placement.Heat
-	heatLock  sync.Mutex
+	log         platform.Log
+	instances   platform.InstanceList
+	policies    map[string]placement.Policy
+	fallback    placement.Policy
+	keyring     *placement.Keyring
+	learned     map[string]*learned
+	learnedLock sync.Mutex
 
 	meter     *traffic.Meter
 	store     *config.Store
@@ -80,7 +78,7 @@
 	r := &Router{
 		settings: s, kernel: ctx, count: ctx.Counters, journal: journal.New(journalEntries),
 		incarnation: uint64(time.Now().UnixNano()),
-		policies:    make(map[string]placement.Policy), heat: make(map[string]*placement.Heat),
+		policies:    make(map[string]placement.Policy), learned: make(map[string]*learned),
 		retries: make(map[string]*retry.Policy),
 	}
 	if err := r.load(ctx); err != nil {
@@ -138,21 +136,9 @@
 	})
 }
 
-// groupHeat returns the share of a pool's recent work that a document group carries.
-func (r *Router) groupHeat(pool string, group uint64, work int64) float64 {
-	now := time.Now()
-	r.heatLock.Lock()
-	heat, ok := r.heat[pool]
-	if !ok {
-		heat = placement.NewHeat(heatHalfLife, now)
-		r.heat[pool] = heat
-	}
-	r.heatLock.Unlock()
-	return heat.Observe(group, work, now)
-}
-
 // finished counts what a whole response says about its run.
 func (r *Router) finished(c *call, end *wire.End) {
+	r.learnedOf(c.pool).ran(&c.place, c.served, end)
 	r.count.Map("cached_tokens").Add(c.pool, int64(end.GetCachedTokens()))
 	r.count.Map("prompt_tokens").Add(c.pool, int64(c.message.GetPromptTokens()))
 	r.count.Map("completion_tokens").Add(c.pool, int64(end.GetCompletionTokens()))
