--- a/claim/doc.go
+++ b/claim/doc.go
@@ -50,5 +50,5 @@
 //
 // Related reading: "Idempotency keys in payment APIs: the patterns that actually prevent double
 // charges", for the fingerprint of the body, the reservation before the call, the replay of the
-// original status and the acceptance window. docs/measurements-claims.md has the figures.
+// original status and the acceptance window. docs/measurements/claims.md has the figures.
 package claim
--- a/membership/pool.go
+++ b/membership/pool.go
@@ -45,7 +45,7 @@
 }
 
 // DefaultPoolRules keep a pool of 75 within two fifths of the target of 5 KB/s per node; see
-// docs/measurements-fleet.md.
+// docs/measurements/fleet.md.
 var DefaultPoolRules = PoolRules{
 	Interval:   1500 * time.Millisecond,
 	Neighbours: 6,
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -96,7 +96,7 @@
 		MaxPoolSchema: 2,
 		ListInterval:  time.Second,
 
-		ExchangeInterval: time.Second,
+		ExchangeInterval: 1500 * time.Millisecond,
 
 		Suspects:  suspect.DefaultSettings(),
 		Admission: AdmissionSettings{BoundFactor: 1.25, MaxRequests: 256, MaxTokens: 1 << 20, MaxQueue: 64},
