Wait as long as a refusal asks in TestActionWithoutLog; start fleets together

Cause: after a failed read of the claims' layout, a sidecar refuses actions for its retry interval (200 ms) without asking the log again, so that queued actions fail at once. The refusal says so in Retry-After. The test repeated the action within that time; it now waits for the time of the header, which must be there, and repeats once.

Before: TestActionWithoutLog failed with not-run instead of ran. After: it passes.

A fleet starts its processes together, because each sidecar waits for suspects.settle (2 s).

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -88,12 +88,13 @@
 	f := &Fleet{t: t, spec: spec, Log: StartStandin(t, "log", ""), List: StartStandin(t, "instances", "")}
 	for _, pool := range spec.Pools {
 		for i := range pool.Count {
-			f.AddBackend(pool, fmt.Sprintf("%s-%d", pool.Name, i+1))
+			f.launchBackend(pool, fmt.Sprintf("%s-%d", pool.Name, i+1))
 		}
 	}
 	for i := range spec.Routers {
-		f.AddRouter(fmt.Sprintf("router-%d", i+1))
+		f.launchRouter(fmt.Sprintf("router-%d", i+1))
 	}
+	f.waitReady()
 	f.WaitListed()
 	return f
 }
@@ -101,8 +102,27 @@
 // domain spreads instances over three failure domains.
 func domain(i int) string { return fmt.Sprintf("domain-%d", i%3+1) }
 
-// AddBackend starts a backend server and its sidecar and registers them.
+// waitReady waits for all processes. They start together, because each sidecar waits for news of
+// crashing requests before it is ready.
+func (f *Fleet) waitReady() {
+	f.t.Helper()
+	for _, b := range f.Backends {
+		b.Sidecar.WaitReady()
+	}
+	for _, r := range f.Routers {
+		r.WaitReady()
+	}
+}
+
+// AddBackend starts a backend server and its sidecar, registers them and waits until they are ready.
 func (f *Fleet) AddBackend(pool Pool, id string) *Backend {
+	f.t.Helper()
+	b := f.launchBackend(pool, id)
+	b.Sidecar.WaitReady()
+	return b
+}
+
+func (f *Fleet) launchBackend(pool Pool, id string) *Backend {
 	f.t.Helper()
 	server := StartStandin(f.t, pool.Kind, pool.Settings)
 	host := Host(f.t)
@@ -135,8 +155,15 @@
 	return settings.Table{"use": name, name: settings.Table{"base_url": "http://" + address}}
 }
 
-// AddRouter starts a router and registers it.
+// AddRouter starts a router, registers it and waits until it is ready.
 func (f *Fleet) AddRouter(id string) *Router {
+	f.t.Helper()
+	r := f.launchRouter(id)
+	r.WaitReady()
+	return r
+}
+
+func (f *Fleet) launchRouter(id string) *Router {
 	f.t.Helper()
 	host := Host(f.t)
 	listen, operators := Address(f.t, host), Address(f.t, host)
@@ -177,7 +204,7 @@
 	if err := toml.NewEncoder(&text).Encode(table); err != nil {
 		f.t.Fatal(err)
 	}
-	return Start(f.t, Spec{
+	return Launch(f.t, Spec{
 		Program:  program,
 		Name:     id,
 		Args:     []string{"--settings", WriteFile(f.t, id+".toml", text.String())},
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -1,7 +1,9 @@
 package fleettest
 
 import (
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
@@ -72,7 +74,18 @@
 	_, whole := f.Routers[0].Chat(t.Context(), ChatBody("llm", "a", true)).Content()
 	is.True(whole)
 	f.PoolBackends("ledger")[0].ToLog.Accept()
+	waitAdvised(t, reply)
 	reply = f.Routers[0].Act(t.Context(), "ledger", key, "pay")
 	is.Equal(reply.Verdict, verdict.Ran)
 	is.Equal(f.Executions(key), 1)
 }
+
+// waitAdvised waits as long as the Retry-After of a refusal asks, which must be there.
+func waitAdvised(t *testing.T, refusal Reply) {
+	t.Helper()
+	seconds, err := strconv.Atoi(refusal.Header.Get("Retry-After"))
+	if err != nil {
+		t.Fatalf("a refusal without Retry-After: %v: %s", err, refusal.Body)
+	}
+	time.Sleep(time.Duration(seconds) * time.Second)
+}
--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -49,6 +49,14 @@
 // Start starts a process and waits until it is ready. The process is killed at the end of the test,
 // and its output is logged when the test failed.
 func Start(t testing.TB, spec Spec) *Process {
+	t.Helper()
+	p := Launch(t, spec)
+	p.WaitReady()
+	return p
+}
+
+// Launch is Start without the wait.
+func Launch(t testing.TB, spec Spec) *Process {
 	t.Helper()
 	if spec.Name == "" {
 		spec.Name = spec.Program
@@ -56,7 +64,6 @@
 	p := &Process{Spec: spec, t: t, output: new(buffer)}
 	t.Cleanup(func() { p.cleanup() })
 	p.launch()
-	p.WaitReady()
 	return p
 }
 
