Look for the run to continue at every candidate of a repeated chat

Cause: a router sent a repeat with Last-Event-ID to the first candidate only. When the first router had sent the request past a candidate at its load bound, the run was at another one, and the repeat ended with 409 key-answer-not-kept.

Before: in TestRouterKilledInStream 2 of 4 streams were not continued after their router was killed. After: 3 runs of the test in a row passed, and each request ran once.

--- a/router/loop.go
+++ b/router/loop.go
@@ -145,6 +145,9 @@
 		return w.resume(ctx, err)
 	}
 	c.answer.reset()
+	if c.resuming && err.Reason == verdict.ReasonKeyAnswerGone {
+		return w.searchOn()
+	}
 	if err.Reason == verdict.ReasonEngineCrash {
 		// The request may have caused the crash, so its next run is alone.
 		c.message.Isolate = true
@@ -163,6 +166,14 @@
 	return w.advance(err)
 }
 
+// searchOn moves to the next candidate when this one does not have the run that a caller wants to
+// continue: the first router may have sent the request past a candidate at its load bound. It is not
+// charged to the retry budget, because a sidecar without the run refuses at once.
+func (w *walk) searchOn() bool {
+	w.order = w.order[1:]
+	return len(w.order) > 0
+}
+
 const (
 	// boundRounds is how often all candidates are asked while each is at its load bound.
 	boundRounds = 6
