--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -23,6 +23,7 @@
 
 // The programs, the settings and the relays must work together before failure tests mean anything.
 func TestFleetAnswers(t *testing.T) {
+	parallel(t)
 	is := is.New(t)
 	f := StartFleet(t, FleetSpec{Routers: 2, Pools: []Pool{{Name: "llm", Kind: "engine", Count: 2}}})
 	for _, stream := range []bool{true, false} {
@@ -40,6 +41,7 @@
 // An action whose answer is lost between sidecar and service ran once, and a repeat through another
 // router must not run it again.
 func TestLostAnswerOfAnAction(t *testing.T) {
+	parallel(t)
 	is := is.New(t)
 	f := StartFleet(t, FleetSpec{Routers: 2, Pools: []Pool{{
 		Name: "ledger", Kind: "service", Count: 2, Settings: "fault = \"drop-after\"\nfault_body = \"lost\"",
@@ -57,6 +59,7 @@
 
 // Without the log an action cannot be claimed: it must be refused as not run, and chats go on.
 func TestActionWithoutLog(t *testing.T) {
+	parallel(t)
 	is := is.New(t)
 	f := StartFleet(t, FleetSpec{Routers: 1, Pools: []Pool{
 		{Name: "llm", Kind: "engine", Count: 1},
