--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -1,7 +1,9 @@
 package fleettest
 
 import (
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
@@ -21,6 +23,7 @@
 
 // The programs, the settings and the relays must work together before failure tests mean anything.
 func TestFleetAnswers(t *testing.T) {
+	parallel(t)
 	is := is.New(t)
 	f := StartFleet(t, FleetSpec{Routers: 2, Pools: []Pool{{Name: "llm", Kind: "engine", Count: 2}}})
 	for _, stream := range []bool{true, false} {
@@ -38,6 +41,7 @@
 // An action whose answer is lost between sidecar and service ran once, and a repeat through another
 // router must not run it again.
 func TestLostAnswerOfAnAction(t *testing.T) {
+	parallel(t)
 	is := is.New(t)
 	f := StartFleet(t, FleetSpec{Routers: 2, Pools: []Pool{{
 		Name: "ledger", Kind: "service", Count: 2, Settings: "fault = \"drop-after\"\nfault_body = \"lost\"",
@@ -55,6 +59,7 @@
 
 // Without the log an action cannot be claimed: it must be refused as not run, and chats go on.
 func TestActionWithoutLog(t *testing.T) {
+	parallel(t)
 	is := is.New(t)
 	f := StartFleet(t, FleetSpec{Routers: 1, Pools: []Pool{
 		{Name: "llm", Kind: "engine", Count: 1},
@@ -72,7 +77,18 @@
 	_, whole := f.Routers[0].Chat(t.Context(), ChatBody("llm", "a", true)).Content()
 	is.True(whole)
 	f.PoolBackends("ledger")[0].ToLog.Accept()
+	waitAdvised(t, reply)
 	reply = f.Routers[0].Act(t.Context(), "ledger", key, "pay")
 	is.Equal(reply.Verdict, verdict.Ran)
 	is.Equal(f.Executions(key), 1)
 }
+
+// waitAdvised waits as long as the Retry-After of a refusal asks, which must be there.
+func waitAdvised(t *testing.T, refusal Reply) {
+	t.Helper()
+	seconds, err := strconv.Atoi(refusal.Header.Get("Retry-After"))
+	if err != nil {
+		t.Fatalf("a refusal without Retry-After: %v: %s", err, refusal.Body)
+	}
+	time.Sleep(time.Duration(seconds) * time.Second)
+}
