Add error-budget burn: recorder in the router and report

Cause: the router only kept a latency histogram, so nobody could see how fast the error budget of an organisation is used up.

The router counts first tokens and token gaps of streams, and whole answers of every call. Refusals that the caller brought about and callers that left do not count. A response that is not streamed no longer counts as a first token, because its only measurable time is that of the whole answer.

Conclusion: the variable "burn" of /debug/vars can be summed over routers.

--- /dev/null
+++ b/burn/series.go
@@ -0,0 +1,99 @@
+package burn
+
+import "time"
+
+// bucket holds the events of one part of a window. 32 bits are enough for 6 h at 190,000 events/s.
+type bucket struct{ good, bad uint32 }
+
+// ring holds the buckets of one window. A bucket belongs to the period (time / bucket length) that
+// has its index modulo the number of buckets.
+type ring struct {
+	buckets []bucket
+	// newest is the latest period that was written or read.
+	newest int64
+}
+
+// advance forgets the buckets whose period has left the window.
+func (r *ring) advance(period int64) {
+	if period <= r.newest {
+		return
+	}
+	expired := min(period-r.newest, int64(len(r.buckets)))
+	for i := range expired {
+		r.buckets[r.slot(period-i)] = bucket{}
+	}
+	r.newest = period
+}
+
+func (r *ring) slot(period int64) int { return int(period % int64(len(r.buckets))) }
+
+func (r *ring) sum() Count {
+	var c Count
+	for _, b := range r.buckets {
+		c.Good += uint64(b.good)
+		c.Bad += uint64(b.bad)
+	}
+	return c
+}
+
+// series holds all objectives and windows of one organisation.
+type series [len(Objectives)][len(Windows)]ring
+
+func newSeries() *series {
+	s := new(series)
+	for o := range s {
+		for w := range s[o] {
+			s[o][w].buckets = make([]bucket, Windows[w].buckets)
+		}
+	}
+	return s
+}
+
+// period returns the number of the bucket of window w at a time since the recorder's start.
+func period(w int, at time.Duration) int64 {
+	return int64(at / Windows[w].bucketLength())
+}
+
+func (s *series) add(objective int, at time.Duration, good bool) {
+	for w := range s[objective] {
+		r := &s[objective][w]
+		r.advance(period(w, at))
+		b := &r.buckets[r.slot(r.newest)]
+		if good {
+			b.good++
+		} else {
+			b.bad++
+		}
+	}
+}
+
+func (s *series) advance(at time.Duration) {
+	for o := range s {
+		for w := range s[o] {
+			s[o][w].advance(period(w, at))
+		}
+	}
+}
+
+// merge adds the counts of other, which must have been advanced to the same time.
+func (s *series) merge(other *series) {
+	for o := range s {
+		for w := range s[o] {
+			into, from := s[o][w].buckets, other[o][w].buckets
+			for i := range into {
+				into[i].good += from[i].good
+				into[i].bad += from[i].bad
+			}
+		}
+	}
+}
+
+func (s *series) counts() Counts {
+	var out Counts
+	for o := range s {
+		for w := range s[o] {
+			out[o][w] = s[o][w].sum()
+		}
+	}
+	return out
+}
--- a/router/answer.go
+++ b/router/answer.go
@@ -140,7 +140,6 @@
 	current *wire.Head
 	held    bytes.Buffer
 	open    bool
-	onToken func()
 }
 
 func (a *heldAnswer) head(h *wire.Head, headers http.Header) error {
@@ -168,11 +167,8 @@
 }
 
 func (a *heldAnswer) end() error {
-	if !a.open {
-		a.onToken()
-		if bodyAllowed(a.current.GetStatus()) {
-			a.headers.Set("Content-Length", strconv.Itoa(a.held.Len()))
-		}
+	if !a.open && bodyAllowed(a.current.GetStatus()) {
+		a.headers.Set("Content-Length", strconv.Itoa(a.held.Len()))
 	}
 	return a.release()
 }
--- a/router/call.go
+++ b/router/call.go
@@ -22,7 +22,9 @@
 	message      *wire.ExecuteRequest
 	place        placement.Request
 	answer       answer
-	started      time.Time
+	// latency times the tokens of a stream; nil for other calls.
+	latency *latencyProbe
+	started time.Time
 	// refusals says who refused the call and why, for the explanation.
 	refusals []refusal
 	attempts int
--- a/router/callers.go
+++ b/router/callers.go
@@ -79,6 +79,7 @@
 
 // reject answers a request that was sent to no sidecar.
 func (r *Router) reject(in *callerRequest, err *verdict.Error) {
+	r.observeRejected(in.organisation, err)
 	r.count.Map("verdicts").Add(err.Verdict.String(), 1)
 	r.count.Map("outcomes").Add(string(err.Reason), 1)
 	headers := make(http.Header)
--- a/router/chat.go
+++ b/router/chat.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
-	"time"
 
 	"jacinthfork.example/jacinthfork/placement"
 	"jacinthfork.example/jacinthfork/verdict"
@@ -103,29 +102,9 @@
 
 func (r *Router) chatAnswer(c *call, in *callerRequest, stream bool, resume uint64) answer {
 	writer := newCallerWriter(in.w, r.settings.Callers.WriteTimeout)
-	latency := &latencyProbe{router: r, call: c, last: in.arrived}
 	if stream {
-		return &eventAnswer{callerWriter: writer, last: resume, onToken: latency.token}
+		c.latency = &latencyProbe{router: r, call: c, last: in.arrived}
+		return &eventAnswer{callerWriter: writer, last: resume, onToken: c.latency.token}
 	}
-	return &heldAnswer{callerWriter: writer, limit: r.settings.Callers.MaxBodyBytes, onToken: latency.token}
-}
-
-// latencyProbe measures the time to the first token and between tokens.
-type latencyProbe struct {
-	router *Router
-	call   *call
-	last   time.Time
-	first  bool
-}
-
-func (l *latencyProbe) token() {
-	now := time.Now()
-	gap := now.Sub(l.last)
-	l.last = now
-	if !l.first {
-		l.first = true
-		l.router.observe(l.call, objectiveFirstToken, gap)
-		return
-	}
-	l.router.observe(l.call, objectiveBetweenTokens, gap)
+	return &heldAnswer{callerWriter: writer, limit: r.settings.Callers.MaxBodyBytes}
 }
--- a/router/explain.go
+++ b/router/explain.go
@@ -20,6 +20,7 @@
 
 // record counts the outcome and keeps the decision for "jacinthfork explain".
 func (r *Router) record(c *call, err *verdict.Error) {
+	r.observe(c, err)
 	v, reason, detail := verdict.Ran, "ok", ""
 	if err != nil {
 		v, reason, detail = err.Verdict, string(err.Reason), err.Detail
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"jacinthfork.example/jacinthfork/burn"
 	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/journal"
 	"jacinthfork.example/jacinthfork/kernel"
@@ -40,6 +41,7 @@
 	kernel      *kernel.Context
 	count       *kernel.Counters
 	journal     *journal.Journal
+	burn        *burn.Recorder
 	incarnation uint64
 	sequence    atomic.Uint64
 
@@ -79,6 +81,7 @@
 	ctx.Region, ctx.FailureDomain = s.Region, s.FailureDomain
 	r := &Router{
 		settings: s, kernel: ctx, count: ctx.Counters, journal: journal.New(journalEntries),
+		burn:        burn.NewRecorder(burn.MaxOrganisations),
 		incarnation: uint64(time.Now().UnixNano()),
 		policies:    make(map[string]placement.Policy), heat: make(map[string]*placement.Heat),
 		retries: make(map[string]*retry.Policy),
@@ -93,6 +96,7 @@
 	r.operators.Handle("GET /debug/journal", r.journal)
 	r.operators.Handle("GET /debug/config", r.store)
 	r.operators.Handle("GET /debug/fleet", http.HandlerFunc(r.serveFleet))
+	r.count.Func(burn.Variable, func() any { return r.burn.Snapshot() })
 	r.count.Func("requests_open", func() any { return r.open.Load() })
 	return r, nil
 }
--- a/router/service.go
+++ b/router/service.go
@@ -39,7 +39,7 @@
 	}
 	c.answer = &heldAnswer{
 		callerWriter: newCallerWriter(in.w, r.settings.Callers.WriteTimeout),
-		limit:        r.settings.Callers.HoldBytes, onToken: func() {},
+		limit:        r.settings.Callers.HoldBytes,
 	}
 	return c, nil
 }
