Add check, publish, status, explain, report burn and settle

Cause: operators had only the demo; a change, a node that is behind, a request and an action of unknown outcome needed hand-made requests.

--- a/cmd/jacinthfork/main.go
+++ b/cmd/jacinthfork/main.go
@@ -1,92 +1,109 @@
 // Command jacinthfork is the operators' tool.
+//
+// Exit codes: 0 success, 1 failure, 2 wrong usage or settings, 4 conflict with the state of the
+// fleet.
 package main
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/integrii/flaggy"
-	"jacinthfork.example/jacinthfork/demo"
 	"jacinthfork.example/jacinthfork/internal/daemon"
+	_ "jacinthfork.example/jacinthfork/plugin/all"
 )
 
+// exitConflict means that the current state forbids the change.
+const exitConflict = 4
+
+// command is one subcommand.
+type command interface {
+	// attach adds the subcommand and its flags to the parser.
+	attach(parser *flaggy.Parser) *flaggy.Subcommand
+	// run does the work. Its error is printed; codeOf gives the exit code.
+	run(ctx context.Context, out output) error
+}
+
+// output is where a subcommand writes to.
+type output struct {
+	out      io.Writer
+	warnings io.Writer
+}
+
+func (o output) warn(format string, args ...any) { fmt.Fprintf(o.warnings, format+"\n", args...) }
+
+// exitError is an error with an exit code other than daemon.ExitFailure.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements the error interface.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *exitError) Unwrap() error { return e.err }
+
+func usage(err error) error { return &exitError{daemon.ExitUsage, err} }
+
+func conflict(err error) error { return &exitError{exitConflict, err} }
+
+func codeOf(err error) int {
+	var e *exitError
+	switch {
+	case err == nil:
+		return daemon.ExitOK
+	case errors.As(err, &e):
+		return e.code
+	}
+	return daemon.ExitFailure
+}
+
 func main() {
-	os.Exit(run(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], output{os.Stdout, os.Stderr})
+	stop()
+	os.Exit(code)
+}
+
+func commands() []command {
+	return []command{
+		new(checkCommand), newPublishCommand(), new(statusCommand), new(explainCommand),
+		new(reportCommand), newSettleCommand(), new(demoCommand),
+	}
 }
 
-func run(args []string) int {
+func run(ctx context.Context, args []string, out output) int {
 	parser := flaggy.NewParser("jacinthfork")
 	parser.Description = "Operates a fleet of jacinthfork routers and sidecars."
 	parser.Version = daemon.Version
-	var options demoOptions
-	demoCommand := options.attach(parser)
+	parser.ShowCompletion = false
+	all := commands()
+	attached := make([]*flaggy.Subcommand, len(all))
+	for i, c := range all {
+		attached[i] = c.attach(parser)
+	}
 	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		out.warn("%v", err)
 		return daemon.ExitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if demoCommand.Used {
-		return options.run(ctx)
+	for i, c := range all {
+		if attached[i].Used {
+			return finish(c.run(ctx, out), out)
+		}
 	}
 	parser.ShowHelp()
 	return daemon.ExitUsage
 }
 
-// demoOptions are the flags of "jacinthfork demo".
-type demoOptions struct {
-	json bool
-	hold bool
-}
-
-func (o *demoOptions) attach(parser *flaggy.Parser) *flaggy.Subcommand {
-	command := flaggy.NewSubcommand("demo")
-	command.Description = "Run a whole fleet in this process on loopback and check its invariants."
-	command.Bool(&o.json, "j", "json", "print the result as one JSON object")
-	command.Bool(&o.hold, "", "hold", "keep the fleet running and print every address")
-	parser.AttachSubcommand(command, 1)
-	return command
-}
-
-func (o *demoOptions) run(ctx context.Context) int {
-	fleet, err := demo.Start(demo.DefaultOptions())
+func finish(err error, out output) int {
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return daemon.ExitFailure
-	}
-	defer fleet.Close()
-	if o.hold {
-		fleet.PrintAddresses(os.Stdout)
-	}
-	result, err := fleet.Run(ctx, demo.DefaultLoad())
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return daemon.ExitFailure
-	}
-	o.print(result)
-	if o.hold {
-		fmt.Fprintln(os.Stderr, "holding until interrupted")
-		<-ctx.Done()
-	}
-	for _, violation := range result.Violations() {
-		fmt.Fprintln(os.Stderr, "violated:", violation)
-	}
-	if len(result.Violations()) > 0 {
-		return daemon.ExitFailure
-	}
-	return daemon.ExitOK
-}
-
-func (o *demoOptions) print(result demo.Result) {
-	if !o.json {
-		result.Table(os.Stdout)
-		return
+		out.warn("%v", err)
 	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	_ = encoder.Encode(result)
+	return codeOf(err)
 }
--- /dev/null
+++ b/cmd/jacinthfork/report.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"jacinthfork.example/jacinthfork/burn"
+	"jacinthfork.example/jacinthfork/platform"
+)
+
+// reportCommand is "jacinthfork report burn".
+type reportCommand struct {
+	settings settingsFlag
+	burn     *flaggy.Subcommand
+	json     bool
+	html     string
+}
+
+func (r *reportCommand) attach(parser *flaggy.Parser) *flaggy.Subcommand {
+	command := flaggy.NewSubcommand("report")
+	command.Description = "Reports about the fleet: burn."
+	r.burn = flaggy.NewSubcommand("burn")
+	r.burn.Description = "Print how fast the error budgets of the service-level objectives are used up."
+	r.settings.attach(r.burn)
+	r.burn.Bool(&r.json, "j", "json", "print one JSON object")
+	r.burn.String(&r.html, "", "html", "write one self-contained HTML page to this file")
+	command.AttachSubcommand(r.burn, 1)
+	parser.AttachSubcommand(command, 1)
+	return command
+}
+
+// routerVariables are the variables of a router that the report uses.
+type routerVariables struct {
+	Burn *burn.Snapshot `json:"burn"`
+}
+
+func (r *reportCommand) run(ctx context.Context, out output) error {
+	if !r.burn.Used {
+		return usage(errors.New("the report is missing: use \"jacinthfork report burn\""))
+	}
+	o, err := r.settings.open()
+	if err != nil {
+		return err
+	}
+	report, err := o.burnReport(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.print(report, out); err != nil {
+		return err
+	}
+	if !report.Complete() {
+		return errors.New("the report lacks the counts of at least one router")
+	}
+	return nil
+}
+
+func (o *operator) burnReport(ctx context.Context) (*burn.Report, error) {
+	nodes, err := o.nodes(ctx, platform.RoleRouter)
+	if err != nil {
+		return nil, err
+	}
+	report := burn.NewReport(time.Now())
+	for _, a := range readAll[routerVariables](ctx, o, nodes, "/debug/vars") {
+		if a.err == nil && a.value.Burn == nil {
+			a.err = fmt.Errorf("it publishes no variable %q", burn.Variable)
+		}
+		if a.value.Burn == nil {
+			a.value.Burn = new(burn.Snapshot)
+		}
+		report.Add(a.node.ID, *a.value.Burn, a.err)
+	}
+	report.Finish()
+	return report, nil
+}
+
+func (r *reportCommand) print(report *burn.Report, out output) error {
+	if r.html != "" {
+		if err := writePage(r.html, report); err != nil {
+			return err
+		}
+	}
+	switch {
+	case r.json:
+		return printJSON(out.out, report)
+	case r.html == "":
+		return report.Table(out.out)
+	}
+	return nil
+}
+
+func writePage(file string, report *burn.Report) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.HTML(f), f.Close())
+}
--- a/config/contact.go
+++ b/config/contact.go
@@ -158,15 +158,21 @@
 }
 
 func (c *Contact) pull(ctx context.Context, client wire.SidecarClient) error {
-	stream, err := client.PullConfig(ctx, &wire.PullConfigRequest{HaveAsOf: c.store.whole()})
+	parts, err := Pull(ctx, client, c.store.whole())
 	if err != nil {
 		return err
 	}
-	parts, err := receive(stream.Recv)
+	return c.store.Import(parts)
+}
+
+// Pull reads the state of a peer as parts for Import. have is the prefix that the caller has as a
+// whole, 0 for none. The error is that of the connection, or ErrPartial.
+func Pull(ctx context.Context, client wire.SidecarClient, have uint64) ([]*wire.ConfigPart, error) {
+	stream, err := client.PullConfig(ctx, &wire.PullConfigRequest{HaveAsOf: have})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return c.store.Import(parts)
+	return receive(stream.Recv)
 }
 
 func offer(ctx context.Context, client wire.SidecarClient, parts []*wire.ConfigPart) (uint64, error) {
