--- a/cmd/jacinthfork/fleet_test.go
+++ b/cmd/jacinthfork/fleet_test.go
@@ -184,6 +184,7 @@
 	is.Equal(code, exitConflict) // no claim yet
 	is.Equal(order(), "unknown")
 	w.until("ended, verdict unknown", settle...) // no caller waits for the append of the outcome
+	w.until("pedidos-1 claim: outcome unknown", "explain", key)
 	code, text := w.do(finding...)
 	is.Equal(code, daemon.ExitOK) // text
 	is.True(strings.Contains(text, "settled by ana"))
