State what counts as a token and test the exit codes of publications

Cause: the router counts every event of a stream as a token, which nothing said; the exit code of an unknown publication had no test.

Changed: a sentence at latencyProbe and a test of the three settlements.

Conclusion: no change of behaviour.

--- a/cmd/jacinthfork/check_test.go
+++ b/cmd/jacinthfork/check_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/claim"
+	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/internal/daemon"
 )
 
@@ -63,3 +64,14 @@
 	is.Equal(liveness(known, "unlisted", 6), claim.Gone)
 	is.Equal(liveness(nil, "unlisted", 6), claim.Unsure)
 }
+
+// A script that takes an unknown outcome for a conflict, or for a success, publishes twice or never.
+func TestSettlementsHaveTheirOwnExitCodes(t *testing.T) {
+	is := is.New(t)
+	var change config.Change
+	is.Equal(codeOf(settled(change, config.Published{Settlement: config.SettledAccepted})), daemon.ExitOK)
+	is.Equal(codeOf(settled(change, config.Published{Settlement: config.SettledConflict})), exitConflict)
+	unknown := settled(change, config.Published{Settlement: config.SettledUnknown, Nonce: "n-1"})
+	is.Equal(codeOf(unknown), daemon.ExitFailure)
+	is.True(strings.Contains(unknown.Error(), "--nonce n-1"))
+}
--- a/router/observe.go
+++ b/router/observe.go
@@ -55,7 +55,8 @@
 }
 
 // latencyProbe measures the time to the first token and between tokens of a stream. A response that
-// is not streamed has no tokens that the router could time.
+// is not streamed has no tokens that the router could time. Each event counts as a token, because
+// the router does not parse events; those of the role, the end and the usage are among them.
 type latencyProbe struct {
 	router *Router
 	call   *call
