Bound the wait for a claim, and tell a crash from a dropped connection

Cause 1: with a log that hangs, an action whose claim append had begun waited for its whole deadline (TestLogOutage: not-run after 120 s, wanted within 10 s). The sidecar may give a claim up at any time before dispatch, so it now does after 5 s.

Cause 2: a plain service that dropped one connection was taken as crashed, because all of its runs, one, had broken; its request was refused after three tries. Now a backend server has crashed only if a probe fails, at once or 100 ms later.

--- a/sidecar/action.go
+++ b/sidecar/action.go
@@ -31,7 +31,7 @@
 // once dispatched, the action is finished whether or not somebody still waits.
 func (s *Sidecar) action(req *wire.ExecuteRequest, out *chunkWriter) error {
 	left := time.Duration(req.GetTimeLeftMs())*time.Millisecond - answerReserve
-	ctx, cancel := context.WithTimeout(out.stream.Context(), left)
+	ctx, cancel := context.WithTimeout(out.stream.Context(), min(left, s.settings.Claims.Timeout))
 	defer cancel()
 	action := claim.Action{
 		Organisation: req.GetOrganisation(), Method: req.GetMethod(), Path: req.GetPath(),
@@ -59,7 +59,6 @@
 	run, cancel := context.WithTimeout(s.life, s.settings.Answers.ActionTimeout)
 	defer cancel()
 	sink := &outcomeSink{limit: s.settings.Answers.MaxBytes}
-	s.crashes.start(granted.run)
 	_, err := s.dialect.Run(run, dialectRequest(req), sink)
 	s.ended(granted, err)
 	if err != nil {
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -108,9 +108,8 @@
 // ended tells admission and the crash watch that a run has ended.
 func (s *Sidecar) ended(granted *grant, err error) {
 	if isCrashSign(err) {
-		s.crashes.broken(granted.run)
+		s.crashes.broken()
 	}
-	s.crashes.end(granted.run)
 	granted.Done(err == nil)
 	s.kernel.Counters.Map("runs").Add(verdict.Of(err).String(), 1)
 }
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -7,12 +7,11 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/journal"
-	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
 const (
-	// crashWindow is how long a broken run waits to see whether the others break as well.
+	// crashWindow is the pause between the two probes after a broken run.
 	crashWindow = 100 * time.Millisecond
 	// probeInterval is the pause between two probes of a backend server that is down.
 	probeInterval = 200 * time.Millisecond
@@ -28,39 +27,23 @@
 	return e != nil && (e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonUnreachable)
 }
 
-// crashWatch tells a crash of the backend server from a single broken connection: after a crash all
-// runs break at once, or the server no longer accepts connections.
+// crashWatch tells a crash of the backend server from a broken connection: after a crash the server
+// does not answer for a while. A server that is back within crashWindow is taken as not crashed.
 type crashWatch struct {
 	side *Sidecar
 
-	mu      sync.Mutex
-	running map[*suspect.Run]bool
+	mu sync.Mutex
 	// pending is closed when the window of the current suspicion is over.
 	pending chan struct{}
 	down    bool
 }
 
-func newCrashWatch(side *Sidecar) *crashWatch {
-	return &crashWatch{side: side, running: make(map[*suspect.Run]bool)}
-}
-
-func (w *crashWatch) start(run *suspect.Run) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.running[run] = false
-}
-
-func (w *crashWatch) end(run *suspect.Run) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.running, run)
-}
+func newCrashWatch(side *Sidecar) *crashWatch { return &crashWatch{side: side} }
 
-// broken takes a run whose connection broke and returns when it is decided whether the backend
+// broken is called by a run whose connection broke and returns when it is decided whether the backend
 // server crashed, so that the run is still in flight for the table of suspects.
-func (w *crashWatch) broken(run *suspect.Run) {
+func (w *crashWatch) broken() {
 	w.mu.Lock()
-	w.running[run] = true
 	if w.down {
 		w.mu.Unlock()
 		return
@@ -81,27 +64,21 @@
 
 func (w *crashWatch) decide(pending chan struct{}) {
 	defer close(pending)
-	time.Sleep(crashWindow)
 	alive := w.side.alive()
+	if alive {
+		// A server that goes down can still accept for a moment.
+		time.Sleep(crashWindow)
+		alive = w.side.alive()
+	}
 	w.mu.Lock()
-	crashed := !alive || w.allBroken()
 	w.pending = nil
-	w.down = crashed
+	w.down = !alive
 	w.mu.Unlock()
-	if crashed {
+	if !alive {
 		w.side.crashed()
 	}
 }
 
-func (w *crashWatch) allBroken() bool {
-	for _, broken := range w.running {
-		if !broken {
-			return false
-		}
-	}
-	return true
-}
-
 func (w *crashWatch) recovered() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -112,7 +112,6 @@
 		s.runs.finish(r, false)
 		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the attempt was cancelled"))
 	}
-	s.crashes.start(granted.run)
 	s.work.Go(func() { s.dispatch(ctx, r, req, granted) })
 	if err := out.admitted(false); err != nil {
 		s.runs.detach(r)
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -78,7 +78,11 @@
 	Partitions int           `toml:"partitions" min:"1" max:"65536"`
 	Bucket     time.Duration `toml:"bucket" min:"1s" max:"24h"`
 	MaxMemory  int           `toml:"max_memory" min:"65536" max:"1073741824"`
-	MaxAnswer  int           `toml:"max_answer" min:"0" max:"1048576"`
+	// Timeout bounds the wait for a claim, or for the sidecar that holds it. A log that hangs would
+	// otherwise keep a caller until its deadline, although not-run is true as soon as the sidecar
+	// gives up the claim.
+	Timeout   time.Duration `toml:"timeout" min:"100ms" max:"10m"`
+	MaxAnswer int           `toml:"max_answer" min:"0" max:"1048576"`
 }
 
 // Validate implements settings.Validator. A key must be refused before its claim can expire.
@@ -107,7 +111,7 @@
 		Claims: ClaimSettings{
 			Window: 24 * time.Hour, Skew: 2 * time.Minute, ClockError: 30 * time.Second,
 			Retention: 72 * time.Hour, Partitions: claim.DefaultPartitions, Bucket: claim.DefaultBucket,
-			MaxMemory: 64 << 20, MaxAnswer: 64 << 10,
+			MaxMemory: 64 << 20, MaxAnswer: 64 << 10, Timeout: 5 * time.Second,
 		},
 	}
 }
