Sample the demo's load at admission and share one rendezvous score

Cause: the demo compared each engine with the mean at any time, also long after the admission, and started 360 chats at once, faster than any news of loads. Routers and sidecars had two copies of the score that must be equal.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -108,11 +108,15 @@
 	}
 }
 
-// sampler reads the engines' true loads at short intervals.
+// sampler reads the engines' true loads at short intervals and keeps the highest load of an engine
+// right after it took a request: that is when the load bound is enforced. Later the mean can fall
+// because other engines finish their work.
 type sampler struct {
-	done    chan struct{}
-	work    sync.WaitGroup
-	highest float64
+	fleet    *Fleet
+	done     chan struct{}
+	work     sync.WaitGroup
+	accepted []int64
+	highest  float64
 }
 
 const (
@@ -123,14 +127,14 @@
 )
 
 func (f *Fleet) sampleLoad() *sampler {
-	s := &sampler{done: make(chan struct{})}
+	s := &sampler{fleet: f, done: make(chan struct{}), accepted: make([]int64, len(f.Engines))}
 	s.work.Go(func() {
 		for {
 			select {
 			case <-s.done:
 				return
 			case <-time.After(sampleInterval):
-				s.highest = max(s.highest, f.loadRatio())
+				s.sample()
 			}
 		}
 	})
@@ -142,20 +146,23 @@
 	s.work.Wait()
 }
 
-// loadRatio returns the highest load over the mean, in tokens, or 0 when the fleet is nearly idle. The
-// work of one request is taken off the highest load: the bound allows it on top of the mean.
-func (f *Fleet) loadRatio() float64 {
-	total, highest, requests := 0, 0, 0
-	for _, e := range f.Engines {
-		load := e.Load()
+// sample compares the engines that took a request since the last sample with the mean, in tokens.
+// The work of one request is taken off, because the bound allows it on top of the mean.
+func (s *sampler) sample() {
+	engines := s.fleet.Engines
+	total, requests, highest := 0, 0, 0
+	for i, e := range engines {
+		load, accepted := e.Load(), e.Counters().Accepted
 		total += load.Tokens()
 		requests += load.Running + load.Waiting
-		highest = max(highest, load.Tokens())
+		if accepted > s.accepted[i] {
+			highest = max(highest, load.Tokens()-requestTokens)
+		}
+		s.accepted[i] = accepted
 	}
-	if len(f.Engines) == 0 || requests < meaningfulLoad*len(f.Engines) || total == 0 {
-		return 0
+	if total > 0 && requests >= meaningfulLoad*len(engines) {
+		s.highest = max(s.highest, float64(highest)*float64(len(engines))/float64(total))
 	}
-	return float64(highest-requestTokens) * float64(len(f.Engines)) / float64(total)
 }
 
 // loadBound returns the load bound of the model engines.
--- a/demo/load.go
+++ b/demo/load.go
@@ -34,6 +34,8 @@
 	requestTokens = 650
 	// pauseLimit bounds the pause of a chat between two turns.
 	pauseLimit = 300 * time.Millisecond
+	// startLimit spreads the starts of the chats.
+	startLimit = 3 * time.Second
 )
 
 // tally counts what callers saw.
@@ -95,6 +97,7 @@
 	messages := []Message{{Role: "system", Content: document(name)}}
 	usesToken := random.IntN(2) == 0
 	token, seen := "", 0
+	sleep(ctx, time.Duration(random.Int64N(int64(startLimit))))
 	for turn := range turns {
 		question := Message{Role: "user", Content: fmt.Sprintf("question %d of %s, %x", turn, name, random.Uint64())}
 		messages = append(messages, question)
--- a/placement/order.go
+++ b/placement/order.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"jacinthfork.example/jacinthfork/internal/rendezvous"
 	"slices"
 	"sync"
 )
@@ -21,16 +22,9 @@
 	MaxClass = 15
 )
 
-// Score returns the rendezvous score of an instance for a key; the highest score wins. It is the
-// 64-bit finalizer of MurmurHash3 over both hashes.
-func Score(key, instance uint64) uint64 {
-	x := key ^ instance
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+// Score returns the rendezvous score of an instance for a key; the highest score wins. Sidecars use
+// the same scores for crash suspects.
+func Score(key, instance uint64) uint64 { return rendezvous.Score(key, instance) }
 
 func sortKey(class, score uint64, index int) uint64 {
 	return class<<classShift | ^score>>4&scoreMask | uint64(index)
