--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"jacinthfork.example/jacinthfork/dialect"
+	"jacinthfork.example/jacinthfork/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 )
@@ -25,7 +27,21 @@
 	defer open.Add(-1)
 	s.pool.MergeRelayed(req.GetLoads())
 	out := &chunkWriter{stream: stream, attempt: req.GetAttempt(), load: s.load}
-	return out.outcome(s.execute(req, out))
+	err := s.execute(req, out)
+	s.explain(req, err)
+	return out.outcome(err)
+}
+
+// explain keeps why an attempt was not served, for "jacinthfork explain".
+func (s *Sidecar) explain(req *wire.ExecuteRequest, err error) {
+	if err == nil || isConnectionError(err) {
+		return
+	}
+	load := s.load()
+	s.journal.Add(journal.KindRefusal, req.GetRequestId(), verdict.As(err).Error(),
+		journal.Field{Name: "attempt", Value: wire.AttemptText(req.GetAttempt())},
+		journal.Field{Name: "work", Value: strconv.FormatUint(load.GetWork(), 10)},
+		journal.Field{Name: "mean", Value: strconv.FormatUint(load.GetMean(), 10)})
 }
 
 // execute refuses the attempt, attaches it to an earlier run, or starts a new one.
