Let a deployment choose between shedding and skew, and measure the bound as it runs

Cause: the comparison of placement policies did not contain the rule that the sidecars run, strict first and at the mean after a round of refusals.

Both are settings now (admission.at_mean, admission.one_request_tokens).

--- a/admission/atmean_test.go
+++ b/admission/atmean_test.go
@@ -29,3 +29,19 @@
 	_, err = above.Admit(context.Background(), Request{Organisation: "o", DecodeTokens: 1000, AtMean: true})
 	is.Equal(verdict.As(err).Reason, verdict.ReasonOverBound)
 }
+
+// A pool that prefers an even load sets the size of a large request instead: engines take work up
+// to it without news of the others, and nothing beyond the bound.
+func TestLoadUpToOneRequestIsTaken(t *testing.T) {
+	is := is.New(t)
+	settings := DefaultSettings()
+	settings.OneRequestTokens = 2000
+	c, err := NewController(settings, &fixedPool{0, 6}, nil)
+	is.NoErr(err)
+	for range 2 {
+		_, err = c.Admit(context.Background(), Request{Organisation: "o", DecodeTokens: 1000})
+		is.NoErr(err)
+	}
+	_, err = c.Admit(context.Background(), Request{Organisation: "o", DecodeTokens: 1000})
+	is.Equal(verdict.As(err).Reason, verdict.ReasonOverBound)
+}
--- a/admission/bound.go
+++ b/admission/bound.go
@@ -30,5 +30,8 @@
 	}
 	total, members := c.pool.Mean(c.own)
 	own := c.own + c.excess(c.now())
+	if own+work <= c.settings.OneRequestTokens {
+		return true
+	}
 	return withinBound(own, work, total, members, c.settings.FactorPercent) || (atMean && atMostMean(own, work, total, members))
 }
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -6,12 +6,12 @@
 //
 // The statement that holds exactly, at the instant of each grant and without rounding:
 //
-//	nothing else was in flight, or
+//	nothing else was in flight, or own + work <= OneRequestTokens, or
 //	(own + work) * members * 100 <= FactorPercent * (total + work), or
 //	Request.AtMean is set and own * members <= total + work
 //
 // With m = (total + work) / members, the load after a grant is at most
-// max(work, FactorPercent/100 * m, m + work). The third line lets an engine that is not above the
+// max(work, OneRequestTokens, FactorPercent/100 * m, m + work). The third line lets an engine that is not above the
 // mean take one more request after every instance has refused it by the first two. That happens only
 // while one request is larger than the room between mean and bound; without it a pool whose mean is a
 // few requests could not grow.
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -9,6 +9,9 @@
 type Settings struct {
 	// FactorPercent is the load bound as a percentage of the pool's mean, at least 100.
 	FactorPercent uint64 `toml:"factor_percent" min:"100" max:"10000"`
+	// OneRequestTokens is a load up to which an engine takes work whatever the mean is, for example
+	// the work of a large request of the pool. 0 is the request at hand on an idle engine.
+	OneRequestTokens uint64 `toml:"one_request_tokens" min:"0"`
 	// CapacityTokens is the work in tokens that the engine may hold at once.
 	CapacityTokens uint64 `toml:"capacity_tokens" min:"1"`
 	// CapacityRequests is the number of requests that the engine may hold at once.
--- a/placement/compare_test.go
+++ b/placement/compare_test.go
@@ -65,6 +65,7 @@
 		{"affinity, KV export on leaving", affinityFor, true, func(w *workload) { w.export = true }},
 		{"omniscient, admit at mean", contestants()[0].policy, true, func(w *workload) { w.atMean = true }},
 		{"affinity, admit at mean", affinityFor, true, func(w *workload) { w.atMean = true }},
+		{"affinity, at mean after a round", affinityFor, true, func(w *workload) { w.oneRequest, w.secondRound = 0, true }},
 		{"omniscient, one request = the request at hand", contestants()[0].policy, true, func(w *workload) { w.oneRequest = 0 }},
 		{"affinity, one request = the request at hand", affinityFor, true, func(w *workload) { w.oneRequest = 0 }},
 	}
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -147,10 +147,16 @@
 	t, v := r.turn, f.views[r.turn.router]
 	f.refresh(v)
 	n := f.members
-	for _, i := range f.order(v, t, n) {
-		e := f.engines[i]
+	order := f.order(v, t, n)
+	rounds := len(order)
+	if f.w.secondRound {
+		order = append(order, order...)
+	}
+	for asked, i := range order {
+		e, b := f.engines[i], f.bound
+		b.atMean = b.atMean || asked >= rounds
 		f.count(&f.attempts, 1)
-		if work := e.work(t); e.admits(f.bound, work, f.knownMean(), n) {
+		if work := e.work(t); e.admits(b, work, f.knownMean(), n) {
 			f.checkBound(e, work, n)
 			f.measure(t, e)
 			f.learnCache(v, t, e)
--- a/placement/trace_test.go
+++ b/placement/trace_test.go
@@ -22,6 +22,7 @@
 	warmup, duration float64
 	churnEvery       float64
 	atMean           bool // see bound
+	secondRound      bool // engines that all refused are asked again with bound.atMean
 	noTokens         bool
 	export           bool // leaving engines hand their cache to their replacement
 	hints            hintSource
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -19,6 +19,7 @@
 	own := s.settings.Admission
 	a := admission.DefaultSettings()
 	a.FactorPercent = uint64(own.BoundFactor * percent)
+	a.OneRequestTokens = uint64(own.OneRequestTokens)
 	a.CapacityRequests = own.MaxRequests
 	a.CapacityTokens = uint64(own.MaxTokens)
 	a.QueueRequests = own.MaxQueue
@@ -77,7 +78,7 @@
 	cached := s.prefixes.cached(req)
 	load, err := s.admission.Admit(waiting, admission.Request{
 		Organisation: req.GetOrganisation(), PromptTokens: uint64(req.GetPromptTokens()),
-		DecodeTokens: uint64(req.GetDecodeTokens()), CachedTokens: cached, AtMean: req.GetAtMean(),
+		DecodeTokens: uint64(req.GetDecodeTokens()), CachedTokens: cached, AtMean: req.GetAtMean() && s.settings.Admission.AtMean,
 		Isolate: decision.Isolate, Fingerprint: req.GetFingerprint(),
 	})
 	if err != nil {
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -46,6 +46,11 @@
 	// BoundFactor is the multiple of the pool's mean load that an engine may carry. A pool record
 	// replaces it.
 	BoundFactor float64 `toml:"bound_factor" min:"1" max:"10"`
+	// OneRequestTokens is a load up to which the engine takes work whatever the pool's mean is.
+	OneRequestTokens int `toml:"one_request_tokens" min:"0" max:"1000000000"`
+	// AtMean lets an engine that is not above the mean take a request that every candidate refused for
+	// the load bound. Without it such requests are shed, and the load stays closer to the mean.
+	AtMean bool `toml:"at_mean"`
 	// MaxRequests and MaxTokens are the capacity of the backend server.
 	MaxRequests int `toml:"max_requests" min:"1" max:"100000"`
 	MaxTokens   int `toml:"max_tokens" min:"1" max:"1000000000"`
@@ -103,7 +108,7 @@
 		ExchangeInterval: 1500 * time.Millisecond,
 
 		Suspects:  suspect.DefaultSettings(),
-		Admission: AdmissionSettings{BoundFactor: 1.25, MaxRequests: 256, MaxTokens: 1 << 20, MaxQueue: 64},
+		Admission: AdmissionSettings{BoundFactor: 1.25, AtMean: true, MaxRequests: 256, MaxTokens: 1 << 20, MaxQueue: 64},
 		Answers: AnswerSettings{
 			MaxBytes: 8 << 20, KeepBytes: 64 << 20, KeepFor: time.Minute,
 			Grace: 10 * time.Second, ActionTimeout: time.Minute,
