--- a/internal/fleettest/action_failure_test.go
+++ b/internal/fleettest/action_failure_test.go
@@ -156,6 +156,10 @@
 	}
 }
 
+// outageKeys is the number of actions in one outage. Some of them meet a stream that was read before
+// the outage, so that their claim is sent.
+const outageKeys = 16
+
 // atOnce bounds a refusal for a log that is down. It is above the timeout of one read of the log,
 // and far below the deadline of the action.
 const atOnce = 10 * time.Second
@@ -174,15 +178,23 @@
 	is.Equal(router.Act(t.Context(), "ledger", newKey(t), "first").Verdict, verdict.Ran)
 	for _, outage := range []string{"refuse", "hang"} {
 		f.Log.Set(`{"outage":"` + outage + `"}`)
-		keys := []string{newKey(t), newKey(t), newKey(t), newKey(t)}
+		keys := make([]string, outageKeys)
+		replies := make([]chan Reply, outageKeys)
+		begun := time.Now()
+		for i := range keys {
+			keys[i], replies[i] = newKey(t), make(chan Reply, 1)
+			go func() { replies[i] <- router.Act(t.Context(), "ledger", keys[i], "pay") }()
+		}
 		var last Reply
-		for _, key := range keys {
-			begun := time.Now()
-			last = router.Act(t.Context(), "ledger", key, "pay")
-			t.Logf("%s: %v after %v: %s", outage, last.Verdict, time.Since(begun), last.Body)
+		for i, key := range keys {
+			reply := <-replies[i]
+			t.Logf("%s: %v after %v: %s", outage, reply.Verdict, time.Since(begun), reply.Body)
+			is.Equal(reply.Verdict, verdict.NotRun)
 			is.True(time.Since(begun) < atOnce)
-			is.Equal(last.Verdict, verdict.NotRun)
 			is.Equal(f.Executions(key), 0)
+			if last.Header == nil || reply.Header.Get("Retry-After") != "" {
+				last = reply
+			}
 		}
 		f.wantAnswers(t)
 		f.Log.Set(`{"outage":"none"}`)
