--- a/internal/fleettest/address.go
+++ b/internal/fleettest/address.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"testing"
 )
@@ -22,13 +23,30 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid%octets, (pid/octets+n/octets)%octets, 1+n%octets)
 }
 
-// Address returns a free port on a host, as host:port.
+// Ports that are handed out lie below the range that the system gives to outgoing connections and to
+// listeners on port 0.
+const (
+	firstPort = 10000
+	ports     = 20000
+)
+
+var lastPort atomic.Uint32
+
+// Address returns a free port on a host, as host:port. No port is returned twice: a process gets
+// several addresses before it listens on any of them, and with ports chosen by the system two of
+// them were once equal.
 func Address(t testing.TB, host string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		port := firstPort + int(lastPort.Add(1))%ports
+		address := net.JoinHostPort(host, strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatalf("no free port on %s", host)
+	return ""
 }
