--- a/router/callers.go
+++ b/router/callers.go
@@ -66,6 +66,9 @@
 	if err := r.identify(in); err != nil {
 		return nil, 0, err
 	}
+	if err := r.checkHeaders(in.http); err != nil {
+		return nil, 0, err
+	}
 	timeout, err := r.timeout(in.http)
 	if err != nil {
 		return nil, 0, err
@@ -77,6 +80,21 @@
 	return c, timeout, err
 }
 
+// checkHeaders bounds the header fields. net/http has its own bound, twice as high, beyond which it
+// answers 431 without a verdict.
+func (r *Router) checkHeaders(h *http.Request) error {
+	size := len(h.RequestURI)
+	for name, values := range h.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > r.settings.Callers.MaxHeaderBytes {
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, fmt.Sprintf("the header fields exceed %d bytes", r.settings.Callers.MaxHeaderBytes))
+	}
+	return nil
+}
+
 // reject answers a request that was sent to no sidecar.
 func (r *Router) reject(in *callerRequest, err *verdict.Error) {
 	r.observeRejected(in.organisation, err)
--- a/router/router.go
+++ b/router/router.go
@@ -161,7 +161,7 @@
 	r.address = listener.Addr().String()
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: r.settings.Callers.MaxHeaderBytes,
+		MaxHeaderBytes: 2 * r.settings.Callers.MaxHeaderBytes,
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
