--- a/cmd/jacinthfork-standin/main.go
+++ b/cmd/jacinthfork-standin/main.go
@@ -10,11 +10,11 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
 
+	"jacinthfork.example/jacinthfork/internal/daemon"
 	"jacinthfork.example/jacinthfork/kernel/settings"
 	"jacinthfork.example/jacinthfork/standin/engine"
 	"jacinthfork.example/jacinthfork/standin/instances"
@@ -76,7 +76,7 @@
 	chosen := options{address: "127.0.0.1:0"}
 	parser := flaggy.NewParser("jacinthfork-standin")
 	parser.Description = "Stand-ins for the platform and for backend servers, for tests and demos."
-	parser.Version = version()
+	parser.Version = daemon.Version
 	parser.ShowCompletion = false
 	all := kinds()
 	commands := make([]*flaggy.Subcommand, len(all))
@@ -100,13 +100,6 @@
 	return options{}
 }
 
-// version returns the version of the module that the program was built from.
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		return info.Main.Version
-	}
-	return "unknown"
-}
 
 func main() {
 	chosen := parse(os.Args[1:])
