--- a/cmd/jacinthfork-standin/main.go
+++ b/cmd/jacinthfork-standin/main.go
@@ -100,7 +100,6 @@
 	return options{}
 }
 
-
 func main() {
 	chosen := parse(os.Args[1:])
 	if err := checkAddress(chosen.address); err != nil {
