Keep the verdict of all attempts, and tell a broken engine from a broken sidecar

Cause, found in the read-through: when the plan for another attempt failed, its not-run replaced the unknown of an earlier attempt, so a caller could be told that a request was not run which may have run. And a run that broke at the engine was told as a broken connection: the router blamed the sidecar, asked it to settle, and sent the request on without isolation.

worse() now keeps ran and unknown in every order (TestVerdictOfAllAttempts fails without it), and the sidecar tells engine-crash, engine-error or not-ready.

--- a/router/loop.go
+++ b/router/loop.go
@@ -203,7 +203,7 @@
 	}
 	if w.call.message.GetIsolate() || len(w.order) == 0 {
 		if planErr := w.plan(); planErr != nil {
-			w.last = planErr
+			w.last = worse(w.last, planErr)
 			return false
 		}
 	}
@@ -235,7 +235,7 @@
 // worse returns the newer error with the verdict that is true for the whole call: once an attempt
 // may have run, the call may have run.
 func worse(before, now *verdict.Error) *verdict.Error {
-	if before == nil || now.Verdict == before.Verdict || before.Verdict == verdict.NotRun {
+	if before == nil || before.Verdict == verdict.NotRun || now.Verdict == verdict.Ran {
 		return now
 	}
 	merged := *now
--- a/sidecar/action.go
+++ b/sidecar/action.go
@@ -60,7 +60,7 @@
 	defer cancel()
 	sink := &outcomeSink{limit: s.settings.Answers.MaxBytes}
 	_, err := s.dialect.Run(run, dialectRequest(req), sink)
-	s.ended(granted, err)
+	err = s.ended(granted, err)
 	if err != nil {
 		return claim.Outcome{}, err
 	}
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -106,13 +106,28 @@
 
 func askOther(d suspect.Decision) error { return &askError{refusal: d.Err, instance: d.Ask} }
 
-// ended tells admission and the crash watch that a run has ended.
-func (s *Sidecar) ended(granted *grant, err error) {
+// ended tells admission and the crash watch that a run has ended, and returns the error for the
+// router, which must not take a broken engine for a broken connection to this sidecar.
+func (s *Sidecar) ended(granted *grant, err error) error {
 	if isCrashSign(err) {
-		s.crashes.broken()
+		err = engineError(err, s.crashes.broken())
 	}
 	granted.Done(err == nil)
 	s.kernel.Counters.Map("runs").Add(verdict.Of(err).String(), 1)
+	return err
+}
+
+// engineError names the cause of a broken run. A run that was not dispatched says nothing about the
+// request, so it is not called a crash.
+func engineError(err error, crashed bool) error {
+	v := verdict.Of(err)
+	switch {
+	case v == verdict.NotRun:
+		return verdict.Wrap(v, verdict.ReasonNotReady, err)
+	case crashed:
+		return verdict.Wrap(v, verdict.ReasonEngineCrash, err)
+	}
+	return verdict.Wrap(v, verdict.ReasonEngineError, err)
 }
 
 // load is the news that goes with each answer.
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -40,13 +40,13 @@
 
 func newCrashWatch(side *Sidecar) *crashWatch { return &crashWatch{side: side} }
 
-// broken is called by a run whose connection broke and returns when it is decided whether the backend
+// broken is called by a run whose connection broke. It returns when it is decided whether the backend
 // server crashed, so that the run is still in flight for the table of suspects.
-func (w *crashWatch) broken() {
+func (w *crashWatch) broken() bool {
 	w.mu.Lock()
 	if w.down {
 		w.mu.Unlock()
-		return
+		return true
 	}
 	pending := w.pending
 	first := pending == nil
@@ -57,9 +57,12 @@
 	w.mu.Unlock()
 	if first {
 		w.decide(pending)
-		return
+	} else {
+		<-pending
 	}
-	<-pending
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
 }
 
 func (w *crashWatch) decide(pending chan struct{}) {
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -151,7 +151,7 @@
 	if err == nil {
 		s.prefixes.ran(req, usage.CachedTokens)
 	}
-	s.ended(granted, err)
+	err = s.ended(granted, err)
 	r.recording.finish(usage, err)
 	s.runs.finish(r, err == nil)
 }
