Refuse a copy of a started attempt with unknown

Cause, found in the read-through: a second copy of an attempt that had started, or one too old to tell, was refused with not-run. Only an attempt that was cancelled before it started is proved not to have run.

--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -67,6 +68,18 @@
 	return true
 }
 
+// refusal is the verdict of an attempt that admit did not take: not-run only when it was cancelled
+// before it started. A copy of an attempt that is known otherwise, or too old to tell, may have run.
+func (a *attempts) refusal(id *wire.AttemptID) verdict.Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.router(id)
+	if r != nil && id.Sequence > r.floor && r.states[id.Sequence] == attemptCancelled {
+		return verdict.NotRun
+	}
+	return verdict.Unknown
+}
+
 // start marks a waiting attempt as started, right before dispatch. It returns false when the
 // attempt was cancelled in the meantime.
 func (a *attempts) start(id *wire.AttemptID) bool {
--- a/sidecar/attempts_test.go
+++ b/sidecar/attempts_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/internal/proptest"
+	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 	"pgregory.net/rapid"
 )
@@ -55,3 +56,18 @@
 	is.Equal(table.cancel(old), wire.Verdict_UNKNOWN)
 	is.True(!table.admit(old))
 }
+
+// A copy of an attempt that has started must be refused without the claim that it did not run.
+func TestCopyOfStartedAttemptMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	table := newAttempts()
+	started := &wire.AttemptID{Router: "r", RouterIncarnation: 1, Sequence: 1}
+	cancelled := &wire.AttemptID{Router: "r", RouterIncarnation: 1, Sequence: 2}
+	is.True(table.admit(started))
+	is.True(table.start(started))
+	is.Equal(table.cancel(cancelled), wire.Verdict_NOT_RUN)
+	is.True(!table.admit(started))
+	is.Equal(table.refusal(started), verdict.Unknown)
+	is.True(!table.admit(cancelled))
+	is.Equal(table.refusal(cancelled), verdict.NotRun)
+}
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -60,7 +60,8 @@
 		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the sidecar is leaving"))
 	}
 	if !s.attempts.admit(req.GetAttempt()) {
-		return s.refuse(verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the attempt was cancelled or is a late copy"))
+		refusal := s.attempts.refusal(req.GetAttempt())
+		return s.refuse(verdict.New(refusal, verdict.ReasonCancelled, "the attempt was cancelled or is a late copy"))
 	}
 	if req.GetIdempotencyKey() != "" {
 		return s.action(req, out)
