--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -47,7 +47,8 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithDisableServiceConfig(),
-		// A transparent retry could send an attempt to a sidecar that was replaced in between.
+		// Only the router decides about another attempt. gRPC may still resend a call that no server
+		// has processed; the incarnation on the attempt covers a sidecar that was replaced meanwhile.
 		grpc.WithDisableRetry(),
 	}
 	if !files.Enabled() {
