--- a/claim/append.go
+++ b/claim/append.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"jacinthfork.example/jacinthfork/claim/claimpb"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -205,7 +205,7 @@
 	switch {
 	case err == nil:
 		return s.stored(offset, payload, batch)
-	case platform.MayBeStored(err):
+	case services.MayBeStored(err):
 		return s.lost(batch)
 	default:
 		return s.refused(batch, err)
--- a/claim/execute.go
+++ b/claim/execute.go
@@ -6,7 +6,7 @@
 	"errors"
 
 	"jacinthfork.example/jacinthfork/claim/claimpb"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
--- a/claim/failure_test.go
+++ b/claim/failure_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -138,11 +138,11 @@
 func TestIncompletePage(t *testing.T) {
 	is := is.New(t)
 	k := newKeeper(t, testOptions(newMemLog(), "a"))
-	_, err := newStream(k, "empty").absorb(0, platform.Page{Next: 3})
+	_, err := newStream(k, "empty").absorb(0, services.Page{Next: 3})
 	expect(t, err, verdict.NotRun, verdict.ReasonLogUnavailable)
-	_, err = newStream(k, "gap").absorb(0, platform.Page{Next: 3, Records: []platform.Record{{Offset: 2}}})
+	_, err = newStream(k, "gap").absorb(0, services.Page{Next: 3, Records: []services.Record{{Offset: 2}}})
 	expect(t, err, verdict.Unknown, verdict.ReasonKeyHistoryLost)
-	_, err = newStream(k, "shorter").absorb(5, platform.Page{Next: 3})
+	_, err = newStream(k, "shorter").absorb(5, services.Page{Next: 3})
 	expect(t, err, verdict.Unknown, verdict.ReasonKeyHistoryLost)
 	is.Equal(k.counts.Get("stream_faults").String(), "2")
 }
--- a/claim/fakelog_test.go
+++ b/claim/fakelog_test.go
@@ -9,12 +9,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"jacinthfork.example/jacinthfork/claim/claimpb"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 var errOutage = errors.New("log service is down")
 
-// memLog is a platform.Log in memory. Fields in the second group inject faults.
+// memLog is a services.Log in memory. Fields in the second group inject faults.
 type memLog struct {
 	mu      sync.Mutex
 	streams map[string]*memStream
@@ -39,7 +39,7 @@
 
 type memStream struct {
 	earliest uint64
-	records  []platform.Record
+	records  []services.Record
 }
 
 func newMemLog() *memLog {
@@ -48,22 +48,22 @@
 
 func (l *memLog) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
 	if !sleep(ctx, l.latency) {
-		return 0, &platform.AppendError{MayBeStored: true, Err: ctx.Err()}
+		return 0, &services.AppendError{MayBeStored: true, Err: ctx.Err()}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
 	if l.down {
-		return 0, &platform.AppendError{Err: errOutage}
+		return 0, &services.AppendError{Err: errOutage}
 	}
 	if l.loseAppends > 0 {
 		l.loseAppends--
-		return 0, &platform.AppendError{MayBeStored: true, Err: errOutage}
+		return 0, &services.AppendError{MayBeStored: true, Err: errOutage}
 	}
 	offset := l.store(stream, payload)
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return 0, &platform.AppendError{MayBeStored: true, Err: errOutage}
+		return 0, &services.AppendError{MayBeStored: true, Err: errOutage}
 	}
 	return offset, nil
 }
@@ -76,16 +76,16 @@
 		l.streams[stream] = s
 	}
 	offset := s.earliest + uint64(len(s.records))
-	s.records = append(s.records, platform.Record{Offset: offset, Time: time.Now(), Payload: payload})
+	s.records = append(s.records, services.Record{Offset: offset, Time: time.Now(), Payload: payload})
 	l.bytes += len(payload)
 	close(l.changed)
 	l.changed = make(chan struct{})
 	return offset
 }
 
-func (l *memLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *memLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (services.Page, error) {
 	if !sleep(ctx, l.latency) {
-		return platform.Page{}, ctx.Err()
+		return services.Page{}, ctx.Err()
 	}
 	expired := time.After(wait)
 	for {
@@ -94,7 +94,7 @@
 		page, changed, down := l.page(stream, from, limit), l.changed, l.down || l.readsDown
 		l.mu.Unlock()
 		if down {
-			return platform.Page{}, errOutage
+			return services.Page{}, errOutage
 		}
 		if len(page.Records) > 0 || wait == 0 {
 			return page, nil
@@ -104,18 +104,18 @@
 		case <-expired:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, ctx.Err()
+			return services.Page{}, ctx.Err()
 		}
 	}
 }
 
-func (l *memLog) page(stream string, from uint64, limit int) platform.Page {
+func (l *memLog) page(stream string, from uint64, limit int) services.Page {
 	s := l.streams[stream]
 	if s == nil {
-		return platform.Page{}
+		return services.Page{}
 	}
 	l.expire(s)
-	page := platform.Page{Earliest: s.earliest, Next: s.earliest + uint64(len(s.records))}
+	page := services.Page{Earliest: s.earliest, Next: s.earliest + uint64(len(s.records))}
 	for _, r := range s.records {
 		if r.Offset >= from && len(page.Records) < limit {
 			page.Records = append(page.Records, r)
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -6,7 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
--- a/claim/layout.go
+++ b/claim/layout.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"jacinthfork.example/jacinthfork/claim/claimpb"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -132,7 +132,7 @@
 	}
 }
 
-func (k *Keeper) applyLayout(r platform.Record) error {
+func (k *Keeper) applyLayout(r services.Record) error {
 	var l claimpb.Layout
 	if err := proto.Unmarshal(r.Payload, &l); err != nil || !proto.Equal(&l, k.layoutRecord()) {
 		e := verdict.New(verdict.NotRun, verdict.ReasonNotReady, fmt.Sprintf(
--- a/claim/load_test.go
+++ b/claim/load_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // The load tests run in virtual time, so that their figures do not depend on the machine. To print
@@ -40,7 +40,7 @@
 	l.next = l.next.Add(time.Second / appendRate)
 	l.mu.Unlock()
 	if !sleep(ctx, wait) {
-		return 0, &platform.AppendError{Err: ctx.Err()}
+		return 0, &services.AppendError{Err: ctx.Err()}
 	}
 	return l.memLog.Append(ctx, stream, payload)
 }
@@ -71,7 +71,7 @@
 	const serviceTime = 50 * time.Millisecond
 	log := newMemLog()
 	log.latency = appendLatency
-	var target platform.Log = log
+	var target services.Log = log
 	if l.rate {
 		target = &ratedLog{memLog: log}
 	}
--- a/claim/model_world_test.go
+++ b/claim/model_world_test.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -155,7 +155,7 @@
 
 func (g *gateLog) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
 	w := g.p.w
-	unsure := &platform.AppendError{MayBeStored: true, Err: errOutage}
+	unsure := &services.AppendError{MayBeStored: true, Err: errOutage}
 	if !g.p.pass() {
 		return 0, unsure
 	}
@@ -176,7 +176,7 @@
 			g.p.pass()
 			return 0, unsure
 		default:
-			return 0, &platform.AppendError{Err: errOutage}
+			return 0, &services.AppendError{Err: errOutage}
 		}
 	}
 	offset, err := w.log.Append(ctx, stream, payload)
@@ -198,21 +198,21 @@
 	return g.p.expected[stream] - 1
 }
 
-func (g *gateLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (g *gateLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (services.Page, error) {
 	w := g.p.w
 	if !g.p.pass() {
-		return platform.Page{}, errOutage
+		return services.Page{}, errOutage
 	}
 	time.Sleep(time.Duration(w.intN(20_000)) * time.Microsecond)
 	if w.fails() {
-		return platform.Page{}, errOutage
+		return services.Page{}, errOutage
 	}
 	if w.variant == claimsLapse {
 		w.lapse(stream, g.p)
 	}
 	page, err := w.log.Read(ctx, stream, from, limit, wait)
 	if !g.p.pass() {
-		return platform.Page{}, errOutage
+		return services.Page{}, errOutage
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/claim/options.go
+++ b/claim/options.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // Liveness says what is known about the holder of a claim.
@@ -53,7 +53,7 @@
 
 // Options configure a Keeper. Durations and sizes that have a default use it when zero.
 type Options struct {
-	Log platform.Log
+	Log services.Log
 	// Pool is part of the scope of each key and of the stream names.
 	Pool string
 	// Instance and Incarnation identify the holder. An incarnation is never used twice.
--- a/claim/run.go
+++ b/claim/run.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/claim/claimpb"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"jacinthfork.example/jacinthfork/journal"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/kernel/journal"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -145,7 +145,7 @@
 }
 
 // absorb applies the records of a page that was read at from.
-func (s *stream) absorb(from uint64, page platform.Page) (bool, error) {
+func (s *stream) absorb(from uint64, page services.Page) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkPage(from, page); err != nil {
@@ -171,7 +171,7 @@
 	return more, nil
 }
 
-func (s *stream) checkPage(from uint64, page platform.Page) error {
+func (s *stream) checkPage(from uint64, page services.Page) error {
 	if s.fault != nil {
 		return s.fault
 	}
--- a/claim/unresolved.go
+++ b/claim/unresolved.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 
 	"jacinthfork.example/jacinthfork/claim/claimpb"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -85,7 +85,7 @@
 
 // add applies one record. Expired records are skipped, because the keys that remain are still of
 // use to an operator.
-func (sc *scanner) add(r platform.Record) error {
+func (sc *scanner) add(r services.Record) error {
 	entries, err := decode(r.Payload)
 	if err != nil {
 		return err
--- a/cmd/jacinthfork/explain.go
+++ b/cmd/jacinthfork/explain.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/integrii/flaggy"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 )
 
 // explainCommand is "jacinthfork explain".
--- a/cmd/jacinthfork/fleet_test.go
+++ b/cmd/jacinthfork/fleet_test.go
@@ -16,7 +16,7 @@
 	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/demo"
 	"jacinthfork.example/jacinthfork/internal/daemon"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin/service"
 )
 
@@ -140,7 +140,7 @@
 func TestWaitNamesMissingNodes(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 0)
-	w.fleet.List.Register(platform.Instance{ID: "gone-1", Role: platform.RoleRouter, OperatorAddress: "127.0.0.1:1", Region: "bq", FailureDomain: "bq-a"})
+	w.fleet.List.Register(services.Instance{ID: "gone-1", Role: services.RoleRouter, OperatorAddress: "127.0.0.1:1", Region: "bq", FailureDomain: "bq-a"})
 	code, text := w.do("publish", writeFile(t, "record.json", organisationRecord(0, 2)), "--wait", "--timeout", "3s")
 	is.Equal(code, daemon.ExitFailure)
 	is.True(strings.Contains(text, "gone-1"))
--- a/cmd/jacinthfork/nodes.go
+++ b/cmd/jacinthfork/nodes.go
@@ -11,7 +11,7 @@
 	"slices"
 	"sync"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 const (
@@ -23,13 +23,13 @@
 
 // answer is what one node said.
 type answer[T any] struct {
-	node  platform.Instance
+	node  services.Instance
 	value T
 	err   error
 }
 
 // readAll reads a page of every node as JSON. The answers are ordered by instance ID.
-func readAll[T any](ctx context.Context, o *operator, nodes []platform.Instance, page string) []answer[T] {
+func readAll[T any](ctx context.Context, o *operator, nodes []services.Instance, page string) []answer[T] {
 	answers := make([]answer[T], len(nodes))
 	slots := make(chan struct{}, maxParallel)
 	var work sync.WaitGroup
@@ -46,7 +46,7 @@
 	return answers
 }
 
-func (o *operator) read(ctx context.Context, node platform.Instance, page string, into any) error {
+func (o *operator) read(ctx context.Context, node services.Instance, page string, into any) error {
 	if node.OperatorAddress == "" {
 		return errors.New("the instance list has no operators' address for it")
 	}
--- a/cmd/jacinthfork/operator.go
+++ b/cmd/jacinthfork/operator.go
@@ -11,7 +11,7 @@
 	"github.com/integrii/flaggy"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/sidecar"
 )
 
@@ -34,8 +34,8 @@
 // operator is the connection of a subcommand to the platform.
 type operator struct {
 	settings  operatorSettings
-	log       platform.Log
-	instances platform.InstanceList
+	log       services.Log
+	instances services.InstanceList
 }
 
 // settingsFlag is the flag that names the settings file.
@@ -63,8 +63,8 @@
 
 func (o *operator) load(ctx *kernel.Context) error {
 	var logErr, listErr error
-	o.log, logErr = kernel.Choose[platform.Log](ctx, kernel.KindLog, o.settings.Log)
-	o.instances, listErr = kernel.Choose[platform.InstanceList](ctx, kernel.KindInstances, o.settings.Instances)
+	o.log, logErr = kernel.Choose[services.Log](ctx, kernel.KindLog, o.settings.Log)
+	o.instances, listErr = kernel.Choose[services.InstanceList](ctx, kernel.KindInstances, o.settings.Instances)
 	return errors.Join(logErr, listErr)
 }
 
@@ -79,12 +79,12 @@
 }
 
 // nodes returns the instances of the list, those of one role unless it is empty.
-func (o *operator) nodes(ctx context.Context, role platform.Role) ([]platform.Instance, error) {
+func (o *operator) nodes(ctx context.Context, role services.Role) ([]services.Instance, error) {
 	all, err := o.instances.List(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var nodes []platform.Instance
+	var nodes []services.Instance
 	for _, instance := range all {
 		if role == "" || instance.Role == role {
 			nodes = append(nodes, instance)
@@ -96,7 +96,7 @@
 	return nodes, nil
 }
 
-func roleName(role platform.Role) string {
+func roleName(role services.Role) string {
 	if role == "" {
 		return "instance"
 	}
--- a/cmd/jacinthfork/publish.go
+++ b/cmd/jacinthfork/publish.go
@@ -10,7 +10,7 @@
 	"google.golang.org/grpc"
 	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/internal/transport"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -94,7 +94,7 @@
 }
 
 func (o *operator) importState(ctx context.Context, publisher *config.Publisher) error {
-	nodes, err := o.nodes(ctx, platform.RoleSidecar)
+	nodes, err := o.nodes(ctx, services.RoleSidecar)
 	if err != nil {
 		return err
 	}
--- a/cmd/jacinthfork/report.go
+++ b/cmd/jacinthfork/report.go
@@ -9,7 +9,7 @@
 
 	"github.com/integrii/flaggy"
 	"jacinthfork.example/jacinthfork/burn"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // reportCommand is "jacinthfork report burn".
@@ -60,7 +60,7 @@
 }
 
 func (o *operator) burnReport(ctx context.Context) (*burn.Report, error) {
-	nodes, err := o.nodes(ctx, platform.RoleRouter)
+	nodes, err := o.nodes(ctx, services.RoleRouter)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/jacinthfork/settle.go
+++ b/cmd/jacinthfork/settle.go
@@ -10,7 +10,7 @@
 	"github.com/integrii/flaggy"
 	"jacinthfork.example/jacinthfork/claim"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -143,9 +143,9 @@
 	if err != nil {
 		return nil, err
 	}
-	var nodes []platform.Instance
+	var nodes []services.Instance
 	for _, instance := range all {
-		if instance.Role == platform.RoleSidecar && instance.Pool == pool {
+		if instance.Role == services.RoleSidecar && instance.Pool == pool {
 			nodes = append(nodes, instance)
 		}
 	}
--- a/cmd/jacinthfork/status.go
+++ b/cmd/jacinthfork/status.go
@@ -10,7 +10,7 @@
 
 	"github.com/integrii/flaggy"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // statusCommand is "jacinthfork status".
@@ -65,7 +65,7 @@
 // nodeStatus is one node. Status is zero when Fault is set.
 type nodeStatus struct {
 	ID     string        `json:"id"`
-	Role   platform.Role `json:"role"`
+	Role   services.Role `json:"role"`
 	Behind bool          `json:"behind"`
 	Fault  string        `json:"fault,omitempty"`
 	Status kernel.Status `json:"status"`
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // targetOrganisations is the target size of the design.
@@ -16,12 +16,12 @@
 
 func fullStore() *Store {
 	s := newTestStore()
-	page := platform.Page{Next: targetOrganisations + 1}
-	page.Records = append(page.Records, platform.Record{})
+	page := services.Page{Next: targetOrganisations + 1}
+	page.Records = append(page.Records, services.Record{})
 	for i := range targetOrganisations {
 		key := Key{KindOrganisation, fmt.Sprintf("organisation-%05d", i), 1}
 		record := setRecord(key, 0, fmt.Sprintf("nonce-%030d", i), `{"requests_per_second":20,"tokens_in_flight":100000}`)
-		page.Records = append(page.Records, platform.Record{Offset: uint64(i) + 1, Time: time.Now(), Payload: encode(record)})
+		page.Records = append(page.Records, services.Record{Offset: uint64(i) + 1, Time: time.Now(), Payload: encode(record)})
 	}
 	s.ApplyPage(page)
 	return s
@@ -54,10 +54,10 @@
 	key := Key{KindOrganisation, "organisation-00007", 1}
 	for b.Loop() {
 		base := s.state.objects[key].Revision
-		record := platform.Record{
+		record := services.Record{
 			Offset: s.state.asOf, Time: time.Now(), Payload: encode(setRecord(key, base, "n", `{"weight":2}`)),
 		}
-		s.ApplyPage(platform.Page{Records: []platform.Record{record}, Next: record.Offset + 1})
+		s.ApplyPage(services.Page{Records: []services.Record{record}, Next: record.Offset + 1})
 	}
 }
 
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -10,16 +10,16 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
 // fakeLog is a log service whose records expire, whose answers get lost and which has outages.
 type fakeLog struct {
 	mu       sync.Mutex
-	records  []platform.Record
+	records  []services.Record
 	earliest uint64
 	down     bool
 	// lose makes the answers of so many appends get lost after the record was stored.
@@ -38,40 +38,40 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, &platform.AppendError{Err: errDown}
+		return 0, &services.AppendError{Err: errDown}
 	}
 	l.appends++
 	offset := uint64(len(l.records))
-	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now().Add(-l.behind), Payload: payload})
+	l.records = append(l.records, services.Record{Offset: offset, Time: time.Now().Add(-l.behind), Payload: payload})
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if l.lose > 0 {
 		l.lose--
-		return 0, &platform.AppendError{MayBeStored: true, Err: errDown}
+		return 0, &services.AppendError{MayBeStored: true, Err: errDown}
 	}
 	return offset, nil
 }
 
-func (l *fakeLog) page(from uint64, limit int) (platform.Page, chan struct{}, error) {
+func (l *fakeLog) page(from uint64, limit int) (services.Page, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Page{}, nil, errDown
+		return services.Page{}, nil, errDown
 	}
 	next := uint64(len(l.records))
 	from = min(max(from, l.earliest), next)
 	end := min(from+uint64(limit), next)
-	return platform.Page{Records: l.records[from:end:end], Earliest: l.earliest, Next: next}, l.grown, nil
+	return services.Page{Records: l.records[from:end:end], Earliest: l.earliest, Next: next}, l.grown, nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (services.Page, error) {
 	page, grown, err := l.page(from, limit)
 	if err != nil || len(page.Records) > 0 || wait == 0 {
 		return page, err
 	}
 	select {
 	case <-ctx.Done():
-		return platform.Page{}, ctx.Err()
+		return services.Page{}, ctx.Err()
 	case <-time.After(wait):
 	case <-grown:
 	}
--- a/config/follower.go
+++ b/config/follower.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 const (
@@ -31,7 +31,7 @@
 // Follower keeps a store up to date with the log stream and restates records before they expire.
 type Follower struct {
 	store    *Store
-	platform platform.Log
+	platform services.Log
 	schedule schedule
 	log      *slog.Logger
 	counters *kernel.Counters
@@ -45,7 +45,7 @@
 
 // NewFollower returns a follower of the stream for one node. retention is the time that the log is
 // sure to keep a record.
-func NewFollower(store *Store, pl platform.Log, node string, retention time.Duration) *Follower {
+func NewFollower(store *Store, pl services.Log, node string, retention time.Duration) *Follower {
 	return &Follower{
 		store: store, platform: pl, schedule: schedule{retention, node},
 		log: store.log, counters: store.counters,
@@ -81,7 +81,7 @@
 
 // CatchUp reads the stream to its end, so that the store's view is not older than the call. An error
 // means that the view may be old.
-func CatchUp(ctx context.Context, pl platform.Log, store *Store) error {
+func CatchUp(ctx context.Context, pl services.Log, store *Store) error {
 	for {
 		from := store.asOf()
 		page, err := pl.Read(ctx, Stream, from, readLimit, 0)
--- a/config/kinds_test.go
+++ b/config/kinds_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // A body that an operator mistyped must be refused with the key that is wrong.
@@ -54,12 +54,12 @@
 	apply := func(schema uint32, base uint64, body string) uint64 {
 		offset++
 		record := setRecord(Key{KindPool, "p", schema}, base, "", body)
-		store.ApplyPage(platform.Page{
-			Records: []platform.Record{{Offset: offset, Time: time.Now(), Payload: encode(record)}}, Next: offset + 1,
+		store.ApplyPage(services.Page{
+			Records: []services.Record{{Offset: offset, Time: time.Now(), Payload: encode(record)}}, Next: offset + 1,
 		})
 		return offset
 	}
-	store.ApplyPage(platform.Page{Records: []platform.Record{{Payload: []byte{}}}, Next: 1})
+	store.ApplyPage(services.Page{Records: []services.Record{{Payload: []byte{}}}, Next: 1})
 	v1 := apply(1, 0, `{"workload":"service","load_bound":2}`)
 	v2 := apply(2, 0, `{"workload":"service","load_bound":3,"engines_check_fencing":true}`)
 	apply(9, 0, `{"new":true}`)
--- a/config/property_test.go
+++ b/config/property_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"jacinthfork.example/jacinthfork/internal/proptest"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -218,8 +218,8 @@
 		f.arrive()
 	}
 	survivor := f.fresh()
-	all := func() platform.Page {
-		return platform.Page{Records: f.log.records, Next: uint64(len(f.log.records))}
+	all := func() services.Page {
+		return services.Page{Records: f.log.records, Next: uint64(len(f.log.records))}
 	}
 	survivor.ApplyPage(all())
 	if record, _ := survivor.state.restatement(schedule{retention: time.Hour}, farFuture); record != nil {
--- a/config/publish.go
+++ b/config/publish.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -56,7 +56,7 @@
 
 // Publisher appends changes to the stream. It reads the stream itself to learn their outcome.
 type Publisher struct {
-	platform platform.Log
+	platform services.Log
 
 	mu    sync.Mutex
 	state *state
@@ -65,7 +65,7 @@
 }
 
 // NewPublisher returns a publisher with an empty state.
-func NewPublisher(pl platform.Log) *Publisher {
+func NewPublisher(pl services.Log) *Publisher {
 	p := &Publisher{platform: pl, state: newState(), accepted: make(map[string]uint64)}
 	p.state.decided = func(d Decision) {
 		if d.Outcome == Accepted && d.Nonce != "" {
@@ -120,7 +120,7 @@
 	mayBeStored := false
 	for {
 		offset, err := p.platform.Append(ctx, Stream, payload)
-		mayBeStored = mayBeStored || platform.MayBeStored(err)
+		mayBeStored = mayBeStored || services.MayBeStored(err)
 		switch {
 		case err == nil:
 			mayBeStored = true
@@ -167,7 +167,7 @@
 		return nil
 	}
 	_, err := p.platform.Append(ctx, Stream, encode(&wire.ConfigRecord{}))
-	if err != nil && !platform.MayBeStored(err) {
+	if err != nil && !services.MayBeStored(err) {
 		return err
 	}
 	return nil
--- a/config/state.go
+++ b/config/state.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -87,7 +87,7 @@
 }
 
 // applyPage applies the result of one read.
-func (s *state) applyPage(page platform.Page) {
+func (s *state) applyPage(page services.Page) {
 	if page.Earliest > s.asOf {
 		s.lose(page.Earliest)
 	}
@@ -108,7 +108,7 @@
 }
 
 // apply applies one record. A record that was applied before has no effect.
-func (s *state) apply(record platform.Record) {
+func (s *state) apply(record services.Record) {
 	if record.Offset < s.asOf {
 		return
 	}
@@ -215,7 +215,7 @@
 
 // restate takes the objects of a restatement. One that describes a prefix below floor is of no use,
 // because changes between that prefix and floor may be missing.
-func (s *state) restate(record platform.Record, message *wire.ConfigRecord) {
+func (s *state) restate(record services.Record, message *wire.ConfigRecord) {
 	asOf := message.GetAsOf()
 	if asOf > record.Offset {
 		s.fault(record.Offset, "restatement is ahead of its own offset")
@@ -268,7 +268,7 @@
 
 // takeCensus makes the state complete if all restatements that the census counts were seen: an
 // object that they do not name did not exist at the census's as-of offset.
-func (s *state) takeCensus(record platform.Record, message *wire.ConfigRecord) {
+func (s *state) takeCensus(record services.Record, message *wire.ConfigRecord) {
 	asOf, from := message.GetAsOf(), message.GetRestatedFrom()
 	if asOf > record.Offset || from > asOf {
 		s.fault(record.Offset, "census is ahead of its own offset")
--- a/config/store.go
+++ b/config/store.go
@@ -10,9 +10,9 @@
 	"sync"
 	"sync/atomic"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -93,7 +93,7 @@
 }
 
 // ApplyPage applies the result of one read of the stream.
-func (s *Store) ApplyPage(page platform.Page) {
+func (s *Store) ApplyPage(page services.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.applyPage(page)
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -10,7 +10,7 @@
 	"jacinthfork.example/jacinthfork/internal/daemon"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/router"
 	"jacinthfork.example/jacinthfork/sidecar"
 	"jacinthfork.example/jacinthfork/standin/engine"
@@ -177,8 +177,8 @@
 	}
 	f.Sidecars = append(f.Sidecars, side)
 	f.closers = append(f.closers, side.Close)
-	f.List.Register(platform.Instance{
-		ID: id, Role: platform.RoleSidecar, Pool: pool, Address: side.Address(),
+	f.List.Register(services.Instance{
+		ID: id, Role: services.RoleSidecar, Pool: pool, Address: side.Address(),
 		OperatorAddress: side.OperatorAddress(), FailureDomain: s.FailureDomain, Region: region,
 	})
 	return nil
@@ -205,8 +205,8 @@
 	}
 	f.Routers = append(f.Routers, r)
 	f.closers = append(f.closers, r.Close)
-	f.List.Register(platform.Instance{
-		ID: s.Instance, Role: platform.RoleRouter, OperatorAddress: r.OperatorAddress(),
+	f.List.Register(services.Instance{
+		ID: s.Instance, Role: services.RoleRouter, OperatorAddress: r.OperatorAddress(),
 		FailureDomain: s.FailureDomain, Region: region,
 	})
 	return nil
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/BurntSushi/toml"
 
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin/instances"
 )
 
@@ -140,8 +140,8 @@
 	}
 	b.Sidecar = f.start(SidecarProgram, id, operators, table)
 	f.Backends = append(f.Backends, b)
-	f.register(platform.Instance{
-		ID: id, Role: platform.RoleSidecar, Pool: pool.Name, Address: b.FromFleet.Address(),
+	f.register(services.Instance{
+		ID: id, Role: services.RoleSidecar, Pool: pool.Name, Address: b.FromFleet.Address(),
 		OperatorAddress: operators, FailureDomain: table["failure_domain"].(string), Region: region,
 	})
 	return b
@@ -178,8 +178,8 @@
 	}
 	r.Process = f.start(RouterProgram, id, operators, table)
 	f.Routers = append(f.Routers, r)
-	f.register(platform.Instance{
-		ID: id, Role: platform.RoleRouter, OperatorAddress: operators,
+	f.register(services.Instance{
+		ID: id, Role: services.RoleRouter, OperatorAddress: operators,
 		FailureDomain: table["failure_domain"].(string), Region: region,
 	})
 	return r
@@ -212,7 +212,7 @@
 	})
 }
 
-func (f *Fleet) register(instance platform.Instance) {
+func (f *Fleet) register(instance services.Instance) {
 	f.t.Helper()
 	body, err := json.Marshal(instance)
 	if err != nil {
--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	_ "jacinthfork.example/jacinthfork/plugin/log/httplog"
 	"jacinthfork.example/jacinthfork/standin/logservice"
 )
@@ -24,10 +24,10 @@
 // longEnough is a bound that only a hanging test reaches.
 const longEnough = time.Minute
 
-func httplog(t *testing.T, address string) platform.Log {
+func httplog(t *testing.T, address string) services.Log {
 	t.Helper()
 	ctx := kernel.NewContext("test", kernel.NewLogger(io.Discard, slog.LevelInfo, "test"))
-	log, err := kernel.Load[platform.Log](ctx, kernel.KindLog, "httplog",
+	log, err := kernel.Load[services.Log](ctx, kernel.KindLog, "httplog",
 		settings.Table{"url": "http://" + address, "append_timeout": "1m"})
 	if err != nil {
 		t.Fatal(err)
@@ -74,7 +74,7 @@
 	s := StartStandin(t, "log", `max_record_bytes = 4`)
 	log := httplog(t, s.Address)
 	_, err := log.Append(t.Context(), "a", []byte("large"))
-	is.True(err != nil && !platform.MayBeStored(err))
+	is.True(err != nil && !services.MayBeStored(err))
 	offset, err := log.Append(t.Context(), "a", []byte("1"))
 	is.NoErr(err)
 	is.Equal(offset, uint64(0))
@@ -98,7 +98,7 @@
 	s.Pause()
 	sent := relay.Bytes(ToTarget)
 	err = giveUp(t, log, "2", func() { waitFor(t, func() bool { return relay.Bytes(ToTarget) > sent }) })
-	is.True(platform.MayBeStored(err))
+	is.True(services.MayBeStored(err))
 	is.Equal(relay.Connections(), 1)
 	_, err = s.Wait(0)
 	is.True(errors.Is(err, ErrStillRunning))
@@ -108,7 +108,7 @@
 }
 
 // giveUp appends and cancels the append once until returns. It returns the error of the append.
-func giveUp(t *testing.T, log platform.Log, payload string, until func()) error {
+func giveUp(t *testing.T, log services.Log, payload string, until func()) error {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -119,7 +119,7 @@
 }
 
 // start appends in the background.
-func start(ctx context.Context, log platform.Log, payload string) <-chan error {
+func start(ctx context.Context, log services.Log, payload string) <-chan error {
 	result := make(chan error, 1)
 	go func() {
 		_, err := log.Append(ctx, "a", []byte(payload))
@@ -140,16 +140,16 @@
 
 	relay.Stall(FromTarget)
 	err = giveUp(t, log, "2", func() { s.waitStored(2) })
-	is.True(platform.MayBeStored(err))
+	is.True(services.MayBeStored(err))
 	cut := start(t.Context(), log, "3")
 	s.waitStored(3)
 	relay.Cut()
-	is.True(platform.MayBeStored(<-cut))
+	is.True(services.MayBeStored(<-cut))
 
 	relay.Unstall(FromTarget)
 	relay.Refuse()
 	_, err = httplog(t, relay.Address()).Append(t.Context(), "a", []byte("4"))
-	is.True(err != nil && !platform.MayBeStored(err))
+	is.True(err != nil && !services.MayBeStored(err))
 	relay.Accept()
 	offset, err := httplog(t, relay.Address()).Append(t.Context(), "a", []byte("5"))
 	is.NoErr(err)
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // Rules are the times by which evidence is weighed.
@@ -33,7 +33,7 @@
 
 // evidence is all that is known of one instance.
 type evidence struct {
-	instance platform.Instance
+	instance services.Instance
 
 	listed       bool
 	listedSince  time.Time
@@ -106,7 +106,7 @@
 }
 
 // list takes the instance's entry of the list, or nil when the list does not have it.
-func (e *evidence) list(entry *platform.Instance, now time.Time) {
+func (e *evidence) list(entry *services.Instance, now time.Time) {
 	if entry == nil {
 		if e.listed {
 			e.listed, e.missingSince = false, now
--- a/membership/loopback_test.go
+++ b/membership/loopback_test.go
@@ -16,9 +16,9 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/traffic"
 	"jacinthfork.example/jacinthfork/wire"
 )
@@ -248,11 +248,11 @@
 	meter := traffic.NewMeter(counters)
 	id := Identity{Instance: fmt.Sprint("router-", i), FailureDomain: fmt.Sprintf("bq-%d", i%3), Region: "bq"}
 	watcher := NewWatcher(view, controlDial(meter), config.NewContact(ctx, store), noSuspects{}, id, counters)
-	view.SetList([]platform.Instance{{
-		ID: first.pool.self.Instance, Role: platform.RoleSidecar, Pool: "limon-llm",
+	view.SetList([]services.Instance{{
+		ID: first.pool.self.Instance, Role: services.RoleSidecar, Pool: "limon-llm",
 		Address: first.address, FailureDomain: first.pool.self.FailureDomain, Region: "bq",
 	}})
-	go view.Run(ctx, listFunc(func() []platform.Instance { <-ctx.Done(); return nil }), time.Hour)
+	go view.Run(ctx, listFunc(func() []services.Instance { <-ctx.Done(); return nil }), time.Hour)
 	go watcher.Run(ctx)
 	return view, store, meter
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
@@ -38,7 +38,7 @@
 
 // Run reads the instance list at the given interval and keeps the snapshots up to date until ctx
 // ends. It needs one goroutine; reading the list takes another one.
-func (v *View) Run(ctx context.Context, list platform.InstanceList, interval time.Duration) {
+func (v *View) Run(ctx context.Context, list services.InstanceList, interval time.Duration) {
 	go v.follow(ctx, list, interval)
 	for ctx.Err() == nil {
 		timer := time.NewTimer(v.untilDue())
@@ -53,7 +53,7 @@
 }
 
 // follow reads the list. A failed read leaves the previous list in place.
-func (v *View) follow(ctx context.Context, list platform.InstanceList, interval time.Duration) {
+func (v *View) follow(ctx context.Context, list services.InstanceList, interval time.Duration) {
 	for ctx.Err() == nil {
 		instances, err := list.List(ctx)
 		if err == nil {
@@ -69,11 +69,11 @@
 }
 
 // SetList takes a whole instance list.
-func (v *View) SetList(instances []platform.Instance) {
+func (v *View) SetList(instances []services.Instance) {
 	v.update(func(now time.Time) {
-		listed := make(map[string]*platform.Instance, len(instances))
+		listed := make(map[string]*services.Instance, len(instances))
 		for i := range instances {
-			if instances[i].Role == platform.RoleSidecar {
+			if instances[i].Role == services.RoleSidecar {
 				listed[instances[i].ID] = &instances[i]
 				v.get(instances[i].ID, now)
 			}
@@ -155,8 +155,8 @@
 		e = v.get(m.GetInstance(), now)
 	}
 	if !e.listed {
-		e.instance = platform.Instance{
-			ID: m.GetInstance(), Role: platform.RoleSidecar, Pool: pool, Address: m.GetAddress(),
+		e.instance = services.Instance{
+			ID: m.GetInstance(), Role: services.RoleSidecar, Pool: pool, Address: m.GetAddress(),
 			FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(),
 		}
 	}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -11,22 +11,22 @@
 	"pgregory.net/rapid"
 
 	"jacinthfork.example/jacinthfork/internal/proptest"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
 // listFunc is an instance list that does not change.
-type listFunc func() []platform.Instance
+type listFunc func() []services.Instance
 
-func (f listFunc) List(context.Context) ([]platform.Instance, error) { return f(), nil }
+func (f listFunc) List(context.Context) ([]services.Instance, error) { return f(), nil }
 
-func listed(ids ...string) []platform.Instance {
-	var out []platform.Instance
+func listed(ids ...string) []services.Instance {
+	var out []services.Instance
 	for _, id := range ids {
-		out = append(out, platform.Instance{
-			ID: id, Role: platform.RoleSidecar, Pool: "scribe", Address: "127.0.0.1:1",
+		out = append(out, services.Instance{
+			ID: id, Role: services.RoleSidecar, Pool: "scribe", Address: "127.0.0.1:1",
 			FailureDomain: "gondar-1", Region: "gondar",
 		})
 	}
@@ -37,7 +37,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		v := NewView(DefaultRules, journal.New(100), kernel.NewCounters())
 		ctx, cancel := context.WithCancel(t.Context())
-		go v.Run(ctx, listFunc(func() []platform.Instance { <-ctx.Done(); return nil }), time.Hour)
+		go v.Run(ctx, listFunc(func() []services.Instance { <-ctx.Done(); return nil }), time.Hour)
 		body(is.New(t), v)
 		cancel()
 		synctest.Wait()
--- a/order/order.go
+++ b/order/order.go
@@ -20,9 +20,9 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // Order tells an engine what to run.
@@ -78,7 +78,7 @@
 
 // LogSource is the source of a sidecar.
 type LogSource struct {
-	Log   platform.Log
+	Log   services.Log
 	Store *config.Store
 	Pool  string
 	// MaxSchema is the highest schema version that the settings allow.
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
 )
 
--- a/plugin/instances/httplist/httplist.go
+++ b/plugin/instances/httplist/httplist.go
@@ -15,7 +15,7 @@
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/plugin/instances/internal/entry"
 	"jacinthfork.example/jacinthfork/plugin/internal/platformhttp"
 )
@@ -35,7 +35,7 @@
 	// list is some 200 KB.
 	mu    sync.Mutex
 	tag   string
-	known []platform.Instance
+	known []services.Instance
 
 	client   *http.Client
 	reader   string
@@ -43,7 +43,7 @@
 	invalid  *expvar.Int
 }
 
-var _ platform.InstanceList = (*List)(nil)
+var _ services.InstanceList = (*List)(nil)
 
 // New returns the adapter with its default settings; URL is left to be set.
 func New() *List { return &List{Timeout: 2 * time.Second} }
@@ -65,17 +65,17 @@
 
 type listAnswer struct {
 	// Instances is a pointer, so that an answer of another kind is not taken for an empty list.
-	Instances *[]platform.Instance `json:"instances"`
+	Instances *[]services.Instance `json:"instances"`
 }
 
-// List implements platform.InstanceList. Invalid entries and repeated IDs are left out and counted.
-func (l *List) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements services.InstanceList. Invalid entries and repeated IDs are left out and counted.
+func (l *List) List(ctx context.Context) ([]services.Instance, error) {
 	all, err := l.read(ctx)
 	if err != nil {
 		l.failures.Add(1)
 		return nil, fmt.Errorf("instance list: %w", err)
 	}
-	valid := make([]platform.Instance, 0, len(all))
+	valid := make([]services.Instance, 0, len(all))
 	known := make(map[string]bool, len(all))
 	for _, instance := range all {
 		if entry.Check(instance) != nil || known[instance.ID] {
@@ -88,7 +88,7 @@
 	return valid, nil
 }
 
-func (l *List) read(ctx context.Context) ([]platform.Instance, error) {
+func (l *List) read(ctx context.Context) ([]services.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 	defer cancel()
 	query := url.Values{"reader": {l.reader}}
@@ -117,13 +117,13 @@
 }
 
 // last returns the newest list with its entity tag, which is empty when the service gives none.
-func (l *List) last() (string, []platform.Instance) {
+func (l *List) last() (string, []services.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.tag, l.known
 }
 
-func (l *List) keep(tag string, list []platform.Instance) {
+func (l *List) keep(tag string, list []services.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tag, l.known = tag, list
--- a/plugin/instances/httplist/httplist_test.go
+++ b/plugin/instances/httplist/httplist_test.go
@@ -11,13 +11,13 @@
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin/instances"
 )
 
-func load(t *testing.T, ctx *kernel.Context, url string) platform.InstanceList {
+func load(t *testing.T, ctx *kernel.Context, url string) services.InstanceList {
 	t.Helper()
-	list, err := kernel.Load[platform.InstanceList](ctx, kernel.KindInstances, "httplist", settings.Table{"url": url})
+	list, err := kernel.Load[services.InstanceList](ctx, kernel.KindInstances, "httplist", settings.Table{"url": url})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,19 +34,19 @@
 	source := instances.New(instances.Settings{ReaderLag: map[string]time.Duration{"n2": time.Hour}})
 	is.NoErr(source.Start("127.0.0.1:0"))
 	defer source.Close()
-	good := platform.Instance{ID: "s1", Role: platform.RoleSidecar, Pool: "scribe", Address: "127.0.0.2:70", Leaving: true}
+	good := services.Instance{ID: "s1", Role: services.RoleSidecar, Pool: "scribe", Address: "127.0.0.2:70", Leaving: true}
 	source.Register(good)
-	for _, bad := range []platform.Instance{
-		{ID: "s2", Role: platform.RoleSidecar, Pool: "scribe"},
+	for _, bad := range []services.Instance{
+		{ID: "s2", Role: services.RoleSidecar, Pool: "scribe"},
 		{ID: "s3", Role: "boss"},
-		{ID: "s4", Role: platform.RoleRouter, OperatorAddress: "name:80"},
+		{ID: "s4", Role: services.RoleRouter, OperatorAddress: "name:80"},
 	} {
 		source.Register(bad)
 	}
 	ctx := testContext()
 	got, err := load(t, ctx, source.URL()).List(t.Context())
 	is.NoErr(err)
-	is.Equal(got, []platform.Instance{good})
+	is.Equal(got, []services.Instance{good})
 	is.Equal(ctx.Counters.Int("instance_list_invalid_entries").Value(), int64(3))
 
 	other := testContext()
--- a/plugin/instances/internal/entry/entry.go
+++ b/plugin/instances/internal/entry/entry.go
@@ -6,17 +6,17 @@
 	"fmt"
 	"net/netip"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // Check returns what makes an entry unusable, or nil.
-func Check(i platform.Instance) error {
+func Check(i services.Instance) error {
 	if i.ID == "" {
 		return errors.New("id is empty")
 	}
 	switch i.Role {
-	case platform.RoleRouter:
-	case platform.RoleSidecar:
+	case services.RoleRouter:
+	case services.RoleSidecar:
 		if i.Pool == "" {
 			return fmt.Errorf("instance %q: a sidecar needs a pool", i.ID)
 		}
--- a/plugin/instances/static/static.go
+++ b/plugin/instances/static/static.go
@@ -10,7 +10,7 @@
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/plugin/instances/internal/entry"
 )
 
@@ -34,10 +34,10 @@
 type List struct {
 	Entries []Entry `toml:"instance" required:"true"`
 
-	instances []platform.Instance
+	instances []services.Instance
 }
 
-var _ platform.InstanceList = (*List)(nil)
+var _ services.InstanceList = (*List)(nil)
 
 // Provision implements kernel.Provisioner.
 func (l *List) Provision(*kernel.Context) error {
@@ -61,15 +61,15 @@
 	return errors.Join(faults...)
 }
 
-// List implements platform.InstanceList. It never fails.
-func (l *List) List(context.Context) ([]platform.Instance, error) {
+// List implements services.InstanceList. It never fails.
+func (l *List) List(context.Context) ([]services.Instance, error) {
 	return slices.Clone(l.instances), nil
 }
 
-func (e Entry) instance() platform.Instance {
-	return platform.Instance{
+func (e Entry) instance() services.Instance {
+	return services.Instance{
 		ID:              e.ID,
-		Role:            platform.Role(e.Role),
+		Role:            services.Role(e.Role),
 		Pool:            e.Pool,
 		Address:         string(e.Address),
 		OperatorAddress: string(e.OperatorAddress),
--- a/plugin/instances/static/static_test.go
+++ b/plugin/instances/static/static_test.go
@@ -9,10 +9,10 @@
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
-func load(text string) (platform.InstanceList, error) {
+func load(text string) (services.InstanceList, error) {
 	var file struct {
 		Static settings.Table `toml:"static"`
 	}
@@ -20,7 +20,7 @@
 		return nil, err
 	}
 	ctx := kernel.NewContext("n1", kernel.NewLogger(io.Discard, slog.LevelInfo, "n1"))
-	return kernel.Load[platform.InstanceList](ctx, kernel.KindInstances, "static", file.Static)
+	return kernel.Load[services.InstanceList](ctx, kernel.KindInstances, "static", file.Static)
 }
 
 const good = `
@@ -39,8 +39,8 @@
 	is.NoErr(err)
 	got, err := list.List(t.Context())
 	is.NoErr(err)
-	is.Equal(got, []platform.Instance{{
-		ID: "s1", Role: platform.RoleSidecar, Pool: "ledger", Address: "127.0.0.2:70", FailureDomain: "a", Region: "gondar",
+	is.Equal(got, []services.Instance{{
+		ID: "s1", Role: services.RoleSidecar, Pool: "ledger", Address: "127.0.0.2:70", FailureDomain: "a", Region: "gondar",
 	}})
 }
 
--- a/plugin/log/httplog/httplog.go
+++ b/plugin/log/httplog/httplog.go
@@ -20,7 +20,7 @@
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/plugin/internal/platformhttp"
 )
 
@@ -49,7 +49,7 @@
 	stored, notStored, unknown *expvar.Int
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ services.Log = (*Log)(nil)
 
 // New returns the adapter with its default settings; URL is left to be set.
 func New() *Log {
@@ -90,7 +90,7 @@
 	errNoOffset = errors.New("answer has no offset")
 )
 
-// Append implements platform.Log. Each failure is an *platform.AppendError.
+// Append implements services.Log. Each failure is an *services.AppendError.
 func (l *Log) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
 	offset, sent, err := l.append(ctx, stream, payload)
 	if err == nil {
@@ -103,7 +103,7 @@
 	} else {
 		l.appends.notStored.Add(1)
 	}
-	return 0, &platform.AppendError{MayBeStored: mayBeStored, Err: err}
+	return 0, &services.AppendError{MayBeStored: mayBeStored, Err: err}
 }
 
 // append reports in sent whether any byte may have reached the service.
@@ -168,20 +168,20 @@
 	Payload []byte    `json:"payload"`
 }
 
-// Read implements platform.Log. The wait is done by the service.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements services.Log. The wait is done by the service.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (services.Page, error) {
 	page, err := l.read(ctx, stream, from, limit, wait)
 	if err != nil {
 		l.failures.Add(1)
-		return platform.Page{}, fmt.Errorf("read %s from %d: %w", stream, from, err)
+		return services.Page{}, fmt.Errorf("read %s from %d: %w", stream, from, err)
 	}
 	return page, nil
 }
 
-func (l *Log) read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *Log) read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (services.Page, error) {
 	address, err := l.address(stream)
 	if err != nil {
-		return platform.Page{}, err
+		return services.Page{}, err
 	}
 	query := url.Values{
 		"from":  {strconv.FormatUint(from, 10)},
@@ -192,25 +192,25 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"?"+query.Encode(), nil)
 	if err != nil {
-		return platform.Page{}, err
+		return services.Page{}, err
 	}
 	var answer pageAnswer
 	if err := platformhttp.Do(l.client, request, http.StatusOK, &answer); err != nil {
-		return platform.Page{}, err
+		return services.Page{}, err
 	}
 	return answer.page(from)
 }
 
 // page checks what later code relies on: offsets in order, none below from, none at or above next.
-func (a pageAnswer) page(from uint64) (platform.Page, error) {
-	page := platform.Page{Earliest: a.Earliest, Next: a.Next}
+func (a pageAnswer) page(from uint64) (services.Page, error) {
+	page := services.Page{Earliest: a.Earliest, Next: a.Next}
 	lowest := max(from, a.Earliest)
 	for _, record := range a.Records {
 		if record.Offset < lowest || record.Offset >= a.Next {
-			return platform.Page{}, fmt.Errorf("offset %d is outside of %d to %d", record.Offset, lowest, a.Next)
+			return services.Page{}, fmt.Errorf("offset %d is outside of %d to %d", record.Offset, lowest, a.Next)
 		}
 		lowest = record.Offset + 1
-		page.Records = append(page.Records, platform.Record(record))
+		page.Records = append(page.Records, services.Record(record))
 	}
 	return page, nil
 }
--- a/plugin/log/httplog/httplog_test.go
+++ b/plugin/log/httplog/httplog_test.go
@@ -13,14 +13,14 @@
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin/logservice"
 )
 
 func adapter(t *testing.T, url string) *Log {
 	t.Helper()
 	ctx := kernel.NewContext("n1", kernel.NewLogger(io.Discard, slog.LevelInfo, "n1"))
-	log, err := kernel.Load[platform.Log](ctx, kernel.KindLog, "httplog",
+	log, err := kernel.Load[services.Log](ctx, kernel.KindLog, "httplog",
 		settings.Table{"url": url, "append_timeout": "1m"})
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +58,7 @@
 	is := is.New(t)
 	store := startStore(t, logservice.Settings{})
 	log := adapter(t, store.URL())
-	got := make(chan platform.Page, 1)
+	got := make(chan services.Page, 1)
 	go func() {
 		page, _ := log.Read(t.Context(), "config", 0, 10, time.Minute)
 		got <- page
@@ -96,7 +96,7 @@
 			}
 			_, err := adapter(t, store.URL()).Append(ctx, "s", []byte("record"))
 			is.True(err != nil)
-			is.Equal(platform.MayBeStored(err), c.want)
+			is.Equal(services.MayBeStored(err), c.want)
 		})
 	}
 }
@@ -133,7 +133,7 @@
 		}))
 		_, err := adapter(t, server.URL).Append(t.Context(), "s", nil)
 		is.True(err != nil)
-		is.Equal(platform.MayBeStored(err), c.want) // status and body of the case
+		is.Equal(services.MayBeStored(err), c.want) // status and body of the case
 		server.Close()
 	}
 }
@@ -156,7 +156,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := f()
-			if err == nil || platform.MayBeStored(err) {
+			if err == nil || services.MayBeStored(err) {
 				t.Fatalf("got %v", err)
 			}
 		})
--- a/router/explain.go
+++ b/router/explain.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
--- a/router/router.go
+++ b/router/router.go
@@ -13,11 +13,11 @@
 
 	"jacinthfork.example/jacinthfork/burn"
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/membership"
 	"jacinthfork.example/jacinthfork/placement"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/retry"
 	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/traffic"
@@ -43,8 +43,8 @@
 	incarnation uint64
 	sequence    atomic.Uint64
 
-	log         platform.Log
-	instances   platform.InstanceList
+	log         services.Log
+	instances   services.InstanceList
 	policies    map[string]placement.Policy
 	fallback    placement.Policy
 	keyring     *placement.Keyring
@@ -101,10 +101,10 @@
 
 // load builds the plug-ins that the settings name.
 func (r *Router) load(ctx *kernel.Context) (err error) {
-	if r.log, err = kernel.Choose[platform.Log](ctx, kernel.KindLog, r.settings.Log); err != nil {
+	if r.log, err = kernel.Choose[services.Log](ctx, kernel.KindLog, r.settings.Log); err != nil {
 		return err
 	}
-	if r.instances, err = kernel.Choose[platform.InstanceList](ctx, kernel.KindInstances, r.settings.Instances); err != nil {
+	if r.instances, err = kernel.Choose[services.InstanceList](ctx, kernel.KindInstances, r.settings.Instances); err != nil {
 		return err
 	}
 	if r.fallback, err = kernel.Choose[placement.Policy](ctx, kernel.KindPlacement, r.settings.Placement.Default); err != nil {
--- a/platform/platform.go
+++ b/services/services.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system needs from the platform: an append-only log service and
+// Package services defines what the system needs from the platform: an append-only log service and
 // a list of instances. Adapters in plugin/log and plugin/instances implement the interfaces;
 // stand-ins for tests live in standin.
-package platform
+package services
 
 import (
 	"context"
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"jacinthfork.example/jacinthfork/dialect"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/verdict"
 	"jacinthfork.example/jacinthfork/wire"
 )
--- a/sidecar/limits.go
+++ b/sidecar/limits.go
@@ -6,7 +6,7 @@
 
 	"jacinthfork.example/jacinthfork/admission"
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/wire"
 )
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -18,10 +18,10 @@
 	"jacinthfork.example/jacinthfork/config"
 	"jacinthfork.example/jacinthfork/dialect"
 	"jacinthfork.example/jacinthfork/internal/transport"
-	"jacinthfork.example/jacinthfork/journal"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/membership"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/traffic"
 	"jacinthfork.example/jacinthfork/wire"
@@ -40,8 +40,8 @@
 	incarnation uint64
 
 	dialect   dialect.Dialect
-	log       platform.Log
-	instances platform.InstanceList
+	log       services.Log
+	instances services.InstanceList
 
 	attempts *attempts
 	runs     *runTable
@@ -83,11 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
-	log, err := kernel.Choose[platform.Log](ctx, kernel.KindLog, s.Log)
+	log, err := kernel.Choose[services.Log](ctx, kernel.KindLog, s.Log)
 	if err != nil {
 		return nil, err
 	}
-	instances, err := kernel.Choose[platform.InstanceList](ctx, kernel.KindInstances, s.Instances)
+	instances, err := kernel.Choose[services.InstanceList](ctx, kernel.KindInstances, s.Instances)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/instances/list.go
+++ b/standin/instances/list.go
@@ -1,5 +1,5 @@
 // Package instances is a stand-in for the platform's instance list. A List implements
-// platform.InstanceList in memory, and its HTTP handler serves it to other processes. Changes become
+// services.InstanceList in memory, and its HTTP handler serves it to other processes. Changes become
 // visible after a settable lag, which can differ between readers.
 package instances
 
@@ -16,7 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin"
 )
 
@@ -57,21 +57,21 @@
 	mu       sync.Mutex
 	settings Settings
 	counters Counters
-	base     map[string]platform.Instance
+	base     map[string]services.Instance
 	changes  []change // newer than maxLag, oldest first
 }
 
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance services.Instance
 	removed  bool
 }
 
-var _ platform.InstanceList = (*List)(nil)
+var _ services.InstanceList = (*List)(nil)
 
 // New returns an empty list.
 func New(settings Settings) *List {
-	l := &List{settings: settings, base: make(map[string]platform.Instance)}
+	l := &List{settings: settings, base: make(map[string]services.Instance)}
 	l.counters.ReadsBy = make(map[string]int64)
 	l.Server.Handler = l.handler()
 	return l
@@ -101,7 +101,7 @@
 }
 
 // Register adds an instance or replaces the one of the same ID.
-func (l *List) Register(instance platform.Instance) {
+func (l *List) Register(instance services.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.add(change{instance: instance})
@@ -131,11 +131,11 @@
 	return ok
 }
 
-// List implements platform.InstanceList for a reader without a name.
-func (l *List) List(ctx context.Context) ([]platform.Instance, error) { return l.ListFor(ctx, "") }
+// List implements services.InstanceList for a reader without a name.
+func (l *List) List(ctx context.Context) ([]services.Instance, error) { return l.ListFor(ctx, "") }
 
 // ListFor returns the list as the named reader sees it.
-func (l *List) ListFor(ctx context.Context, reader string) ([]platform.Instance, error) {
+func (l *List) ListFor(ctx context.Context, reader string) ([]services.Instance, error) {
 	settings := l.Settings()
 	select {
 	case <-ctx.Done():
@@ -157,7 +157,7 @@
 }
 
 // Truth returns the list without lag.
-func (l *List) Truth() []platform.Instance {
+func (l *List) Truth() []services.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return sorted(l.state(time.Now()))
@@ -173,7 +173,7 @@
 	}
 }
 
-func (c change) apply(state map[string]platform.Instance) {
+func (c change) apply(state map[string]services.Instance) {
 	if c.removed {
 		delete(state, c.instance.ID)
 		return
@@ -182,8 +182,8 @@
 }
 
 // state returns the instances with all changes up to the given time. The caller holds mu.
-func (l *List) state(until time.Time) map[string]platform.Instance {
-	state := make(map[string]platform.Instance, len(l.base))
+func (l *List) state(until time.Time) map[string]services.Instance {
+	state := make(map[string]services.Instance, len(l.base))
 	for id, instance := range l.base {
 		state[id] = instance
 	}
@@ -196,8 +196,8 @@
 	return state
 }
 
-func sorted(state map[string]platform.Instance) []platform.Instance {
-	list := make([]platform.Instance, 0, len(state))
+func sorted(state map[string]services.Instance) []services.Instance {
+	list := make([]services.Instance, 0, len(state))
 	for _, instance := range state {
 		list = append(list, instance)
 	}
@@ -207,7 +207,7 @@
 
 // ListAnswer is the body of a read.
 type ListAnswer struct {
-	Instances []platform.Instance `json:"instances"`
+	Instances []services.Instance `json:"instances"`
 }
 
 func (l *List) handler() http.Handler {
@@ -247,14 +247,14 @@
 }
 
 // entityTag identifies the content of a list, so that a reader with the same one is not sent it again.
-func entityTag(list []platform.Instance) string {
+func entityTag(list []services.Instance) string {
 	digest := xxhash.New()
 	_ = json.NewEncoder(digest).Encode(list)
 	return fmt.Sprintf(`"%016x"`, digest.Sum64())
 }
 
 func (l *List) serveRegister(w http.ResponseWriter, r *http.Request) {
-	var instance platform.Instance
+	var instance services.Instance
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxInstanceBytes)).Decode(&instance)
 	if err == nil && instance.ID == "" {
 		err = errors.New("id is missing")
--- a/standin/instances/list_test.go
+++ b/standin/instances/list_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // Failure tests need readers that hold different lists at one time.
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := New(Settings{Lag: time.Second, ReaderLag: map[string]time.Duration{"slow": 5 * time.Second}})
-		l.Register(platform.Instance{ID: "a"})
+		l.Register(services.Instance{ID: "a"})
 		size := func(reader string) int {
 			list, err := l.ListFor(t.Context(), reader)
 			is.NoErr(err)
@@ -39,12 +39,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := New(Settings{})
-		l.Register(platform.Instance{ID: "a"})
+		l.Register(services.Instance{ID: "a"})
 		time.Sleep(2 * maxLag)
-		l.Register(platform.Instance{ID: "b"})
+		l.Register(services.Instance{ID: "b"})
 		is.Equal(len(l.changes), 1)
 		is.True(l.Leave("a"))
-		is.Equal(l.Truth(), []platform.Instance{{ID: "a", Leaving: true}, {ID: "b"}})
+		is.Equal(l.Truth(), []services.Instance{{ID: "a", Leaving: true}, {ID: "b"}})
 	})
 }
 
--- a/standin/logservice/http.go
+++ b/standin/logservice/http.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin"
 )
 
@@ -63,7 +63,7 @@
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		writeError(w, &platform.AppendError{Err: fmt.Errorf("%w: %w", ErrTooLarge, err)})
+		writeError(w, &services.AppendError{Err: fmt.Errorf("%w: %w", ErrTooLarge, err)})
 		return
 	}
 	offset, err := s.Append(r.Context(), r.PathValue("stream"), payload)
@@ -79,7 +79,7 @@
 	if errors.Is(err, ErrAnswerLost) {
 		standin.Abort()
 	}
-	var appendError *platform.AppendError
+	var appendError *services.AppendError
 	mayBeStored := errors.As(err, &appendError) && appendError.MayBeStored
 	standin.WriteJSON(w, statusOf(err), ErrorAnswer{Error: err.Error(), MayBeStored: mayBeStored})
 }
--- a/standin/logservice/read.go
+++ b/standin/logservice/read.go
@@ -5,17 +5,17 @@
 	"sort"
 	"time"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
-// Read implements platform.Log.
-func (s *Store) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements services.Log.
+func (s *Store) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (services.Page, error) {
 	s.mu.Lock()
 	s.counters.Reads++
 	delay := s.faults(name).ReadDelay
 	s.mu.Unlock()
 	if err := s.admit(ctx, name, delay); err != nil {
-		return platform.Page{}, err
+		return services.Page{}, err
 	}
 	deadline := time.Now().Add(wait)
 	for {
@@ -25,21 +25,21 @@
 			return page, nil
 		}
 		if err := waitFor(ctx, grown, left); err != nil {
-			return platform.Page{}, err
+			return services.Page{}, err
 		}
 		// An outage that began during the wait hits the waiting reads as well.
 		if err := s.admit(ctx, name, 0); err != nil {
-			return platform.Page{}, err
+			return services.Page{}, err
 		}
 	}
 }
 
-func (s *Store) page(name string, from uint64, limit int) (platform.Page, <-chan struct{}) {
+func (s *Store) page(name string, from uint64, limit int) (services.Page, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	s.expireOld(st)
-	page := platform.Page{Earliest: st.earliest(), Next: st.next}
+	page := services.Page{Earliest: st.earliest(), Next: st.next}
 	first := sort.Search(len(st.records), func(i int) bool { return st.records[i].Offset >= from })
 	last := min(len(st.records), first+max(0, limit))
 	page.Records = append(page.Records, st.records[first:last]...)
--- a/standin/logservice/store.go
+++ b/standin/logservice/store.go
@@ -1,5 +1,5 @@
 // Package logservice is a stand-in for the platform's append-only log service. A Store implements
-// platform.Log in memory, and its HTTP handler serves it to other processes. Faults are scripted by
+// services.Log in memory, and its HTTP handler serves it to other processes. Faults are scripted by
 // SetSettings or PUT /inspect/settings.
 package logservice
 
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin"
 )
 
@@ -41,12 +41,12 @@
 }
 
 type stream struct {
-	records []platform.Record
+	records []services.Record
 	next    uint64
 	grown   chan struct{} // closed by the next append
 }
 
-var _ platform.Log = (*Store)(nil)
+var _ services.Log = (*Store)(nil)
 
 // New returns an empty store.
 func New(settings Settings) *Store {
@@ -91,7 +91,7 @@
 	return s.counters
 }
 
-// Append implements platform.Log.
+// Append implements services.Log.
 func (s *Store) Append(ctx context.Context, name string, payload []byte) (uint64, error) {
 	s.mu.Lock()
 	s.counters.Appends++
@@ -105,17 +105,17 @@
 	defer s.mu.Unlock()
 	if err := s.overLimit(payload); err != nil {
 		s.counters.Refused++
-		return 0, &platform.AppendError{Err: err}
+		return 0, &services.AppendError{Err: err}
 	}
 	if s.inScope(name) && take(&s.settings.LateAppends) {
 		s.counters.Late++
 		time.AfterFunc(s.settings.LateBy, func() { s.storeLate(name, payload) })
-		return 0, &platform.AppendError{MayBeStored: true, Err: ErrAnswerLost}
+		return 0, &services.AppendError{MayBeStored: true, Err: ErrAnswerLost}
 	}
 	offset := s.store(name, payload)
 	if s.inScope(name) && take(&s.settings.LoseAnswers) {
 		s.counters.AnswersLost++
-		return 0, &platform.AppendError{MayBeStored: true, Err: ErrAnswerLost}
+		return 0, &services.AppendError{MayBeStored: true, Err: ErrAnswerLost}
 	}
 	return offset, nil
 }
@@ -124,7 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Refused++
-	return &platform.AppendError{MayBeStored: mayBeStored, Err: err}
+	return &services.AppendError{MayBeStored: mayBeStored, Err: err}
 }
 
 // admit waits for the scripted delay and applies the outage in force.
@@ -210,7 +210,7 @@
 
 func (s *Store) store(name string, payload []byte) uint64 {
 	st := s.stream(name)
-	record := platform.Record{Offset: st.next, Time: time.Now(), Payload: slices.Clone(payload)}
+	record := services.Record{Offset: st.next, Time: time.Now(), Payload: slices.Clone(payload)}
 	st.records = append(st.records, record)
 	st.next++
 	close(st.grown)
--- a/standin/logservice/store_test.go
+++ b/standin/logservice/store_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
-	"jacinthfork.example/jacinthfork/platform"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 // A fault that is scripted but does not act would make failure tests pass without a failure.
@@ -36,7 +36,7 @@
 				defer cancel()
 				_, err := s.Append(ctx, "a", []byte("record"))
 				is.True(err != nil)
-				is.Equal(platform.MayBeStored(err), c.mayBeStored)
+				is.Equal(services.MayBeStored(err), c.mayBeStored)
 				is.Equal(s.Counters().Stored, c.stored)
 			})
 		})
@@ -49,7 +49,7 @@
 		is := is.New(t)
 		s := New(Settings{LateAppends: 1, LateBy: time.Minute})
 		_, err := s.Append(t.Context(), "a", []byte("late"))
-		is.True(platform.MayBeStored(err))
+		is.True(services.MayBeStored(err))
 		offset, err := s.Append(t.Context(), "a", []byte("prompt"))
 		is.NoErr(err)
 		is.Equal(offset, uint64(0))
