Run on the users' platform: a gateway that reaches backend servers itself

Cause: on the platform plain services have no machine beside them and anyone may call a worker, so the sidecar cannot be the only door, and each process beside a worker is billed.

Change: package gateway with its decisions in routes, pool and feed, connections in backend, the exchange between routers in peer; admission, retry and suspect gain what a router needs that admits for a whole pool. platform/ translates settings, header fields, records and the store's calls.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -198,6 +198,16 @@
 	return err
 }
 
+// SetCapacity replaces the capacity. A router that admits for a whole pool calls it when instances or
+// the work of other routers change. Work in flight above a smaller capacity stays.
+func (c *Controller) SetCapacity(tokens uint64, requests int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settings.CapacityTokens = max(1, tokens)
+	c.settings.CapacityRequests = max(1, requests)
+	c.dispatch()
+}
+
 // Reset forgets all work in flight, because the engine crashed or restarted, and refuses waiting
 // and new work with ReasonNotReady until Ready. Grants from before have no effect any more.
 func (c *Controller) Reset() {
--- a/claim/options.go
+++ b/claim/options.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 )
 
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
--- a/config/store.go
+++ b/config/store.go
@@ -10,8 +10,8 @@
 	"sync"
 	"sync/atomic"
 
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
--- /dev/null
+++ b/gateway/observe.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"expvar"
+	"fmt"
+	"time"
+
+	"jacinthfork.example/jacinthfork/kernel"
+)
+
+// metrics are the counters of the request path. Labels are pools, reasons and outcomes, whose
+// numbers are bounded by the configuration.
+type metrics struct {
+	requests         *expvar.Map
+	refusals         *expvar.Map
+	attempts         *expvar.Map
+	repeats          *expvar.Map
+	resumptions      *expvar.Int
+	ejections        *expvar.Map
+	storeFailures    *expvar.Map
+	crashes          *expvar.Int
+	configRejected   *expvar.Int
+	instanceRejected *expvar.Int
+	waiting          *histogram
+	firstByte        *histogram
+	gap              *histogram
+	whole            *histogram
+}
+
+func newMetrics(c *kernel.Counters) *metrics {
+	return &metrics{
+		requests:         c.Map("requests"),
+		refusals:         c.Map("refusals"),
+		attempts:         c.Map("attempts"),
+		repeats:          c.Map("repeats"),
+		resumptions:      c.Int("resumptions"),
+		ejections:        c.Map("ejections"),
+		storeFailures:    c.Map("store_failures"),
+		crashes:          c.Int("crashes"),
+		configRejected:   c.Int("configuration_rejected"),
+		instanceRejected: c.Int("instance_rejected"),
+		waiting:          newHistogram(c, "waiting_ms"),
+		firstByte:        newHistogram(c, "first_byte_ms"),
+		gap:              newHistogram(c, "event_gap_ms"),
+		whole:            newHistogram(c, "whole_ms"),
+	}
+}
+
+// histogram counts durations in fixed buckets, published as one expvar map from "le_N" to a count.
+type histogram struct{ buckets []*expvar.Int }
+
+// bucketBounds are the upper bounds in milliseconds; the last bucket has none.
+var bucketBounds = [...]time.Duration{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000}
+
+func newHistogram(c *kernel.Counters, name string) *histogram {
+	m := c.Map(name)
+	h := &histogram{}
+	for i := range len(bucketBounds) + 1 {
+		v := new(expvar.Int)
+		label := "inf"
+		if i < len(bucketBounds) {
+			label = fmt.Sprintf("le_%05d", int(bucketBounds[i]))
+		}
+		m.Set(label, v)
+		h.buckets = append(h.buckets, v)
+	}
+	return h
+}
+
+// observe counts one duration.
+func (h *histogram) observe(d time.Duration) {
+	for i, bound := range bucketBounds {
+		if d <= bound*time.Millisecond {
+			h.buckets[i].Add(1)
+			return
+		}
+	}
+	h.buckets[len(bucketBounds)].Add(1)
+}
--- /dev/null
+++ b/gateway/peer/peer.go
@@ -0,0 +1,269 @@
+// Package peer exchanges news between the gateways of one fleet: what each has in flight, records of
+// the feeds for those that the store does not serve, and requests that crash engines.
+//
+// Of each two routers the one with the lower name calls. A router that has not heard from another one
+// for a while calls whatever its name, so that a newcomer is known after its first call. The pause
+// between calls grows with the number of peers, so that a router's bytes and processor time for the
+// exchange stay within its budget at any fleet size.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/internal/transport"
+	"jacinthfork.example/jacinthfork/kernel/settings"
+)
+
+const (
+	// shortestPause is the pause between two calls to one peer in a small fleet. What a peer has in
+	// flight is then younger than a typical request is long.
+	shortestPause = 150 * time.Millisecond
+	// callsPerSecond bounds the calls of one router. A call takes about 0.2 ms of processor time at
+	// both ends and up to 200 bytes, so 25 of them stay near 1% of a core and 5 KB/s.
+	callsPerSecond = 25
+	// callTimeout bounds one call. Peers are a few milliseconds away.
+	callTimeout = 600 * time.Millisecond
+	// forgetAfter is how long a peer that does not answer is called; calls to it back off.
+	forgetAfter = 60 * time.Second
+	// longestBackoff bounds the pause after failed calls to one peer.
+	longestBackoff = 4 * time.Second
+	// quietAfter is how many pauses without a call from a peer make this router call it.
+	quietAfter = 4
+)
+
+// Host supplies and takes the news of this router.
+type Host interface {
+	// News returns what to tell a peer that is at the given positions, which may be nil.
+	News(theirs []*peerpb.Position) *peerpb.News
+	// Heard takes the news of a peer over.
+	Heard(news *peerpb.News)
+}
+
+// Exchange is the exchange of one router. It is safe for concurrent use.
+type Exchange struct {
+	peerpb.UnimplementedPeerServer
+	self    string
+	address string
+	host    Host
+	server  *grpc.Server
+
+	mu    sync.Mutex
+	peers map[string]*remote
+}
+
+// remote is another router, by address.
+type remote struct {
+	address string
+	node    string
+	conn    *grpc.ClientConn
+	// heardAt is the time of the last call or answer from it.
+	heardAt time.Time
+	nextAt  time.Time
+	addedAt time.Time
+	fails   int
+	busy    bool
+	// theirs are the positions that it last sent.
+	theirs []*peerpb.Position
+}
+
+// New returns an exchange for the router of the given name. address is where it serves peers.
+func New(self, address string, host Host) *Exchange {
+	return &Exchange{self: self, address: address, host: host, peers: make(map[string]*remote)}
+}
+
+// Start listens and serves peers in the background.
+func (e *Exchange) Start() error {
+	options, err := transport.ServerOptions(settings.TLS{})
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return fmt.Errorf("peer address: %w", err)
+	}
+	e.mu.Lock()
+	e.address = listener.Addr().String()
+	e.mu.Unlock()
+	e.server = grpc.NewServer(append(options, grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))...)
+	peerpb.RegisterPeerServer(e.server, e)
+	go func() { _ = e.server.Serve(listener) }()
+	return nil
+}
+
+// Address returns where peers are served.
+func (e *Exchange) Address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.address
+}
+
+// Stop ends serving and closes all connections.
+func (e *Exchange) Stop() {
+	if e.server != nil {
+		e.server.Stop()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		_ = p.conn.Close()
+	}
+}
+
+// Add makes addresses of peers known. Addresses that are known or the router's own are ignored.
+func (e *Exchange) Add(addresses ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, address := range addresses {
+		e.add(address)
+	}
+}
+
+func (e *Exchange) add(address string) *remote {
+	if address == "" || address == e.address {
+		return nil
+	}
+	if p, ok := e.peers[address]; ok {
+		return p
+	}
+	options, err := transport.DialOptions(settings.TLS{})
+	if err != nil {
+		return nil
+	}
+	options = append(options, grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10), grpc.WithIdleTimeout(0))
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
+	if err != nil {
+		return nil
+	}
+	p := &remote{address: address, conn: conn, addedAt: time.Now()}
+	e.peers[address] = p
+	return p
+}
+
+// Known returns the addresses of peers heard lately.
+func (e *Exchange) Known() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	for address, p := range e.peers {
+		if time.Since(p.heardAt) < longestBackoff {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Exchange implements peerpb.PeerServer.
+func (e *Exchange) Exchange(_ context.Context, news *peerpb.News) (*peerpb.News, error) {
+	e.heard(news)
+	return e.host.News(news.GetPositions()), nil
+}
+
+func (e *Exchange) heard(news *peerpb.News) {
+	e.mu.Lock()
+	if p := e.add(news.GetAddress()); p != nil {
+		p.node = news.GetNode()
+		p.heardAt = time.Now()
+		p.fails = 0
+		p.theirs = news.GetPositions()
+	}
+	for _, address := range news.GetPeers() {
+		e.add(address)
+	}
+	e.mu.Unlock()
+	e.host.Heard(news)
+}
+
+// tick is the resolution of the calls' times.
+const tick = 50 * time.Millisecond
+
+// Run calls peers until ctx ends.
+func (e *Exchange) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		for _, p := range e.due(time.Now()) {
+			go e.call(ctx, p)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pause is the time between two calls to one peer.
+func pause(peers int) time.Duration {
+	return max(shortestPause, time.Duration(peers)*time.Second/(2*callsPerSecond))
+}
+
+// due returns the peers to call now and forgets those that stay silent.
+func (e *Exchange) due(now time.Time) []*remote {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []*remote
+	between := pause(len(e.peers))
+	for address, p := range e.peers {
+		if p.fails > 0 && now.Sub(p.heardAt) > forgetAfter && now.Sub(p.addedAt) > forgetAfter {
+			_ = p.conn.Close()
+			delete(e.peers, address)
+			continue
+		}
+		mine := p.node == "" || e.self < p.node || now.Sub(p.heardAt) > quietAfter*between
+		if p.busy || !mine || now.Before(p.nextAt) {
+			continue
+		}
+		p.busy = true
+		p.nextAt = now.Add(between)
+		out = append(out, p)
+	}
+	return out
+}
+
+func (e *Exchange) call(ctx context.Context, p *remote) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e.mu.Lock()
+	theirs := p.theirs
+	e.mu.Unlock()
+	news, err := peerpb.NewPeerClient(p.conn).Exchange(ctx, e.host.News(theirs))
+	e.mu.Lock()
+	p.busy = false
+	if err != nil {
+		p.fails++
+		p.nextAt = time.Now().Add(min(longestBackoff, shortestPause<<min(p.fails, 6)))
+		e.mu.Unlock()
+		return
+	}
+	p.fails = 0
+	p.node = news.GetNode()
+	p.heardAt = time.Now()
+	p.theirs = news.GetPositions()
+	e.mu.Unlock()
+	if news.GetNode() != e.self {
+		e.host.Heard(news)
+		e.Add(news.GetPeers()...)
+	}
+}
+
+// Farewell tells all peers once that this router stops.
+func (e *Exchange) Farewell(ctx context.Context) {
+	e.mu.Lock()
+	list := make([]*remote, 0, len(e.peers))
+	for _, p := range e.peers {
+		list = append(list, p)
+	}
+	e.mu.Unlock()
+	var done sync.WaitGroup
+	for _, p := range list {
+		done.Go(func() { e.call(ctx, p) })
+	}
+	done.Wait()
+}
--- /dev/null
+++ b/gateway/pool/choose.go
@@ -0,0 +1,273 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"jacinthfork.example/jacinthfork/internal/rendezvous"
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	Pool string
+	// Parts is the prompt of a model request, empty for a plain service.
+	Parts []Part
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Exclude lists instances that have had the request.
+	Exclude []string
+}
+
+// home is the hash that decides the homes of a prompt: its last part that other requests share. The
+// last part of all belongs to one chat.
+func (q *Request) home() uint64 {
+	switch n := len(q.Parts); n {
+	case 0:
+		return 0
+	case 1:
+		return q.Parts[0].ID
+	default:
+		return q.Parts[n-2].ID
+	}
+}
+
+// Lease is one request at one instance. Release must be called once.
+type Lease struct {
+	Instance Instance
+	// Cached is how many prompt tokens the instance is thought to hold.
+	Cached int
+	// Requests and Mean are the load that the choice saw.
+	Requests int
+	Mean     float64
+
+	registry *Registry
+	member   *member
+	tokens   int
+	parts    []Part
+	started  bool
+	released bool
+}
+
+// Choose takes a place at an instance, or returns nil when no instance of the pool may be asked.
+func (r *Registry) Choose(q *Request) *Lease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	candidates := r.candidates(q, now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	mean := r.mean(q.Pool)
+	var best *member
+	if len(q.Parts) > 0 {
+		best = r.byPrompt(q, candidates, mean, now)
+	} else {
+		best = r.byLoad(candidates)
+	}
+	return r.lease(q, best, mean, now)
+}
+
+// candidates returns the members that may be asked, the best kind that is not empty: healthy ones,
+// then those that stall or have just refused, then those left alone.
+func (r *Registry) candidates(q *Request, now time.Time) []*member {
+	var healthy, doubtful, rest []*member
+	for _, m := range r.pools[q.Pool] {
+		if m.Leaving || slices.Contains(q.Exclude, m.ID) {
+			continue
+		}
+		switch {
+		case m.health.left(now):
+			rest = append(rest, m)
+		case m.health.trial && m.own.Requests > 0:
+			rest = append(rest, m)
+		case m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
+			doubtful = append(doubtful, m)
+		default:
+			healthy = append(healthy, m)
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	if len(doubtful) > 0 {
+		return doubtful
+	}
+	return rest
+}
+
+// mean is the number of requests in flight for one instance of the pool that takes work.
+func (r *Registry) mean(pool string) float64 {
+	total, n := 0, 0
+	for _, m := range r.pools[pool] {
+		if m.Leaving {
+			continue
+		}
+		total += m.requests()
+		n++
+	}
+	return float64(total) / float64(max(1, n))
+}
+
+// bound is the number of requests in flight that no instance exceeds.
+func (r *Registry) bound(mean float64) float64 {
+	return mean*r.settings.BoundFactor + r.settings.BoundExtra
+}
+
+// byPrompt chooses the instance with the lowest cost: prompt tokens to read, those that others wait
+// for, requests in flight. Only holders of a part of the prompt and the first of the rendezvous order
+// compete, so that prompts keep few homes; when all of them are at the bound, the least loaded one
+// below it becomes another home.
+func (r *Registry) byPrompt(q *Request, candidates []*member, mean float64, now time.Time) *member {
+	bound := r.bound(mean)
+	var best, first, spare *member
+	bestCost := 0
+	var firstScore uint64
+	for _, m := range candidates {
+		if float64(m.requests()+1) > bound || (m.Slots > 0 && m.requests() >= m.Slots) {
+			continue
+		}
+		if spare == nil || r.cost(q, m, 0) < r.cost(q, spare, 0) {
+			spare = m
+		}
+		score := rendezvous.Score(q.home(), m.hash)
+		if m.FailureDomain != r.domain {
+			// The own failure domain goes first while it has a candidate below the bound.
+			score >>= 1
+		} else {
+			score |= 1 << 63
+		}
+		if first == nil || score > firstScore {
+			first, firstScore = m, score
+		}
+		held := m.cache.cached(q.Parts)
+		if held*2 < q.Tokens {
+			continue
+		}
+		if cost := r.cost(q, m, held); best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	switch {
+	case best == nil && first == nil:
+		return r.byLoad(candidates)
+	case best == nil:
+		best = first
+	case r.cost(q, first, first.cache.cached(q.Parts)) < bestCost:
+		best = first
+	}
+	if cost := r.cost(q, best, best.cache.cached(q.Parts)); r.cost(q, spare, spare.cache.cached(q.Parts)) < cost-q.Tokens {
+		return spare
+	}
+	return best
+}
+
+// cost compares instances in prompt tokens.
+func (r *Registry) cost(q *Request, m *member, held int) int {
+	cost := max(0, q.Tokens-held) + m.own.Tokens + m.peer.Tokens + m.requests()*r.settings.RequestTokens
+	if m.FailureDomain != r.domain {
+		cost += r.settings.DomainTokens
+	}
+	return cost
+}
+
+// byLoad chooses the instance with the fewest requests in flight per slot, the own failure domain
+// first among equals.
+func (r *Registry) byLoad(candidates []*member) *member {
+	best := candidates[0]
+	for _, m := range candidates[1:] {
+		a, b := m.requests()*max(1, best.Slots), best.requests()*max(1, m.Slots)
+		switch {
+		case a < b:
+			best = m
+		case a == b && m.FailureDomain == r.domain && best.FailureDomain != r.domain:
+			best = m
+		}
+	}
+	return best
+}
+
+func (r *Registry) lease(q *Request, m *member, mean float64, now time.Time) *Lease {
+	l := &Lease{
+		Instance: m.Instance,
+		Cached:   m.cache.cached(q.Parts),
+		Requests: m.requests(),
+		Mean:     mean,
+		registry: r,
+		member:   m,
+		parts:    q.Parts,
+	}
+	l.tokens = max(0, q.Tokens-l.Cached)
+	if m.own.Requests == 0 {
+		m.progressAt = now
+	}
+	m.own.Requests++
+	m.own.Tokens += l.tokens
+	if len(q.Parts) > 0 {
+		m.cache.add(q.Parts)
+	}
+	return l
+}
+
+// Progress notes that the instance sent something. The first call says that the prompt was read.
+func (l *Lease) Progress() {
+	r := l.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.member.progressAt = r.now()
+	if !l.started {
+		l.started = true
+		l.member.own.Tokens -= l.tokens
+	}
+}
+
+// Stalled reports whether the instance has sent nothing to any request of this router for a while.
+func (l *Lease) Stalled(after time.Duration) bool {
+	r := l.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return l.member.stalled(r.now(), after)
+}
+
+// Release frees the place and notes how the request ended. It reports whether the instance is left
+// alone from now on. Only the first call has an effect.
+func (l *Lease) Release(o Outcome) (ejected bool) {
+	r := l.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.released {
+		return false
+	}
+	l.released = true
+	m := l.member
+	m.own.Requests--
+	if !l.started {
+		m.own.Tokens -= l.tokens
+	}
+	now := r.now()
+	if o == Served || o == Errored || o == Full {
+		m.progressAt = now
+	}
+	if !m.health.note(o, now) {
+		return false
+	}
+	if !m.health.hard && !r.mayLeave(m, now) {
+		return false
+	}
+	m.health.leave(now)
+	return true
+}
+
+// mayLeave reports whether at least half of the pool stays when one more instance is left alone.
+func (r *Registry) mayLeave(m *member, now time.Time) bool {
+	left, all := 1, 0
+	for _, other := range r.pools[m.Pool] {
+		if other.Leaving {
+			continue
+		}
+		all++
+		if other != m && other.health.left(now) {
+			left++
+		}
+	}
+	return left*2 <= all || m.health.left(now)
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"jacinthfork.example/jacinthfork/gateway/feed"
+	"jacinthfork.example/jacinthfork/gateway/pool"
+)
+
+// Settings of a Gateway. Start from DefaultSettings and fill in the addresses.
+type Settings struct {
+	// Node names the router; it is kept over restarts.
+	Node          string
+	FailureDomain string
+	// CallerAddress serves callers, ReadyAddress the balancer's question at ReadyPath, PeerAddress
+	// other routers and MetricsAddress counters. An empty MetricsAddress serves none.
+	CallerAddress  string
+	ReadyAddress   string
+	ReadyPath      string
+	PeerAddress    string
+	MetricsAddress string
+	// Seeds are addresses at which other routers may be found.
+	Seeds []string
+	// StopTime is the time from the request to stop until the process is killed.
+	StopTime time.Duration
+	// UnreadyTime is how long after the request to stop new connections may still come.
+	UnreadyTime time.Duration
+	// RepeatShare and RepeatBurst bound the repeats that all routers together send to one pool within
+	// RepeatWindow: a share of the requests and a fixed number.
+	RepeatShare  float64
+	RepeatBurst  float64
+	RepeatWindow time.Duration
+	// ConfigurationPace and InstancesPace say how the feeds are read.
+	ConfigurationPace feed.Pace
+	InstancesPace     feed.Pace
+	Pool              pool.Settings
+}
+
+// DefaultSettings returns the settings without addresses.
+func DefaultSettings() Settings {
+	return Settings{
+		ReadyPath: "/readyz",
+		StopTime:  8 * time.Second,
+		// The balancer asks once a second and takes a router out after two misses.
+		UnreadyTime:  2500 * time.Millisecond,
+		RepeatShare:  0.2,
+		RepeatBurst:  50,
+		RepeatWindow: 10 * time.Second,
+		// A change of the configuration is due everywhere within two seconds; a read that waits sees it
+		// at once, and a connection that went silent is found within half of the wait and the timeout.
+		ConfigurationPace: feed.Pace{Wait: time.Second},
+		// Publications come all the time, so a read that waits would return for each of them. A departure
+		// is due within two seconds.
+		InstancesPace: feed.Pace{Pause: 700 * time.Millisecond},
+		Pool:          pool.DefaultSettings(),
+	}
+}
+
+// Validate returns all faults.
+func (s Settings) Validate() error {
+	var faults []error
+	need := func(value, name string) {
+		if value == "" {
+			faults = append(faults, errors.New(name+" is missing"))
+		}
+	}
+	need(s.Node, "node")
+	need(s.CallerAddress, "callers' address")
+	need(s.ReadyAddress, "ready address")
+	need(s.PeerAddress, "peers' address")
+	if s.RepeatShare < 0 || s.RepeatShare > 1 {
+		faults = append(faults, errors.New("the share of repeats must be from 0 to 1"))
+	}
+	if s.StopTime <= 0 {
+		faults = append(faults, errors.New("the stop time must be positive"))
+	}
+	return errors.Join(faults...)
+}
--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/services"
 	_ "jacinthfork.example/jacinthfork/plugin/log/httplog"
+	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/standin/logservice"
 )
 
--- a/membership/loopback_test.go
+++ b/membership/loopback_test.go
@@ -16,8 +16,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/traffic"
 	"jacinthfork.example/jacinthfork/wire"
--- a/membership/view.go
+++ b/membership/view.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"jacinthfork.example/jacinthfork/internal/proptest"
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/wire"
 )
--- a/order/order.go
+++ b/order/order.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/services"
 )
 
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -15,8 +15,8 @@
 	"github.com/matryer/is"
 
 	"jacinthfork.example/jacinthfork/config"
-	"jacinthfork.example/jacinthfork/kernel/journal"
 	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/kernel/journal"
 )
 
 // pool is a pool whose members see each other's state with a delay of up to the rules' Spread.
--- a/plugin/instances/httplist/httplist.go
+++ b/plugin/instances/httplist/httplist.go
@@ -15,9 +15,9 @@
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/plugin/instances/internal/entry"
 	"jacinthfork.example/jacinthfork/plugin/internal/platformhttp"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 func init() {
--- a/plugin/instances/static/static.go
+++ b/plugin/instances/static/static.go
@@ -10,8 +10,8 @@
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/plugin/instances/internal/entry"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 func init() {
--- a/plugin/log/httplog/httplog.go
+++ b/plugin/log/httplog/httplog.go
@@ -20,8 +20,8 @@
 
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/kernel/settings"
-	"jacinthfork.example/jacinthfork/services"
 	"jacinthfork.example/jacinthfork/plugin/internal/platformhttp"
+	"jacinthfork.example/jacinthfork/services"
 )
 
 func init() {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -119,3 +119,12 @@
 		b.filled = now
 	}
 }
+
+// Resize replaces the settings, for example when the number of routers that share an allowance
+// changes. What is saved beyond the new burst is lost.
+func (b *Budget) Resize(settings Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settings = settings
+	b.tokens = min(b.tokens, settings.Burst*hundred)
+}
--- a/suspect/entry.go
+++ b/suspect/entry.go
@@ -45,7 +45,7 @@
 }
 
 // state derives the state from the evidence.
-func (e *entry) state(refuseAfter int) State {
+func (e *entry) state(s Settings) State {
 	open, alone, excused := 0, 0, 0
 	for _, c := range e.crashes {
 		if c.cleared {
@@ -60,7 +60,9 @@
 		}
 	}
 	switch {
-	case alone > 0 && open >= refuseAfter:
+	case alone > 0 && open >= s.RefuseAfter:
+		return Refused
+	case s.RefuseCrowded > 0 && open-excused >= s.RefuseCrowded:
 		return Refused
 	case open > excused || (open == 0 && e.hinted):
 		return Suspected
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -11,7 +11,7 @@
 // learn joins evidence into an entry. An entry that turns from clean into another state is learned
 // now, which starts Settle.
 func (t *Table) learn(e *entry, crashes []crash, last, now time.Time) (changed bool) {
-	before := e.state(t.settings.RefuseAfter)
+	before := e.state(t.settings)
 	changed = e.join(crashes, last)
 	after := t.state(e, now)
 	if before == Clean && after != Clean {
@@ -44,7 +44,7 @@
 // excuseExplained lets requests off that were beside a refused one.
 func (t *Table) excuseExplained() {
 	for _, refused := range t.entries {
-		if refused.state(t.settings.RefuseAfter) != Refused {
+		if refused.state(t.settings) != Refused {
 			continue
 		}
 		for _, e := range t.entries {
@@ -170,8 +170,8 @@
 }
 
 func (t *Table) before(a, b *entry) bool {
-	stateA := a.state(t.settings.RefuseAfter)
-	stateB := b.state(t.settings.RefuseAfter)
+	stateA := a.state(t.settings)
+	stateB := b.state(t.settings)
 	if stateA != stateB {
 		return stateA < stateB
 	}
--- a/suspect/settings.go
+++ b/suspect/settings.go
@@ -15,6 +15,10 @@
 	// RefuseAfter is the number of crashes, at least one of them alone, after which a fingerprint
 	// is refused.
 	RefuseAfter int `toml:"refuse_after" min:"2" max:"4"`
+	// RefuseCrowded is the number of crashes after which a fingerprint is refused although other
+	// requests ran beside it each time. 0 never refuses for these alone. A router that sends work to
+	// backend servers directly needs it, because it cannot run a request with nothing beside it.
+	RefuseCrowded int `toml:"refuse_crowded" min:"0" max:"8"`
 	// Settle is longer than news takes to reach every sidecar of the pool.
 	Settle time.Duration `toml:"settle" min:"0s"`
 	// ExcuseAfter is the age of the last crash after which a suspect enters probation.
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -137,7 +137,7 @@
 		e.excuseByAge()
 		e.hinted = false
 	}
-	return e.state(t.settings.RefuseAfter)
+	return e.state(t.settings)
 }
 
 // Check decides before admission. The sidecar then waits for admission, isolated when the decision
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -50,6 +50,7 @@
 const (
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonTooLarge         Reason = "too-large"
+	ReasonHeaderTooLarge   Reason = "header-too-large"
 	ReasonUnknownPool      Reason = "unknown-pool"
 	ReasonNoOrganisation   Reason = "missing-organisation"
 	ReasonUnauthorised     Reason = "unauthorised"
