Give each prompt one home in all failure domains

Cause: homes were chosen in the router's own failure domain first, so that each document was read in three engines.

Change: the failure domain no longer counts for prompts; the load bound is 1.9 times the mean plus 2, below the platform's own of 2 times plus 3.

--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -130,12 +130,6 @@
 			spare = m
 		}
 		score := rendezvous.Score(q.home(), m.hash)
-		if m.FailureDomain != r.domain {
-			// The own failure domain goes first while it has a candidate below the bound.
-			score >>= 1
-		} else {
-			score |= 1 << 63
-		}
 		if first == nil || score > firstScore {
 			first, firstScore = m, score
 		}
@@ -163,11 +157,7 @@
 
 // cost compares instances in prompt tokens.
 func (r *Registry) cost(q *Request, m *member, held int) int {
-	cost := max(0, q.Tokens-held) + m.own.Tokens + m.peer.Tokens + m.requests()*r.settings.RequestTokens
-	if m.FailureDomain != r.domain {
-		cost += r.settings.DomainTokens
-	}
-	return cost
+	return max(0, q.Tokens-held) + m.own.Tokens + m.peer.Tokens + m.requests()*r.settings.RequestTokens
 }
 
 // byLoad chooses the instance with the fewest requests in flight per slot, the own failure domain
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -33,8 +33,6 @@
 	BoundExtra  float64
 	// RequestTokens is the cost of one request in flight in prompt tokens, when instances are compared.
 	RequestTokens int
-	// DomainTokens is the cost of leaving the failure domain in prompt tokens.
-	DomainTokens int
 	// PeerLoadAge is the age at which what another router has in flight no longer counts.
 	PeerLoadAge time.Duration
 	// StallAfter is the time without any byte from an instance with work after which it gets no more.
@@ -47,10 +45,9 @@
 // DefaultSettings returns the settings for pools of a few to a few hundred instances.
 func DefaultSettings() Settings {
 	return Settings{
-		BoundFactor:   1.5,
+		BoundFactor:   1.9,
 		BoundExtra:    2,
 		RequestTokens: 200,
-		DomainTokens:  1500,
 		PeerLoadAge:   3 * time.Second,
 		StallAfter:    time.Second,
 		LapseGrace:    2200 * time.Millisecond,
