Fetch a prompt's memory from the engine that holds it

Change: pool.Registry names a source with each lease: the instance that holds most of the prompt, one that leaves included, or the first of the rendezvous order when no holder is known.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -112,7 +112,7 @@
 	s.g.metrics.requests.Add(s.pool, 1)
 	s.g.suspects.Completed(s.fingerprint)
 	s.g.log.Info("request served", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
-		"organisation", s.organisation, "instance", lease.Instance.ID, "attempt", attempt, "cached", lease.Cached,
+		"organisation", s.organisation, "instance", lease.Instance.ID, "attempt", attempt, "cached", lease.Cached, "fetched_from", lease.FetchFrom,
 		"load", lease.Requests, "mean", lease.Mean, "waited_ms", s.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "config", s.version())
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -113,6 +113,7 @@
 		Organisation: s.organisation,
 		TimeLeft:     s.timeLeft(),
 		LastEvent:    s.lastEvent,
+		FetchFrom:    lease.FetchFrom,
 	}
 	if p := s.table.Pools[s.pool]; p != nil && p.Engine != nil {
 		forwarding.Priority, forwarding.HasPriority = s.priority, true
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -31,11 +31,22 @@
 	}
 }
 
+// shared is the length of the parts that other requests share, which are all but the last.
+func (q *Request) shared() int {
+	tokens := 0
+	for i := range len(q.Parts) - 1 {
+		tokens += q.Parts[i].Tokens
+	}
+	return tokens
+}
+
 // Lease is one request at one instance. Release must be called once.
 type Lease struct {
 	Instance Instance
 	// Cached is how many prompt tokens the instance is thought to hold.
 	Cached int
+	// FetchFrom is the address of an instance that holds more of the prompt, or empty.
+	FetchFrom string
 	// Requests and Mean are the load that the choice saw.
 	Requests int
 	Mean     float64
@@ -155,6 +166,33 @@
 	return best
 }
 
+// source returns the instance that holds the most of a prompt beyond what m holds, and how many
+// tokens, or nil when a transfer would not pay. An instance that leaves is a good source: what it
+// holds is about to be lost. When no holder is known, the first instance of the rendezvous order
+// besides m is named, because other routers send the prompt there; one that holds nothing costs
+// nothing.
+func (r *Registry) source(q *Request, m *member, now time.Time) (*member, int) {
+	var best, likely *member
+	var highest uint64
+	own := m.cache.cached(q.Parts)
+	most := own + r.settings.FetchTokens
+	for _, other := range r.pools[q.Pool] {
+		if other == m || other.health.left(now) {
+			continue
+		}
+		if held := other.cache.cached(q.Parts); held > most {
+			best, most = other, held
+		}
+		if score := rendezvous.Score(q.home(), other.hash); likely == nil || score > highest {
+			likely, highest = other, score
+		}
+	}
+	if best == nil && likely != nil && len(q.Parts) > 0 && q.Tokens-own > r.settings.FetchTokens && own < q.shared() {
+		return likely, own
+	}
+	return best, most
+}
+
 // cost compares instances in prompt tokens.
 func (r *Registry) cost(q *Request, m *member, held int) int {
 	return max(0, q.Tokens-held) + m.own.Tokens + m.peer.Tokens + m.requests()*r.settings.RequestTokens
@@ -186,7 +224,12 @@
 		member:   m,
 		parts:    q.Parts,
 	}
-	l.tokens = max(0, q.Tokens-l.Cached)
+	held := l.Cached
+	if source, more := r.source(q, m, now); source != nil {
+		l.FetchFrom = source.Address
+		held = more
+	}
+	l.tokens = max(0, q.Tokens-held)
 	if m.own.Requests == 0 {
 		m.progressAt = now
 	}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -33,6 +33,9 @@
 	BoundExtra  float64
 	// RequestTokens is the cost of one request in flight in prompt tokens, when instances are compared.
 	RequestTokens int
+	// FetchTokens is the number of prompt tokens above which an instance fetches what another one holds
+	// instead of reading it.
+	FetchTokens int
 	// PeerLoadAge is the age at which what another router has in flight no longer counts.
 	PeerLoadAge time.Duration
 	// StallAfter is the time without any byte from an instance with work after which it gets no more.
@@ -48,6 +51,7 @@
 		BoundFactor:   1.9,
 		BoundExtra:    2,
 		RequestTokens: 200,
+		FetchTokens:   256,
 		PeerLoadAge:   3 * time.Second,
 		StallAfter:    time.Second,
 		LapseGrace:    2200 * time.Millisecond,
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -38,6 +38,8 @@
 	HasPriority bool
 	// LastEvent is the last event that was forwarded, when a stream goes on.
 	LastEvent string
+	// FetchFrom is the address of an engine from which the prompt's memory is fetched, or empty.
+	FetchFrom string
 }
 
 // Reply is what the header of a backend server's answer says.
