Tell other routers where prompts are read

Change: the exchange carries the placements of the last moments; the receiver's estimate of what each engine holds then agrees with the sender's. A connection to a peer that fails twice is replaced.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -115,6 +115,13 @@
 		next, want := f.follower.Position()
 		news.Positions = append(news.Positions, &peerpb.Position{Feed: uint32(f.id), Next: next, Want: want})
 	}
+	for _, p := range g.registry.Placements(g.peers.Span()) {
+		placed := &peerpb.PlacedPrompt{Instance: p.Instance}
+		for _, part := range p.Parts {
+			placed.Parts = append(placed.Parts, &peerpb.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
+		}
+		news.Prompts = append(news.Prompts, placed)
+	}
 	for _, position := range theirs {
 		g.supply(news, position)
 	}
@@ -154,6 +161,7 @@
 	}
 	g.registry.SetPeer(news.GetNode(), loads)
 	g.suspects.Merge(news.GetSuspects())
+	g.registry.Learn(placements(news.GetPrompts()))
 	for _, f := range g.followers() {
 		var records []feed.Record
 		for _, r := range news.GetRecords() {
@@ -167,6 +175,18 @@
 	}
 }
 
+func placements(prompts []*peerpb.PlacedPrompt) []pool.Placement {
+	out := make([]pool.Placement, 0, len(prompts))
+	for _, p := range prompts {
+		placed := pool.Placement{Instance: p.GetInstance()}
+		for _, part := range p.GetParts() {
+			placed.Parts = append(placed.Parts, pool.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
+		}
+		out = append(out, placed)
+	}
+	return out
+}
+
 func newestOffset(records []feed.Record) uint64 {
 	var newest uint64
 	for _, r := range records {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -91,7 +91,7 @@
 	e.mu.Lock()
 	e.address = listener.Addr().String()
 	e.mu.Unlock()
-	e.server = grpc.NewServer(append(options, grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))...)
+	e.server = grpc.NewServer(append(options, grpc.ReadBufferSize(messageBuffer), grpc.WriteBufferSize(messageBuffer))...)
 	peerpb.RegisterPeerServer(e.server, e)
 	go func() { _ = e.server.Serve(listener) }()
 	return nil
@@ -132,12 +132,7 @@
 	if p, ok := e.peers[address]; ok {
 		return p
 	}
-	options, err := transport.DialOptions(settings.TLS{})
-	if err != nil {
-		return nil
-	}
-	options = append(options, grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10), grpc.WithIdleTimeout(0))
-	conn, err := grpc.NewClient("passthrough:///"+address, options...)
+	conn, err := dial(address)
 	if err != nil {
 		return nil
 	}
@@ -146,6 +141,18 @@
 	return p
 }
 
+// messageBuffer is the read and write buffer of a connection; messages are shorter.
+const messageBuffer = 4 << 10
+
+func dial(address string) (*grpc.ClientConn, error) {
+	options, err := transport.DialOptions(settings.TLS{})
+	if err != nil {
+		return nil, err
+	}
+	options = append(options, grpc.WithReadBufferSize(messageBuffer), grpc.WithWriteBufferSize(messageBuffer), grpc.WithIdleTimeout(0))
+	return grpc.NewClient("passthrough:///"+address, options...)
+}
+
 // Known returns the addresses of peers heard lately.
 func (e *Exchange) Known() []string {
 	e.mu.Lock()
@@ -204,6 +211,14 @@
 	return max(shortestPause, time.Duration(peers)*time.Second/(2*callsPerSecond))
 }
 
+// Span is the time within which every peer is reached twice, so that news that is repeated for as long
+// survives a lost call.
+func (e *Exchange) Span() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return 2*pause(len(e.peers)) + callTimeout
+}
+
 // due returns the peers to call now and forgets those that stay silent.
 func (e *Exchange) due(now time.Time) []*remote {
 	e.mu.Lock()
@@ -231,13 +246,14 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
-	theirs := p.theirs
+	theirs, conn := p.theirs, p.conn
 	e.mu.Unlock()
-	news, err := peerpb.NewPeerClient(p.conn).Exchange(ctx, e.host.News(theirs))
+	news, err := peerpb.NewPeerClient(conn).Exchange(ctx, e.host.News(theirs))
 	e.mu.Lock()
 	p.busy = false
 	if err != nil {
 		p.fails++
+		e.reconnect(p)
 		p.nextAt = time.Now().Add(min(longestBackoff, shortestPause<<min(p.fails, 6)))
 		e.mu.Unlock()
 		return
@@ -253,6 +269,23 @@
 	}
 }
 
+// reconnectAfter is the number of failed calls after which the connection is replaced. A connection may
+// be silent for good while a new one works.
+const reconnectAfter = 2
+
+// reconnect replaces the connection to a peer that does not answer.
+func (e *Exchange) reconnect(p *remote) {
+	if p.fails%reconnectAfter != 0 {
+		return
+	}
+	conn, err := dial(p.address)
+	if err != nil {
+		return
+	}
+	_ = p.conn.Close()
+	p.conn = conn
+}
+
 // Farewell tells all peers once that this router stops.
 func (e *Exchange) Farewell(ctx context.Context) {
 	e.mu.Lock()
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -236,6 +236,7 @@
 	m.own.Requests++
 	m.own.Tokens += l.tokens
 	if len(q.Parts) > 0 {
+		r.notePlacement(q, m, l.Cached, now)
 		m.cache.add(q.Parts)
 	}
 	return l
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -102,6 +102,8 @@
 	// cacheTokens is the prompt memory of an instance by pool.
 	cacheTokens map[string]int
 	disturbedAt time.Time
+	// placed are the prompts placed lately, oldest first, for the other routers.
+	placed []Placement
 }
 
 type removal struct {
