Let one read of the store serve the fleet

Change: the exchange carries each router's position in the feeds with its age and the records that the other is missing, by the positions it sent. A feed that is read without waiting is read when its age, peers' news included, is over 0.7 to 1.1 s; the configuration is read with a wait of 5 s. A position is taken over only when the records bridge the gap to it. Records over 4 KB go only to a router that the store does not serve. A lapsed entry has its grace after a time in which no router had an answer.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
@@ -12,24 +14,24 @@
 type configurationSink struct{ g *Gateway }
 
 // Apply implements feed.Sink. A record that cannot be decoded leaves the last good one in force.
-func (s *configurationSink) Apply(r feed.Record) {
+func (s *configurationSink) Apply(r feed.Record) (changed bool) {
 	g := s.g
 	if len(r.Value) == 0 {
-		return
+		return false
 	}
 	next, ok, err := g.env.Decoder.Configuration(r.Key, r.Value)
 	if err != nil {
 		g.log.Error("configuration rejected", "key", r.Key, "offset", r.Offset, "error", err)
 		g.metrics.configRejected.Add(1)
-		return
+		return false
 	}
 	if !ok {
-		return
+		return false
 	}
 	current := g.table.Load()
 	if current != nil && next.Version <= current.Version {
 		g.log.Info("configuration ignored", "version", next.Version, "in_force", current.Version, "offset", r.Offset)
-		return
+		return false
 	}
 	g.table.Store(next)
 	tokens := make(map[string]int)
@@ -41,8 +43,12 @@
 	g.registry.SetCacheTokens(tokens)
 	g.admission.configure(next)
 	g.log.Info("configuration in force", "version", next.Version, "offset", r.Offset)
+	return true
 }
 
+// Returned implements feed.Sink.
+func (s *configurationSink) Returned() {}
+
 // Complete implements feed.Sink.
 func (s *configurationSink) Complete(map[string]bool) {}
 
@@ -51,22 +57,24 @@
 
 // Apply implements feed.Sink. A record that cannot be decoded names no instance; what is known of
 // others stays.
-func (s *instancesSink) Apply(r feed.Record) {
+func (s *instancesSink) Apply(r feed.Record) (changed bool) {
 	g := s.g
 	if len(r.Value) == 0 {
-		s.noteChange(r.Key, g.registry.Remove(r.Key), r.Offset)
-		return
+		s.note(r.Key, g.registry.Remove(r.Key), r.Offset)
+		return true
 	}
 	i, err := g.env.Decoder.Instance(r.Key, r.Value)
 	if err != nil {
 		g.metrics.instanceRejected.Add(1)
 		g.log.Warn("instance entry ignored", "instance", r.Key, "offset", r.Offset, "error", err)
-		return
+		return false
 	}
-	s.noteChange(i.ID, g.registry.Publish(i), r.Offset)
+	change := g.registry.Publish(i)
+	s.note(i.ID, change, r.Offset)
+	return change != pool.Unchanged
 }
 
-func (s *instancesSink) noteChange(id string, c pool.Change, offset uint64) {
+func (s *instancesSink) note(id string, c pool.Change, offset uint64) {
 	switch c {
 	case pool.Unchanged, pool.Updated:
 	default:
@@ -74,6 +82,9 @@
 	}
 }
 
+// Returned implements feed.Sink.
+func (s *instancesSink) Returned() { s.g.registry.StoreReturned() }
+
 // Complete implements feed.Sink.
 func (s *instancesSink) Complete(keys map[string]bool) {
 	for _, id := range s.g.registry.Keep(keys) {
@@ -93,7 +104,6 @@
 // storeFailure notes a failed read.
 func (g *Gateway) storeFailure(id feed.ID, _ error) {
 	g.metrics.storeFailures.Add(id.String(), 1)
-	g.registry.StoreDisturbed()
 }
 
 // suspectsPerMessage bounds the crash suspects in one message.
@@ -112,8 +122,7 @@
 		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: id, Requests: uint32(max(0, load.Requests)), Tokens: uint32(max(0, load.Tokens))})
 	}
 	for _, f := range g.followers() {
-		next, want := f.follower.Position()
-		news.Positions = append(news.Positions, &peerpb.Position{Feed: uint32(f.id), Next: next, Want: want})
+		g.supply(news, f, positionOf(theirs, f.id))
 	}
 	for _, p := range g.registry.Placements(g.peers.Span()) {
 		placed := &peerpb.PlacedPrompt{Instance: p.Instance}
@@ -122,26 +131,41 @@
 		}
 		news.Prompts = append(news.Prompts, placed)
 	}
-	for _, position := range theirs {
-		g.supply(news, position)
-	}
 	return news
 }
 
-// supply adds the records that a peer cannot read itself.
-func (g *Gateway) supply(news *peerpb.News, position *peerpb.Position) {
-	if !position.GetWant() {
+// longRecord is the size in bytes above which a record is sent only to a peer that cannot read it from
+// the store. A configuration of a thousand routes to each peer would fill a router's link.
+const longRecord = 4 << 10
+
+// supply adds the own position in a feed and the records that a peer is missing. Without all records
+// the position is left out, so that the peer does not take it over.
+func (g *Gateway) supply(news *peerpb.News, f namedFollower, theirs *peerpb.Position) {
+	own := &peerpb.Position{Feed: uint32(f.id), Base: theirs.GetNext(), Want: f.follower.Failing(), AgeMs: -1}
+	news.Positions = append(news.Positions, own)
+	age := f.follower.Age()
+	if age < 0 {
 		return
 	}
-	for _, f := range g.followers() {
-		if uint32(f.id) != position.GetFeed() {
-			continue
-		}
-		records, _ := f.follower.Since(position.GetNext())
-		for _, r := range records {
-			news.Records = append(news.Records, &peerpb.Record{Feed: uint32(f.id), Offset: r.Offset, Key: r.Key, Value: r.Value})
+	records, next := f.follower.Since(own.Base)
+	own.Next = next
+	if !theirs.GetWant() && slices.ContainsFunc(records, func(r feed.Record) bool { return len(r.Value) > longRecord }) {
+		return
+	}
+	own.AgeMs = age.Milliseconds()
+	for _, r := range records {
+		news.Records = append(news.Records, &peerpb.Record{Feed: uint32(f.id), Offset: r.Offset, Key: r.Key, Value: r.Value})
+	}
+}
+
+// positionOf returns the position that a peer has reached in a feed, nil when it has not said.
+func positionOf(positions []*peerpb.Position, id feed.ID) *peerpb.Position {
+	for _, p := range positions {
+		if p.GetFeed() == uint32(id) {
+			return p
 		}
 	}
+	return nil
 }
 
 type namedFollower struct {
@@ -162,19 +186,32 @@
 	g.registry.SetPeer(news.GetNode(), loads)
 	g.suspects.Merge(news.GetSuspects())
 	g.registry.Learn(placements(news.GetPrompts()))
+	for _, position := range news.GetPositions() {
+		g.follow(news, position)
+	}
+}
+
+// follow takes over what a peer knows of a feed. Its position counts only when its records bridge the
+// gap to it.
+func (g *Gateway) follow(news *peerpb.News, position *peerpb.Position) {
 	for _, f := range g.followers() {
+		if uint32(f.id) != position.GetFeed() || position.GetAgeMs() < 0 || position.GetBase() > f.follower.Position() {
+			continue
+		}
 		var records []feed.Record
 		for _, r := range news.GetRecords() {
-			if r.GetFeed() == uint32(f.id) {
+			if r.GetFeed() == position.GetFeed() {
 				records = append(records, feed.Record{Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue()})
 			}
 		}
-		if len(records) > 0 {
-			f.follower.Merge(records, newestOffset(records)+1)
-		}
+		freshAt := time.Now().Add(-time.Duration(position.GetAgeMs())*time.Millisecond - travelTime)
+		f.follower.Merge(records, position.GetNext(), freshAt)
 	}
 }
 
+// travelTime is added to the age of news for its way from a peer.
+const travelTime = 10 * time.Millisecond
+
 func placements(prompts []*peerpb.PlacedPrompt) []pool.Placement {
 	out := make([]pool.Placement, 0, len(prompts))
 	for _, p := range prompts {
@@ -187,14 +224,6 @@
 	return out
 }
 
-func newestOffset(records []feed.Record) uint64 {
-	var newest uint64
-	for _, r := range records {
-		newest = max(newest, r.Offset)
-	}
-	return newest
-}
-
 // publish makes the state readable as counters.
 func (g *Gateway) publish() {
 	c := g.env.Counters
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -51,29 +52,45 @@
 	Read(ctx context.Context, id ID, from uint64, wait time.Duration) (records []Record, next uint64, err error)
 }
 
-// Sink takes records over. Apply is called in the order of offsets of each key.
+// Sink takes records over. Its methods are called one at a time.
 type Sink interface {
-	Apply(r Record)
+	// Apply takes a record over, in the order of offsets of each key. It reports whether the record
+	// says something new; others are not passed on to peers.
+	Apply(r Record) (changed bool)
+	// Returned is called before the first records after a time without any answer of the store, from
+	// this router's reads or its peers'.
+	Returned()
 	// Complete is called after records that are the whole content of the feed.
 	Complete(keys map[string]bool)
 }
 
 // Pace says how a feed is read.
 type Pace struct {
-	// Wait is how long the store holds a read that finds nothing.
+	// Wait is how long the store holds a read that finds nothing. 0 does not wait.
 	Wait time.Duration
-	// Pause is the time between two reads.
-	Pause time.Duration
+	// MaxAge is the age at which a feed that is read without waiting is read again. News of peers that
+	// have read it later count, so that a fleet reads about as often as one router.
+	MaxAge time.Duration
 }
 
 const (
 	// answerTimeout is how long an answer may take beyond the wait. It leaves time for a second read
-	// on a new connection before a change is due everywhere.
+	// on a new connection before a change is due everywhere. After failures it doubles up to
+	// longestAnswer, because a store that is slow still answers.
 	answerTimeout = 700 * time.Millisecond
+	longestAnswer = 2800 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed read. Calls that are refused are
 	// priced too.
 	firstRetry   = 150 * time.Millisecond
 	longestRetry = time.Second
+	// sparedRetry is the pause while peers keep the feed fresh.
+	sparedRetry = 3 * time.Second
+	// outageAfter is the age of a feed above which its store is taken to have been unavailable.
+	outageAfter = 2500 * time.Millisecond
+	// spread is the part of MaxAge by which reads of routers that started together drift apart.
+	spread = 0.6
+	// idle is the resolution of the wait for MaxAge.
+	idle = 50 * time.Millisecond
 )
 
 // Follower follows one feed. It is safe for concurrent use.
@@ -88,35 +105,52 @@
 	// OnFailure is called after each failed read. It may be nil.
 	OnFailure func(id ID, err error)
 
-	mu      sync.Mutex
-	next    uint64
-	synced  bool
+	mu     sync.Mutex
+	next   uint64
+	synced bool
+	// seen is the offset of the newest record of each key; records are those that said something new.
+	seen    map[string]uint64
 	records map[string]Record
-	// goodAt is the time of the last answer of the store; failing is the current error.
-	goodAt  time.Time
+	// freshAt is when the store was last known to have nothing beyond next, and failing the error of
+	// the last own read.
 	freshAt time.Time
 	failing error
+	fails   int
 }
 
 // NewFollower returns a follower that has read nothing.
 func NewFollower(id ID, source Source, sink Sink, pace Pace) *Follower {
-	return &Follower{id: id, source: source, sink: sink, pace: pace, now: time.Now, records: make(map[string]Record)}
+	return &Follower{id: id, source: source, sink: sink, pace: pace, now: time.Now, seen: make(map[string]uint64), records: make(map[string]Record)}
 }
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	retry := firstRetry
 	for ctx.Err() == nil {
-		pause := f.pace.Pause
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
-			f.failed(err)
-			pause = retry
-			retry = min(2*retry, longestRetry)
-		} else {
-			f.answered()
-			retry = firstRetry
+		f.awaitAge(ctx)
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
 		}
-		sleep(ctx, pause)
+		if err != nil {
+			sleep(ctx, f.failed(err))
+			continue
+		}
+		f.answered()
+	}
+}
+
+// awaitAge waits until a feed that is read without waiting is old enough to be read again.
+func (f *Follower) awaitAge(ctx context.Context) {
+	if f.pace.MaxAge == 0 {
+		return
+	}
+	limit := f.pace.MaxAge + time.Duration(rand.Float64()*spread*float64(f.pace.MaxAge))
+	for ctx.Err() == nil {
+		age := f.Age()
+		if age < 0 || age >= limit {
+			return
+		}
+		sleep(ctx, idle)
 	}
 }
 
@@ -140,8 +174,9 @@
 	if !synced {
 		return f.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.pace.Wait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.pace.Wait+f.timeout())
 	defer cancel()
+	begin := f.now()
 	records, next, err := f.source.Read(ctx, f.id, from, f.pace.Wait)
 	if errors.Is(err, ErrExpired) {
 		f.mu.Lock()
@@ -152,18 +187,30 @@
 	if err != nil {
 		return err
 	}
-	f.Merge(records, next)
+	if len(records) == 0 && f.pace.Wait > 0 {
+		// The store says that there was nothing up to the end of the wait.
+		begin = f.now()
+	}
+	f.Merge(records, next, begin)
 	return nil
 }
 
+// timeout is the time for an answer.
+func (f *Follower) timeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return min(longestAnswer, answerTimeout<<min(f.fails, 8))
+}
+
 func (f *Follower) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*f.timeout())
 	defer cancel()
+	begin := f.now()
 	records, next, err := f.source.Newest(ctx, f.id)
 	if err != nil {
 		return err
 	}
-	f.Merge(records, next)
+	f.Merge(records, next, begin)
 	f.mu.Lock()
 	f.synced = true
 	f.mu.Unlock()
@@ -175,22 +222,34 @@
 	return nil
 }
 
-// Merge takes records and a position over, from the store or from a peer.
-func (f *Follower) Merge(records []Record, next uint64) {
+// Merge takes records and a position over, from the store or from a peer. freshAt is when the store
+// had nothing beyond the position.
+func (f *Follower) Merge(records []Record, next uint64, freshAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if next < f.next {
+		// The sender is behind; its records are checked one by one, its freshness is not taken.
+		freshAt = f.freshAt
+	}
+	if !f.freshAt.IsZero() && freshAt.Sub(f.freshAt) > outageAfter+f.pace.Wait {
+		f.sink.Returned()
+	}
 	for _, r := range records {
-		if known, ok := f.records[r.Key]; ok && known.Offset >= r.Offset {
+		if known, ok := f.seen[r.Key]; ok && known >= r.Offset {
 			continue
 		}
-		f.records[r.Key] = r
-		f.sink.Apply(r)
+		f.seen[r.Key] = r.Offset
+		if f.sink.Apply(r) {
+			f.records[r.Key] = r
+		}
 	}
 	f.next = max(f.next, next)
-	f.freshAt = f.now()
+	if freshAt.After(f.freshAt) {
+		f.freshAt = freshAt
+	}
 }
 
-// Since returns the position and the newest record of each key at or after an offset.
+// Since returns the records at or after an offset that said something new, and the position.
 func (f *Follower) Since(from uint64) (records []Record, next uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -205,14 +264,21 @@
 	return records, f.next
 }
 
-// Position returns the offset of the next record and whether the store does not serve this router.
-func (f *Follower) Position() (next uint64, want bool) {
+// Position returns the offset of the next record.
+func (f *Follower) Position() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next, f.failing != nil || f.goodAt.IsZero()
+	return f.next
 }
 
-// Age returns the time since the feed was last known to be complete.
+// Failing reports whether the store does not serve this router, or has not yet.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing != nil || !f.synced
+}
+
+// Age returns the time since the feed was last known to be complete, -1 before the first answer.
 func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -222,10 +288,16 @@
 	return f.now().Sub(f.freshAt)
 }
 
-func (f *Follower) failed(err error) {
+// failed notes a failed read and returns the pause before the next one.
+func (f *Follower) failed(err error) time.Duration {
 	f.mu.Lock()
 	first := f.failing == nil
 	f.failing = err
+	f.fails++
+	pause := min(longestRetry, firstRetry<<min(f.fails-1, 8))
+	if f.pace.MaxAge > 0 && !f.freshAt.IsZero() && f.now().Sub(f.freshAt) < outageAfter && f.fails > 1 {
+		pause = sparedRetry
+	}
 	f.mu.Unlock()
 	if f.OnFailure != nil {
 		f.OnFailure(f.id, err)
@@ -233,13 +305,14 @@
 	if first && f.OnState != nil {
 		f.OnState(f.id, err)
 	}
+	return pause
 }
 
 func (f *Follower) answered() {
 	f.mu.Lock()
 	back := f.failing != nil
 	f.failing = nil
-	f.goodAt = f.now()
+	f.fails = 0
 	f.mu.Unlock()
 	if back && f.OnState != nil {
 		f.OnState(f.id, nil)
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -101,7 +101,8 @@
 	removed map[string]removal
 	// cacheTokens is the prompt memory of an instance by pool.
 	cacheTokens map[string]int
-	disturbedAt time.Time
+	// returnedAt is when the store answered again after an outage.
+	returnedAt time.Time
 	// placed are the prompts placed lately, oldest first, for the other routers.
 	placed []Placement
 }
@@ -234,7 +235,7 @@
 		return Unchanged
 	}
 	now := r.now()
-	if now.Sub(r.disturbedAt) < r.settings.LapseGrace {
+	if now.Sub(r.returnedAt) < r.settings.LapseGrace {
 		m.lapsedAt = now
 		return Unchanged
 	}
@@ -265,11 +266,11 @@
 	return removed
 }
 
-// StoreDisturbed notes that the store did not answer just now.
-func (r *Registry) StoreDisturbed() {
+// StoreReturned notes that the store answers again after an outage.
+func (r *Registry) StoreReturned() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.disturbedAt = r.now()
+	r.returnedAt = r.now()
 }
 
 // Sweep ends the grace of lapsed entries and forgets old removals and silent peers. It returns the
@@ -279,7 +280,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	for _, m := range r.members {
-		if !m.lapsedAt.IsZero() && now.Sub(r.disturbedAt) >= r.settings.LapseGrace {
+		if !m.lapsedAt.IsZero() && now.Sub(r.returnedAt) >= r.settings.LapseGrace {
 			gone = append(gone, m.ID)
 			r.removeNow(m, now)
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,12 +47,12 @@
 		RepeatShare:  0.2,
 		RepeatBurst:  50,
 		RepeatWindow: 10 * time.Second,
-		// A change of the configuration is due everywhere within two seconds; a read that waits sees it
-		// at once, and a connection that went silent is found within half of the wait and the timeout.
-		ConfigurationPace: feed.Pace{Wait: time.Second},
+		// A read that waits sees a change at once. Peers bring changes to a router whose connection has gone
+		// silent, so the wait may be longer than a change may take.
+		ConfigurationPace: feed.Pace{Wait: 5 * time.Second},
 		// Publications come all the time, so a read that waits would return for each of them. A departure
 		// is due within two seconds.
-		InstancesPace: feed.Pace{Pause: 700 * time.Millisecond},
+		InstancesPace: feed.Pace{MaxAge: 700 * time.Millisecond},
 		Pool:          pool.DefaultSettings(),
 	}
 }
