End a silent stream only with a paid resumption

Ruled out: the configuration itself; the instance was silent for a long prompt.

Change: the watch takes the repeat from the budget first and waits 1.5 gaps of the route. Long records are asked of one peer at a time, and only after a failed read: at the start of all routers each had sent its configuration to each other.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -110,7 +110,7 @@
 const suspectsPerMessage = 8
 
 // News implements peer.Host.
-func (g *Gateway) News(theirs []*peerpb.Position) *peerpb.News {
+func (g *Gateway) News(theirs []*peerpb.Position, want bool) *peerpb.News {
 	news := &peerpb.News{
 		Node:     g.settings.Node,
 		Address:  g.peers.Address(),
@@ -122,7 +122,7 @@
 		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: id, Requests: uint32(max(0, load.Requests)), Tokens: uint32(max(0, load.Tokens))})
 	}
 	for _, f := range g.followers() {
-		g.supply(news, f, positionOf(theirs, f.id))
+		g.supply(news, f, positionOf(theirs, f.id), want)
 	}
 	for _, p := range g.registry.Placements(g.peers.Span()) {
 		placed := &peerpb.PlacedPrompt{Instance: p.Instance}
@@ -138,10 +138,13 @@
 // the store. A configuration of a thousand routes to each peer would fill a router's link.
 const longRecord = 4 << 10
 
+// Wants implements peer.Host.
+func (g *Gateway) Wants() bool { return g.configuration.Failing() || g.instances.Failing() }
+
 // supply adds the own position in a feed and the records that a peer is missing. Without all records
 // the position is left out, so that the peer does not take it over.
-func (g *Gateway) supply(news *peerpb.News, f namedFollower, theirs *peerpb.Position) {
-	own := &peerpb.Position{Feed: uint32(f.id), Base: theirs.GetNext(), Want: f.follower.Failing(), AgeMs: -1}
+func (g *Gateway) supply(news *peerpb.News, f namedFollower, theirs *peerpb.Position, want bool) {
+	own := &peerpb.Position{Feed: uint32(f.id), Base: theirs.GetNext(), Want: want, AgeMs: -1}
 	news.Positions = append(news.Positions, own)
 	age := f.follower.Age()
 	if age < 0 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,7 +29,7 @@
 func serverName(i pool.Instance) string { return i.ID + "/" + strconv.FormatInt(i.Born, 36) }
 
 // tryInstances sends the request to one instance after the other as far as that is safe.
-func (s *serving) tryInstances(ctx context.Context, budget *retry.Budget) error {
+func (s *serving) tryInstances(ctx context.Context) error {
 	var last error
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
 		lease := s.choose()
@@ -57,7 +57,7 @@
 			"reason", string(failure.Reason), "verdict", failure.Verdict.String(), "detail", failure.Detail,
 			"took_ms", time.Since(begin).Milliseconds())
 		last = err
-		if !s.again(ctx, failure, budget) {
+		if !s.again(ctx, failure) {
 			return last
 		}
 	}
@@ -65,7 +65,7 @@
 }
 
 // again decides whether the request goes to another instance.
-func (s *serving) again(ctx context.Context, failure *verdict.Error, budget *retry.Budget) bool {
+func (s *serving) again(ctx context.Context, failure *verdict.Error) bool {
 	if ctx.Err() != nil || retry.Classify(failure, s.route.Repeatable()) == retry.Never {
 		return false
 	}
@@ -76,7 +76,9 @@
 		return false
 	}
 	// A request that never left this process is no repeat for the pool.
-	if failure.Reason != verdict.ReasonUnreachable && !budget.Withdraw(time.Now()) {
+	free := failure.Reason == verdict.ReasonUnreachable || s.prepaid
+	s.prepaid = false
+	if !free && !s.budget.Withdraw(time.Now()) {
 		s.g.metrics.repeats.Add(s.pool+"/denied", 1)
 		return false
 	}
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -271,11 +271,11 @@
 	return f.next
 }
 
-// Failing reports whether the store does not serve this router, or has not yet.
+// Failing reports whether the last read of the store failed.
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing != nil || !f.synced
+	return f.failing != nil
 }
 
 // Age returns the time since the feed was last known to be complete, -1 before the first answer.
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -40,8 +41,11 @@
 
 // Host supplies and takes the news of this router.
 type Host interface {
-	// News returns what to tell a peer that is at the given positions, which may be nil.
-	News(theirs []*peerpb.Position) *peerpb.News
+	// News returns what to tell a peer that is at the given positions, which may be nil. want asks the
+	// peer for long records too.
+	News(theirs []*peerpb.Position, want bool) *peerpb.News
+	// Wants reports whether this router needs long records from a peer.
+	Wants() bool
 	// Heard takes the news of a peer over.
 	Heard(news *peerpb.News)
 }
@@ -169,7 +173,7 @@
 // Exchange implements peerpb.PeerServer.
 func (e *Exchange) Exchange(_ context.Context, news *peerpb.News) (*peerpb.News, error) {
 	e.heard(news)
-	return e.host.News(news.GetPositions()), nil
+	return e.host.News(news.GetPositions(), false), nil
 }
 
 func (e *Exchange) heard(news *peerpb.News) {
@@ -190,13 +194,42 @@
 // tick is the resolution of the calls' times.
 const tick = 50 * time.Millisecond
 
+// askPause is the time between two requests for long records. One peer is asked at a time, because a
+// long record from each of them would fill the link.
+const askPause = 500 * time.Millisecond
+
+// anyPeer returns a random peer heard lately that is not being called, or nil.
+func (e *Exchange) anyPeer(now time.Time) *remote {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var heard []*remote
+	for _, p := range e.peers {
+		if !p.busy && now.Sub(p.heardAt) < longestBackoff {
+			heard = append(heard, p)
+		}
+	}
+	if len(heard) == 0 {
+		return nil
+	}
+	p := heard[rand.IntN(len(heard))]
+	p.busy = true
+	return p
+}
+
 // Run calls peers until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	askAt := time.Now()
 	for {
+		if now := time.Now(); !now.Before(askAt) && e.host.Wants() {
+			askAt = now.Add(askPause)
+			if p := e.anyPeer(now); p != nil {
+				go e.call(ctx, p, true)
+			}
+		}
 		for _, p := range e.due(time.Now()) {
-			go e.call(ctx, p)
+			go e.call(ctx, p, false)
 		}
 		select {
 		case <-ctx.Done():
@@ -242,13 +275,13 @@
 	return out
 }
 
-func (e *Exchange) call(ctx context.Context, p *remote) {
+func (e *Exchange) call(ctx context.Context, p *remote, want bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
 	theirs, conn := p.theirs, p.conn
 	e.mu.Unlock()
-	news, err := peerpb.NewPeerClient(conn).Exchange(ctx, e.host.News(theirs))
+	news, err := peerpb.NewPeerClient(conn).Exchange(ctx, e.host.News(theirs, want))
 	e.mu.Lock()
 	p.busy = false
 	if err != nil {
@@ -296,7 +329,7 @@
 	e.mu.Unlock()
 	var done sync.WaitGroup
 	for _, p := range list {
-		done.Go(func() { e.call(ctx, p) })
+		done.Go(func() { e.call(ctx, p, false) })
 	}
 	done.Wait()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/retry"
 	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
@@ -41,6 +42,9 @@
 	// event of a stream.
 	streamed  bool
 	lastEvent string
+	// budget is the retry budget of the pool; prepaid is set when the next repeat is paid already.
+	budget  *retry.Budget
+	prepaid bool
 	// waited is the time before admission.
 	waited time.Duration
 }
@@ -176,9 +180,9 @@
 		return err
 	}
 	defer grant.Done()
-	budget := s.g.budgets.of(s.pool)
-	budget.Request(time.Now())
-	return s.tryInstances(ctx, budget)
+	s.budget = s.g.budgets.of(s.pool)
+	s.budget.Request(time.Now())
+	return s.tryInstances(ctx)
 }
 
 // choosePool takes the first pool of the route with an instance that takes work.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -22,9 +22,12 @@
 	eventBuffer = 2 << 10
 	// watchInterval is how often a stream that may be resumed is looked at.
 	watchInterval = 150 * time.Millisecond
-	// stallLimit is the silence of an instance towards all requests of this router after which a
-	// stream that may be resumed goes on elsewhere.
-	stallLimit = 500 * time.Millisecond
+	// stallGaps is the silence of an instance towards all requests of this router, in gaps that callers
+	// accept, after which a stream that may be resumed goes on elsewhere. One long prompt can silence an
+	// engine for about one gap.
+	stallGaps = 1.5
+	// defaultGap is the gap that callers accept when the route names none.
+	defaultGap = 800 * time.Millisecond
 )
 
 // errStalled ends a stream whose instance sends nothing to anybody.
@@ -140,7 +143,9 @@
 	if ctx.Err() != nil {
 		return pool.Abandoned, s.ended(ctx, verdict.Ran)
 	}
-	if !errors.Is(err, errStalled) {
+	if errors.Is(err, errStalled) {
+		s.prepaid = true
+	} else {
 		s.g.crashes.note(lease.Instance, s.fingerprint)
 	}
 	if s.route.Resumable {
@@ -161,11 +166,17 @@
 	if !s.route.Resumable || s.sent >= s.route.Attempts {
 		return w
 	}
-	go w.run(lease, resp)
+	gap := s.route.Gap
+	if gap == 0 {
+		gap = defaultGap
+	}
+	go w.run(s, lease, resp, time.Duration(stallGaps*float64(gap)))
 	return w
 }
 
-func (w *stallWatch) run(lease *pool.Lease, resp *backend.Response) {
+// run ends a stream only when the budget allows its resumption: an instance that is silent may still
+// finish, and a caller is better off waiting than cut off.
+func (w *stallWatch) run(s *serving, lease *pool.Lease, resp *backend.Response, limit time.Duration) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
@@ -174,7 +185,10 @@
 			return
 		case <-ticker.C:
 		}
-		if lease.Stalled(stallLimit) {
+		if !lease.Stalled(limit) {
+			continue
+		}
+		if s.budget.Withdraw(time.Now()) {
 			close(w.stalled)
 			resp.Abort()
 			return
