--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -113,17 +113,6 @@
 	return p.controller.Admit(ctx, admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority})
 }
 
-// waiting is the number of requests that wait for a pool.
-func (a *admissions) waiting(name string) int {
-	a.mu.Lock()
-	p := a.pools[name]
-	a.mu.Unlock()
-	if p == nil {
-		return 0
-	}
-	return p.controller.Load().Waiting
-}
-
 // budgets holds the retry budget of each pool. The allowance of the fleet is divided evenly, because
 // repeats are rare and a message for each would cost more than what unused shares are worth.
 type budgets struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,7 +32,7 @@
 func (s *serving) tryInstances(ctx context.Context) error {
 	var last error
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		lease := s.choose()
+		lease := s.g.registry.Choose(s.wanted())
 		if lease == nil {
 			if last != nil {
 				return last
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -78,6 +79,19 @@
 	return r.lease(q, best, mean, now)
 }
 
+// HasOther reports whether a healthy instance could take the request besides those that had it.
+func (r *Registry) HasOther(q *Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for _, m := range r.candidates(q, now) {
+		if !m.health.left(now) && !m.stalled(now, r.settings.StallAfter) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the members that may be asked, the best kind that is not empty: healthy ones,
 // then those that stall or have just refused, then those left alone.
 func (r *Registry) candidates(q *Request, now time.Time) []*member {
@@ -199,10 +213,12 @@
 }
 
 // byLoad chooses the instance with the fewest requests in flight per slot, the own failure domain
-// first among equals.
+// first among equals and then at random, so that routers do not all choose the same one.
 func (r *Registry) byLoad(candidates []*member) *member {
-	best := candidates[0]
-	for _, m := range candidates[1:] {
+	start := rand.IntN(len(candidates))
+	best := candidates[start]
+	for n := range candidates {
+		m := candidates[(start+n)%len(candidates)]
 		a, b := m.requests()*max(1, best.Slots), best.requests()*max(1, m.Slots)
 		switch {
 		case a < b:
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -206,14 +206,14 @@
 	return xxhash.Sum64String(s.call.ID)
 }
 
-// choose takes a place at an instance that has not had the request.
-func (s *serving) choose() *pool.Lease {
-	return s.g.registry.Choose(&pool.Request{
+// wanted describes the instance that the request needs, one that has not had it.
+func (s *serving) wanted() *pool.Request {
+	return &pool.Request{
 		Pool:    s.pool,
 		Parts:   s.call.Prompt,
 		Tokens:  s.call.PromptTokens,
 		Exclude: s.tried,
-	})
+	}
 }
 
 // timeLeft is the time until the deadline, 0 when there is none.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -61,8 +61,13 @@
 	}
 }
 
-// more reports whether bytes of a next event are there already.
-func (e *events) more() bool { return e.reader.Buffered() > 0 }
+// more reports whether a whole next event is there already. A part of one is no reason to hold back
+// what is whole.
+func (e *events) more() bool {
+	// Peek of what is buffered cannot fail.
+	buffered, _ := e.reader.Peek(e.reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // stream passes events on as they come, whole events only, so that a stream can go on elsewhere after
 // the last one.
@@ -170,13 +175,13 @@
 	if gap == 0 {
 		gap = defaultGap
 	}
-	go w.run(s, lease, resp, time.Duration(stallGaps*float64(gap)))
+	go w.run(s, s.wanted(), lease, resp, time.Duration(stallGaps*float64(gap)))
 	return w
 }
 
-// run ends a stream only when the budget allows its resumption: an instance that is silent may still
+// run ends a stream only when another instance and the budget allow its resumption: an instance that is silent may still
 // finish, and a caller is better off waiting than cut off.
-func (w *stallWatch) run(s *serving, lease *pool.Lease, resp *backend.Response, limit time.Duration) {
+func (w *stallWatch) run(s *serving, wanted *pool.Request, lease *pool.Lease, resp *backend.Response, limit time.Duration) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
@@ -188,7 +193,7 @@
 		if !lease.Stalled(limit) {
 			continue
 		}
-		if s.budget.Withdraw(time.Now()) {
+		if s.g.registry.HasOther(wanted) && s.budget.Withdraw(time.Now()) {
 			close(w.stalled)
 			resp.Abort()
 			return
