Do not hide removals behind a position that a restarted router passes on

A router that had restarted after the removal read the newest record of each key, where a removal leaves nothing, and passed its position on; a router before the removal took the position over and never read the removal. Ruled out: slow reads (the others knew within 0.9 s), lapses.

Change: a feed remembers from which offset on it has followed every record; a position is passed on only to a peer at or after it, or at 0.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -150,8 +150,11 @@
 	if age < 0 {
 		return
 	}
-	records, next := f.follower.Since(own.Base)
+	records, next, bridges := f.follower.Since(own.Base)
 	own.Next = next
+	if !bridges {
+		return
+	}
 	if !theirs.GetWant() && slices.ContainsFunc(records, func(r feed.Record) bool { return len(r.Value) > longRecord }) {
 		return
 	}
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -111,6 +111,9 @@
 	// seen is the offset of the newest record of each key; records are those that said something new.
 	seen    map[string]uint64
 	records map[string]Record
+	// followed is the offset from which on all records are known, removals included. What was removed
+	// before it is not in records, because the newest record of each key does not tell.
+	followed uint64
 	// freshAt is when the store was last known to have nothing beyond next, and failing the error of
 	// the last own read.
 	freshAt time.Time
@@ -213,6 +216,7 @@
 	f.Merge(records, next, begin)
 	f.mu.Lock()
 	f.synced = true
+	f.followed = next
 	f.mu.Unlock()
 	keys := make(map[string]bool, len(records))
 	for _, r := range records {
@@ -234,6 +238,9 @@
 	if !f.freshAt.IsZero() && freshAt.Sub(f.freshAt) > outageAfter+f.pace.Wait {
 		f.sink.Returned()
 	}
+	if f.next == 0 {
+		f.followed = next
+	}
 	for _, r := range records {
 		if known, ok := f.seen[r.Key]; ok && known >= r.Offset {
 			continue
@@ -249,19 +256,22 @@
 	}
 }
 
-// Since returns the records at or after an offset that said something new, and the position.
-func (f *Follower) Since(from uint64) (records []Record, next uint64) {
+// Since returns the records at or after an offset that said something new, and the position. bridges
+// is false when removals after the offset may be missing, so that a peer at the offset cannot take the
+// position over. A peer at offset 0 knows nothing that could have been removed.
+func (f *Follower) Since(from uint64) (records []Record, next uint64, bridges bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	bridges = from >= f.followed || from == 0
 	if from >= f.next {
-		return nil, f.next
+		return nil, f.next, bridges
 	}
 	for _, r := range f.records {
 		if r.Offset >= from {
 			records = append(records, r)
 		}
 	}
-	return records, f.next
+	return records, f.next, bridges
 }
 
 // Position returns the offset of the next record.
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -144,14 +144,39 @@
 	is.Equal(f.Position(), uint64(6))
 	is.True(f.Age() >= 0) // the age of news that are behind does not count
 	f.Merge([]Record{{Key: "a", Offset: 7, Value: []byte("new")}}, 8, now)
-	records, next := f.Since(0)
+	records, next, _ := f.Since(0)
 	is.Equal(next, uint64(8))
 	is.Equal(len(records), 1)
 	is.Equal(records[0].Offset, uint64(5)) // the later one says nothing new
-	records, _ = f.Since(6)
+	records, _, _ = f.Since(6)
 	is.Equal(len(records), 0)
 }
 
+// Guards against a router that starts after a removal and whose position, taken over by another one,
+// hides the removal from it.
+func TestRestartedPeerDoesNotHideRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &fakeSource{}
+		source.put("a", "1")
+		source.put("b", "1")
+		source.put("a", "")
+		restarted := NewFollower(Instances, source, newSink(), instancesPace)
+		ctx, cancel := context.WithCancel(t.Context())
+		go restarted.Run(ctx)
+		time.Sleep(time.Second)
+		_, next, bridges := restarted.Since(2)
+		is.Equal(next, uint64(3))
+		is.True(!bridges) // the removal of a at 2 is not known
+		_, _, bridges = restarted.Since(3)
+		is.True(bridges)
+		_, _, bridges = restarted.Since(0)
+		is.True(bridges) // nothing to be removed there
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against store calls that grow with the routers: followers that pass their positions on read
 // about as often as one, and each knows a change within the age and one exchange.
 func TestFleetReadsAsOne(t *testing.T) {
@@ -173,7 +198,10 @@
 				time.Sleep(150 * time.Millisecond)
 				for _, from := range followers {
 					for _, to := range followers {
-						records, next := from.Since(to.Position())
+						records, next, bridges := from.Since(to.Position())
+						if !bridges {
+							continue
+						}
 						to.Merge(records, next, time.Now().Add(-from.Age()))
 					}
 				}
