Pass on removals and returns of entries completely, and find a lost read in time

Change: the receiver checks base and first followed offset against its own position; while a store fails, reads do not wait, and the wait is 2 s; the return of a lapsed entry counts as news; a grace ends with a read that is later. Entries that are ignored are logged.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -70,6 +70,10 @@
 		return false
 	}
 	change := g.registry.Publish(i)
+	if change == pool.Stale {
+		g.log.Info("instance entry ignored", "instance", i.ID, "offset", r.Offset, "sequence", i.Sequence, "born", i.Born, "leaving", i.Leaving)
+		return false
+	}
 	s.note(i.ID, change, r.Offset)
 	return change != pool.Unchanged
 }
@@ -146,20 +150,17 @@
 func (g *Gateway) supply(news *peerpb.News, f namedFollower, theirs *peerpb.Position, want bool) {
 	own := &peerpb.Position{Feed: uint32(f.id), Base: theirs.GetNext(), Want: want, AgeMs: -1}
 	news.Positions = append(news.Positions, own)
-	age := f.follower.Age()
-	if age < 0 {
-		return
-	}
-	records, next, bridges := f.follower.Since(own.Base)
-	own.Next = next
-	if !bridges {
+	n := f.follower.Since(own.Base)
+	own.Next, own.Followed = n.Next, n.Followed
+	if n.FreshAt.IsZero() {
 		return
 	}
-	if !theirs.GetWant() && slices.ContainsFunc(records, func(r feed.Record) bool { return len(r.Value) > longRecord }) {
+	long := func(r feed.Record) bool { return len(r.Value) > longRecord }
+	if !theirs.GetWant() && slices.ContainsFunc(n.Records, long) {
 		return
 	}
-	own.AgeMs = age.Milliseconds()
-	for _, r := range records {
+	own.AgeMs = time.Since(n.FreshAt).Milliseconds()
+	for _, r := range n.Records {
 		news.Records = append(news.Records, &peerpb.Record{Feed: uint32(f.id), Offset: r.Offset, Key: r.Key, Value: r.Value})
 	}
 }
@@ -197,21 +198,26 @@
 	}
 }
 
-// follow takes over what a peer knows of a feed. Its position counts only when its records bridge the
-// gap to it.
+// follow takes over what a peer knows of a feed.
 func (g *Gateway) follow(news *peerpb.News, position *peerpb.Position) {
-	for _, f := range g.followers() {
-		if uint32(f.id) != position.GetFeed() || position.GetAgeMs() < 0 || position.GetBase() > f.follower.Position() {
-			continue
+	if position.GetAgeMs() < 0 {
+		return
+	}
+	n := feed.News{
+		Base:     position.GetBase(),
+		Followed: position.GetFollowed(),
+		Next:     position.GetNext(),
+		FreshAt:  time.Now().Add(-time.Duration(position.GetAgeMs())*time.Millisecond - travelTime),
+	}
+	for _, r := range news.GetRecords() {
+		if r.GetFeed() == position.GetFeed() {
+			n.Records = append(n.Records, feed.Record{Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue()})
 		}
-		var records []feed.Record
-		for _, r := range news.GetRecords() {
-			if r.GetFeed() == position.GetFeed() {
-				records = append(records, feed.Record{Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue()})
-			}
+	}
+	for _, f := range g.followers() {
+		if uint32(f.id) == position.GetFeed() {
+			f.follower.Learn(n)
 		}
-		freshAt := time.Now().Add(-time.Duration(position.GetAgeMs())*time.Millisecond - travelTime)
-		f.follower.Merge(records, position.GetNext(), freshAt)
 	}
 }
 
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -78,11 +78,11 @@
 	// on a new connection before a change is due everywhere. After failures it doubles up to
 	// longestAnswer, because a store that is slow still answers.
 	answerTimeout = 700 * time.Millisecond
-	longestAnswer = 2800 * time.Millisecond
+	longestAnswer = 1400 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed read. Calls that are refused are
 	// priced too.
 	firstRetry   = 150 * time.Millisecond
-	longestRetry = time.Second
+	longestRetry = 500 * time.Millisecond
 	// sparedRetry is the pause while peers keep the feed fresh.
 	sparedRetry = 3 * time.Second
 	// outageAfter is the age of a feed above which its store is taken to have been unavailable.
@@ -172,15 +172,19 @@
 // step makes one read.
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
-	from, synced := f.next, f.synced
+	from, synced, wait := f.next, f.synced, f.pace.Wait
+	if f.failing != nil {
+		// A read that waits would find the return of the store only at the end of its wait.
+		wait = 0
+	}
 	f.mu.Unlock()
 	if !synced {
 		return f.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.pace.Wait+f.timeout())
+	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout())
 	defer cancel()
 	begin := f.now()
-	records, next, err := f.source.Read(ctx, f.id, from, f.pace.Wait)
+	records, next, err := f.source.Read(ctx, f.id, from, wait)
 	if errors.Is(err, ErrExpired) {
 		f.mu.Lock()
 		f.synced = false
@@ -190,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	if len(records) == 0 && f.pace.Wait > 0 {
+	if len(records) == 0 && wait > 0 {
 		// The store says that there was nothing up to the end of the wait.
 		begin = f.now()
 	}
@@ -256,22 +260,42 @@
 	}
 }
 
-// Since returns the records at or after an offset that said something new, and the position. bridges
-// is false when removals after the offset may be missing, so that a peer at the offset cannot take the
-// position over. A peer at offset 0 knows nothing that could have been removed.
-func (f *Follower) Since(from uint64) (records []Record, next uint64, bridges bool) {
+// News is what one router tells another of a feed.
+type News struct {
+	// Base is the offset from which on Records holds all that said something new, and Followed the one
+	// from which on removals are among them.
+	Base, Followed uint64
+	Records        []Record
+	// Next is the position of the sender, and FreshAt when the store had nothing beyond it.
+	Next    uint64
+	FreshAt time.Time
+}
+
+// Since returns what a peer at an offset is missing.
+func (f *Follower) Since(from uint64) News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	bridges = from >= f.followed || from == 0
+	n := News{Base: from, Followed: f.followed, Next: f.next, FreshAt: f.freshAt}
 	if from >= f.next {
-		return nil, f.next, bridges
+		return n
 	}
 	for _, r := range f.records {
 		if r.Offset >= from {
-			records = append(records, r)
+			n.Records = append(n.Records, r)
 		}
 	}
-	return records, f.next, bridges
+	return n
+}
+
+// Learn takes the news of a peer over if they bridge the gap between this router's position and the
+// peer's. Removals that the peer does not know would be skipped otherwise; a router without a position
+// has nothing that could have been removed.
+func (f *Follower) Learn(n News) {
+	own := f.Position()
+	if n.Base > own || (own > 0 && own < n.Followed) {
+		return
+	}
+	f.Merge(n.Records, n.Next, n.FreshAt)
 }
 
 // Position returns the offset of the next record.
@@ -298,6 +322,13 @@
 	return f.now().Sub(f.freshAt)
 }
 
+// FreshAt returns the time up to which the feed is known, zero before the first answer.
+func (f *Follower) FreshAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshAt
+}
+
 // failed notes a failed read and returns the pause before the next one.
 func (f *Follower) failed(err error) time.Duration {
 	f.mu.Lock()
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -132,6 +132,58 @@
 	})
 }
 
+// hangingSource answers no read while it is silent, and none of those that began then.
+type hangingSource struct {
+	fakeSource
+	silent bool
+}
+
+func (s *hangingSource) hang(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *hangingSource) Read(ctx context.Context, id ID, from uint64, wait time.Duration) ([]Record, uint64, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		silent, more := s.silent, uint64(len(s.records)) > from
+		s.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		if more || ctx.Err() != nil || !time.Now().Before(end) {
+			return s.fakeSource.Read(ctx, id, from, 0)
+		}
+	}
+}
+
+// Guards against a configuration that is seen late because the read that waits for it was lost: three
+// seconds after an outage of any length a change is in force.
+func TestLostWaitIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source, sink := &hangingSource{}, newSink()
+		source.put("config", "0")
+		f := NewFollower(Configuration, source, sink, Pace{Wait: 2 * time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		for n, outage := range []time.Duration{50 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second, 8 * time.Second, 8100 * time.Millisecond} {
+			time.Sleep(time.Duration(n) * 700 * time.Millisecond)
+			source.hang(true)
+			time.Sleep(outage)
+			source.hang(false)
+			source.put("config", fmt.Sprint(n))
+			time.Sleep(3 * time.Second)
+			is.Equal(sink.get("config"), fmt.Sprint(n))
+		}
+		cancel()
+		time.Sleep(time.Second) // the read in progress sees the end
+		synctest.Wait()
+	})
+}
+
 // Guards against news of a peer that takes a value back, or a position over that skips records.
 func TestMergeOnlyAdvances(t *testing.T) {
 	is := is.New(t)
@@ -144,12 +196,11 @@
 	is.Equal(f.Position(), uint64(6))
 	is.True(f.Age() >= 0) // the age of news that are behind does not count
 	f.Merge([]Record{{Key: "a", Offset: 7, Value: []byte("new")}}, 8, now)
-	records, next, _ := f.Since(0)
-	is.Equal(next, uint64(8))
-	is.Equal(len(records), 1)
-	is.Equal(records[0].Offset, uint64(5)) // the later one says nothing new
-	records, _, _ = f.Since(6)
-	is.Equal(len(records), 0)
+	news := f.Since(0)
+	is.Equal(news.Next, uint64(8))
+	is.Equal(len(news.Records), 1)
+	is.Equal(news.Records[0].Offset, uint64(5)) // the later one says nothing new
+	is.Equal(len(f.Since(6).Records), 0)
 }
 
 // Guards against a router that starts after a removal and whose position, taken over by another one,
@@ -165,13 +216,18 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go restarted.Run(ctx)
 		time.Sleep(time.Second)
-		_, next, bridges := restarted.Since(2)
-		is.Equal(next, uint64(3))
-		is.True(!bridges) // the removal of a at 2 is not known
-		_, _, bridges = restarted.Since(3)
-		is.True(bridges)
-		_, _, bridges = restarted.Since(0)
-		is.True(bridges) // nothing to be removed there
+		for _, base := range []uint64{0, 2} { // a sender that does not know the receiver's position says 0
+			sink := newSink()
+			old := NewFollower(Instances, source, sink, instancesPace)
+			old.Merge([]Record{{"a", 0, []byte("1")}, {"b", 1, []byte("1")}}, 2, time.Now())
+			old.Learn(restarted.Since(base))
+			is.Equal(old.Position(), uint64(2)) // the removal of a at 2 is still to be read
+		}
+		sink := newSink()
+		fresh := NewFollower(Instances, source, sink, instancesPace)
+		fresh.Learn(restarted.Since(0))
+		is.Equal(fresh.Position(), uint64(3)) // nothing to be removed there
+		is.Equal(sink.get("b"), "1")
 		cancel()
 		synctest.Wait()
 	})
@@ -198,11 +254,7 @@
 				time.Sleep(150 * time.Millisecond)
 				for _, from := range followers {
 					for _, to := range followers {
-						records, next, bridges := from.Since(to.Position())
-						if !bridges {
-							continue
-						}
-						to.Merge(records, next, time.Now().Add(-from.Age()))
+						to.Learn(from.Since(to.Position()))
 					}
 				}
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,7 +206,7 @@
 			return
 		case <-ticker.C:
 		}
-		for _, id := range g.registry.Sweep() {
+		for _, id := range g.registry.Sweep(g.instances.FreshAt()) {
 			g.log.Info("instance", "instance", id, "change", "lapsed")
 		}
 		g.connections.Expire()
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -155,11 +155,16 @@
 	Left
 	Updated
 	Removed
+	// Returned is a publication of an instance whose entry had lapsed. Peers that were told of the lapse
+	// must be told of it.
+	Returned
+	// Stale is a publication that was written before a known one.
+	Stale
 )
 
 // String returns the change as logged.
 func (c Change) String() string {
-	return [...]string{"unchanged", "joined", "restarted", "leaving", "updated", "removed"}[c]
+	return [...]string{"unchanged", "joined", "restarted", "leaving", "updated", "removed", "returned", "stale"}[c]
 }
 
 // Publish takes a publication over. One that is older than what is known is ignored.
@@ -167,7 +172,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if gone, ok := r.removed[i.ID]; ok && older(i, gone.last) {
-		return Unchanged
+		return Stale
 	}
 	m, ok := r.members[i.ID]
 	if !ok {
@@ -176,11 +181,15 @@
 		return Joined
 	}
 	if older(i, m.Instance) {
-		return Unchanged
+		return Stale
 	}
+	lapsed := !m.lapsedAt.IsZero()
 	m.lapsedAt = time.Time{}
 	if m.sameContent(i) {
 		m.Instance = i
+		if lapsed {
+			return Returned
+		}
 		return Unchanged
 	}
 	if i.Born != m.Born || i.Address != m.Address || i.Pool != m.Pool {
@@ -273,14 +282,15 @@
 	r.returnedAt = r.now()
 }
 
-// Sweep ends the grace of lapsed entries and forgets old removals and silent peers. It returns the
-// instances that are now gone.
-func (r *Registry) Sweep() (gone []string) {
+// Sweep ends the grace of lapsed entries and forgets old removals and silent peers. freshAt is the time
+// up to which all publications are known: an entry counts as missing only when it is missing from what
+// was published after its grace. It returns the instances that are now gone.
+func (r *Registry) Sweep(freshAt time.Time) (gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	for _, m := range r.members {
-		if !m.lapsedAt.IsZero() && now.Sub(r.returnedAt) >= r.settings.LapseGrace {
+		if !m.lapsedAt.IsZero() && freshAt.Sub(r.returnedAt) >= r.settings.LapseGrace {
 			gone = append(gone, m.ID)
 			r.removeNow(m, now)
 		}
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -43,17 +43,17 @@
 	leaving := i
 	leaving.Leaving, leaving.Sequence = true, 6
 	is.Equal(r.Publish(leaving), Left)
-	is.Equal(r.Publish(i), Unchanged) // older
+	is.Equal(r.Publish(i), Stale)
 	is.True(r.Choose(prompt(1)) == nil)
 	is.Equal(r.Remove(i.ID), Removed)
-	is.Equal(r.Publish(i), Unchanged) // still older
+	is.Equal(r.Publish(i), Stale)
 	restarted := i
 	restarted.Born, restarted.Sequence = 2, 1
 	is.Equal(r.Publish(restarted), Joined)
 	again := restarted
 	again.Born = 3
 	is.Equal(r.Publish(again), Restarted)
-	is.Equal(r.Publish(restarted), Unchanged)
+	is.Equal(r.Publish(restarted), Stale)
 }
 
 // Guards against a pool that is emptied because entries lapse while the store is away, and against
@@ -69,9 +69,11 @@
 	is.True(r.Choose(prompt(1)) != nil)
 	back := engine(1)
 	back.Sequence = 9
-	r.Publish(back)
+	is.Equal(r.Publish(back), Returned) // peers that know of the lapse are told
+	read := c.now()
 	c.advance(DefaultSettings().LapseGrace)
-	is.Equal(r.Sweep(), []string{"i-02"})
+	is.Equal(len(r.Sweep(read)), 0) // nothing was read since, the entry may be back
+	is.Equal(r.Sweep(c.now()), []string{"i-02"})
 	is.Equal(r.Choose(prompt(1)).Instance.ID, "i-01")
 	is.Equal(r.Remove("i-01"), Removed) // the store is sound, so that the removal counts at once
 }
@@ -277,7 +279,7 @@
 			"peer": func(t *rapid.T) {
 				r.SetPeer("p", map[string]Load{engine(rapid.IntRange(0, 5).Draw(t, "n")).ID: {Requests: rapid.IntRange(0, 50).Draw(t, "load")}})
 			},
-			"sweep": func(*rapid.T) { r.Sweep() },
+			"sweep": func(*rapid.T) { r.Sweep(c.now()) },
 			"choose": func(t *rapid.T) {
 				q := prompt(rapid.Uint64Range(0, 9).Draw(t, "doc"))
 				q.Exclude = []string{engine(rapid.IntRange(0, 5).Draw(t, "excluded")).ID}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,9 +47,9 @@
 		RepeatShare:  0.2,
 		RepeatBurst:  50,
 		RepeatWindow: 10 * time.Second,
-		// A read that waits sees a change at once. Peers bring changes to a router whose connection has gone
-		// silent, so the wait may be longer than a change may take.
-		ConfigurationPace: feed.Pace{Wait: 5 * time.Second},
+		// A read that waits sees a change at once. One whose answer is lost is found at the end of its wait;
+		// the platform expects a router to be back three seconds after a disturbance.
+		ConfigurationPace: feed.Pace{Wait: 2 * time.Second},
 		// Publications come all the time, so a read that waits would return for each of them. A departure
 		// is due within two seconds.
 		InstancesPace: feed.Pace{MaxAge: 700 * time.Millisecond},
