--- a/gateway/pool/health.go
+++ b/gateway/pool/health.go
@@ -29,8 +29,11 @@
 const (
 	// failureWeight is the weight of the newest request in the moving failure rate.
 	failureWeight = 0.2
-	// ejectRate is the failure rate above which an instance is left: two failures in a row, or two of
-	// five. Errors that a service makes in normal operation are rarer.
+	// erroredShare is what an error of the service's own counts against a broken connection. Services
+	// answer some requests with an error in normal operation.
+	erroredShare = 0.6
+	// ejectRate is the failure rate above which an instance is left: two broken connections in a row, or
+	// four errors.
 	ejectRate = 0.3
 	// firstEjection and longestEjection are the shortest and longest time away. A restart of a backend
 	// server takes a few seconds.
@@ -71,9 +74,12 @@
 		h.rate = 1
 		h.hard = true
 		return true
-	case Broken, Errored:
+	case Broken:
 		h.rate = h.rate*(1-failureWeight) + failureWeight
 		return h.trial || h.rate > ejectRate
+	case Errored:
+		h.rate = h.rate*(1-failureWeight) + failureWeight*erroredShare
+		return h.rate > ejectRate
 	}
 	return false
 }
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -93,6 +93,31 @@
 	is.Equal(s.Usable, 3)
 }
 
+// Guards against instances that are left alone for errors that their service makes in normal
+// operation, one in seven here, and against one that keeps its work although it fails half of it.
+func TestOrdinaryErrorsEjectNobody(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(5, 6))
+	ejections := func(share float64) int {
+		var h health
+		n := 0
+		now := time.Unix(0, 0)
+		for range 1000 {
+			outcome := Served
+			if random.Float64() < share {
+				outcome = Errored
+			}
+			if h.note(outcome, now) {
+				n++
+				h = health{}
+			}
+		}
+		return n
+	}
+	is.True(ejections(0.14) <= 10)
+	is.True(ejections(0.5) >= 30)
+}
+
 // Guards against an instance that gets a burst at the end of its time away, and against one that is
 // never tried again.
 func TestReadmissionIsByOneRequest(t *testing.T) {
