Find failing instances by evidence, share it, and spend repeats where they are needed

Change: an instance is left by a cumulative test of its failures against its pool's share of them; what a router leaves is told to the others, which wait for its next trial; a router that leaves a third of all is not believed. Connections that are refused count apart from attempts. Budgets save up a share of the last window. The caller gets a backend server's own error. A slow answer is waited for while its instance is overloaded.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jacinthfork.example/jacinthfork/admission"
@@ -113,51 +115,74 @@
 	return p.controller.Admit(ctx, admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority})
 }
 
-// budgets holds the retry budget of each pool. The allowance of the fleet is divided evenly, because
-// repeats are rare and a message for each would cost more than what unused shares are worth.
+// budgets holds the retry budget of each pool. The allowance of the fleet is a share of the requests
+// of a window and a fixed number. The share is spent by the router that has the requests; the fixed
+// number is divided evenly, because a message for each repeat would cost more than unused parts are
+// worth.
 type budgets struct {
 	settings Settings
 	mu       sync.Mutex
 	routers  int
-	pools    map[string]*retry.Budget
+	pools    map[string]*poolBudget
 }
 
-// budgetMargin keeps the fleet below its allowance while routers disagree about their number.
-const budgetMargin = 0.7
+// poolBudget is the budget of one pool with the requests of about one window.
+type poolBudget struct {
+	*retry.Budget
+	requests atomic.Int64
+	window   float64
+}
+
+// Of the allowance, accrueShare of the share comes with each request and burstShare of it can be saved
+// up, so that a crash of many backend servers finds repeats. Of the fixed number, fixedBurst can be
+// saved up and fixedRate accrues within a window. Both sums stay below 1 while routers disagree about
+// their number.
+const (
+	accrueShare = 0.5
+	burstShare  = 0.4
+	fixedBurst  = 0.6
+	fixedRate   = 0.2
+	// leastBurst lets a router of a large fleet repeat at all.
+	leastBurst = 1
+)
 
 func newBudgets(settings Settings) *budgets {
-	return &budgets{settings: settings, routers: 1, pools: make(map[string]*retry.Budget)}
+	return &budgets{settings: settings, routers: 1, pools: make(map[string]*poolBudget)}
 }
 
-// of returns the budget of a pool.
-func (b *budgets) of(name string) *retry.Budget {
+// request counts one request to a pool and returns its budget.
+func (b *budgets) request(name string, now time.Time) *poolBudget {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	budget := b.pools[name]
 	if budget == nil {
-		budget = retry.NewBudget(b.retrySettings())
+		budget = &poolBudget{}
+		budget.Budget = retry.NewBudget(b.retrySettings(0))
 		b.pools[name] = budget
 	}
+	b.mu.Unlock()
+	budget.requests.Add(1)
+	budget.Request(now)
 	return budget
 }
 
-func (b *budgets) retrySettings() retry.Settings {
+func (b *budgets) retrySettings(window float64) retry.Settings {
 	s := retry.DefaultSettings()
-	s.SharePercent = int(b.settings.RepeatShare * budgetMargin * 100)
-	s.Burst = max(1, b.settings.RepeatBurst*budgetMargin/2/float64(b.routers))
-	s.MinPerSecond = s.Burst / b.settings.RepeatWindow.Seconds()
+	fixed := b.settings.RepeatBurst / float64(b.routers)
+	s.SharePercent = int(b.settings.RepeatShare * accrueShare * 100)
+	s.Burst = max(leastBurst, fixed*fixedBurst+b.settings.RepeatShare*burstShare*window)
+	s.MinPerSecond = fixed * fixedRate / b.settings.RepeatWindow.Seconds()
 	return s
 }
 
-// share divides the allowance among the given number of routers.
-func (b *budgets) share(routers int) {
+// refresh divides the allowance among the given number of routers and takes in the requests of the
+// time since the last call.
+func (b *budgets) refresh(routers int, since time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if routers == b.routers {
-		return
-	}
 	b.routers = routers
+	kept := math.Exp(-since.Seconds() / b.settings.RepeatWindow.Seconds())
 	for _, budget := range b.pools {
-		budget.Resize(b.retrySettings())
+		budget.window = budget.window*kept + float64(budget.requests.Swap(0))
+		budget.Resize(b.retrySettings(budget.window))
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxAttempts bounds the instances that one request is sent to, refusals included.
+	// maxAttempts bounds the instances that one request is sent to, refusals included, and maxDials those
+	// that it is tried at. A failure domain that just went leaves many that cannot be reached.
 	maxAttempts = 4
+	maxDials    = 10
 	// impatience is the part of the objective after which a request that may be repeated is taken from
 	// an instance that has not begun to answer.
 	impatience = 0.75
@@ -31,7 +33,8 @@
 // tryInstances sends the request to one instance after the other as far as that is safe.
 func (s *serving) tryInstances(ctx context.Context) error {
 	var last error
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
+	sent := 0
+	for attempt := 1; attempt <= maxDials && sent < maxAttempts; attempt++ {
 		lease := s.g.registry.Choose(s.wanted())
 		if lease == nil {
 			if last != nil {
@@ -53,6 +56,9 @@
 			return nil
 		}
 		failure := verdict.As(err)
+		if failure.Reason != verdict.ReasonUnreachable {
+			sent++
+		}
 		s.g.log.Info("attempt failed", "id", s.call.ID, "instance", lease.Instance.ID, "attempt", attempt,
 			"reason", string(failure.Reason), "verdict", failure.Verdict.String(), "detail", failure.Detail,
 			"took_ms", time.Since(begin).Milliseconds())
@@ -130,6 +136,7 @@
 		HasBody:   len(s.body) > 0 || s.r.ContentLength != 0 || s.r.Header.Get("Content-Length") != "",
 		Owns:      s.owns,
 		FirstByte: s.patience(),
+		GiveUp:    func() bool { return !lease.Overloaded() && s.g.registry.HasOther(s.wanted()) },
 	}
 }
 
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -23,8 +23,10 @@
 	HasBody bool
 	// Owns reports whether a response belongs to this request.
 	Owns func(resp *http.Response) bool
-	// FirstByte bounds the wait for the response header from now on. Zero is no bound.
+	// FirstByte is the wait for the first byte of the response after which GiveUp decides whether to go
+	// on waiting for as long again. Zero waits without end.
 	FirstByte time.Duration
+	GiveUp    func() bool
 }
 
 // Failure is an error of an exchange.
@@ -103,8 +105,8 @@
 	if err != nil {
 		return fail(&Failure{Sent: true, Err: fmt.Errorf("write: %w", err)})
 	}
-	if req.FirstByte > 0 {
-		_ = c.SetReadDeadline(time.Now().Add(req.FirstByte))
+	if err := c.awaitFirstByte(req); err != nil {
+		return fail(&Failure{Sent: true, Silent: isTimeout(err), Err: fmt.Errorf("read: %w", err)})
 	}
 	for range maxForeign {
 		resp, err := c.receive(req)
@@ -112,7 +114,6 @@
 			return fail(&Failure{Sent: true, Silent: isTimeout(err), Foreign: isMalformed(err), Err: fmt.Errorf("read: %w", err)})
 		}
 		if req.Owns(resp) {
-			_ = c.SetReadDeadline(time.Time{})
 			return &Response{Response: resp, conn: c, pool: p, written: written, stop: stop}, nil
 		}
 		if err := skip(resp); err != nil {
@@ -122,6 +123,25 @@
 	return fail(&Failure{Sent: true, Foreign: true, Err: errors.New("only foreign responses came")})
 }
 
+// awaitFirstByte waits until something can be read.
+func (c *Conn) awaitFirstByte(req *Request) error {
+	if req.FirstByte == 0 {
+		return nil
+	}
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(req.FirstByte)); err != nil {
+			return err
+		}
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return c.SetReadDeadline(time.Time{})
+		}
+		if !isTimeout(err) || req.GiveUp() {
+			return err
+		}
+	}
+}
+
 // receive reads a response header and passes over interim ones.
 func (c *Conn) receive(req *Request) (*http.Response, error) {
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,7 +211,7 @@
 		}
 		g.connections.Expire()
 		g.admission.refresh()
-		g.budgets.share(1 + g.registry.Peers())
+		g.budgets.refresh(1+g.registry.Peers(), housekeeping)
 		if t := g.table.Load(); t != nil {
 			g.callers.closeIdle(t.Limits.IdleTimeout)
 		}
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -105,7 +105,7 @@
 			rest = append(rest, m)
 		case m.health.trial && m.own.Requests > 0:
 			rest = append(rest, m)
-		case m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
+		case m.leftByPeers > 0, m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
 			doubtful = append(doubtful, m)
 		default:
 			healthy = append(healthy, m)
@@ -297,7 +297,7 @@
 	if o == Served || o == Errored || o == Full {
 		m.progressAt = now
 	}
-	if !m.health.note(o, now) {
+	if !m.health.note(o, r.noteFailures(m.Pool, o), now) {
 		return false
 	}
 	if !m.health.hard && !r.mayLeave(m, now) {
@@ -307,6 +307,28 @@
 	return true
 }
 
+// noteFailures takes an outcome into the pool's share of failures and returns it.
+func (r *Registry) noteFailures(pool string, o Outcome) float64 {
+	normal := r.failures[pool]
+	switch o {
+	case Served:
+		normal *= 1 - normalWeight
+	case Broken, Errored:
+		normal = normal*(1-normalWeight) + normalWeight
+	}
+	r.failures[pool] = normal
+	return normal
+}
+
+// Overloaded reports whether the instance has more requests in flight than it runs at once. It is then
+// slow for a reason that another attempt would only add to.
+func (l *Lease) Overloaded() bool {
+	r := l.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return l.member.Slots > 0 && l.member.requests() > l.member.Slots
+}
+
 // mayLeave reports whether at least half of the pool stays when one more instance is left alone.
 func (r *Registry) mayLeave(m *member, now time.Time) bool {
 	left, all := 1, 0
--- a/gateway/pool/health.go
+++ b/gateway/pool/health.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Outcome is how a request at an instance ended, as far as it tells something of the instance.
 type Outcome uint8
@@ -27,14 +30,17 @@
 }
 
 const (
-	// failureWeight is the weight of the newest request in the moving failure rate.
-	failureWeight = 0.2
-	// erroredShare is what an error of the service's own counts against a broken connection. Services
-	// answer some requests with an error in normal operation.
-	erroredShare = 0.6
-	// ejectRate is the failure rate above which an instance is left: two broken connections in a row, or
-	// four errors.
-	ejectRate = 0.3
+	// failingShare is the share of failed requests of an instance that is to be found, and suspectScore
+	// the evidence at which it is left: it is then 300 times as likely to fail that share of its requests
+	// as to fail no more than its pool does.
+	failingShare = 0.45
+	suspectScore = 5.7
+	// leastNormal is the least share of failures that counts as normal, so that one failure alone ejects
+	// nobody.
+	leastNormal = 0.02
+	// normalWeight is the weight of the newest request in the pool's share of failures. It adapts over
+	// some hundred requests, while an instance that fails is found within a few.
+	normalWeight = 0.005
 	// firstEjection and longestEjection are the shortest and longest time away. A restart of a backend
 	// server takes a few seconds.
 	firstEjection   = 500 * time.Millisecond
@@ -46,7 +52,8 @@
 
 // health is what the last requests say of an instance.
 type health struct {
-	rate float64
+	// score is the evidence, a sum of logarithms, that the instance fails more than its pool.
+	score float64
 	// until is the end of the current time away; hard is set when no connection could be made.
 	until time.Time
 	hard  bool
@@ -60,26 +67,27 @@
 // left reports whether the instance is left alone now.
 func (h *health) left(now time.Time) bool { return now.Before(h.until) }
 
-// note takes an outcome in and reports whether the instance is to be left now.
-func (h *health) note(o Outcome, now time.Time) (eject bool) {
+// note takes an outcome in and reports whether the instance is to be left now. normal is the share of
+// requests that fail in the whole pool.
+func (h *health) note(o Outcome, normal float64, now time.Time) (eject bool) {
+	normal = min(max(normal, leastNormal), failingShare/2)
 	switch o {
 	case Served:
-		h.rate *= 1 - failureWeight
+		h.score = max(0, h.score+math.Log((1-failingShare)/(1-normal)))
 		h.times = 0
 		h.trial = false
 		h.hard = false
 	case Full:
 		h.fullUntil = now.Add(fullPause)
 	case Unreachable:
-		h.rate = 1
 		h.hard = true
 		return true
-	case Broken:
-		h.rate = h.rate*(1-failureWeight) + failureWeight
-		return h.trial || h.rate > ejectRate
-	case Errored:
-		h.rate = h.rate*(1-failureWeight) + failureWeight*erroredShare
-		return h.rate > ejectRate
+	case Broken, Errored:
+		h.score += math.Log(failingShare / normal)
+		if h.trial || h.score >= suspectScore {
+			h.score = 0
+			return true
+		}
 	}
 	return false
 }
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -11,6 +11,9 @@
 	hash uint64
 	own  Load
 	peer Load
+	// leftByPeers is the number of other routers that leave the instance alone. Their next trial decides
+	// for this router too, so that a failing instance is not tried by each router of the fleet.
+	leftByPeers int
 	// lapsedAt is set while the entry is missing and the store was unavailable.
 	lapsedAt time.Time
 	// progressAt is the time of the last byte from the instance, idleSince that of the last moment
@@ -23,6 +26,17 @@
 func (m *member) addPeer(load Load) {
 	m.peer.Requests += load.Requests
 	m.peer.Tokens += load.Tokens
+	if load.Left {
+		m.leftByPeers++
+	}
+}
+
+func (m *member) removePeer(load Load) {
+	m.peer.Requests = max(0, m.peer.Requests-load.Requests)
+	m.peer.Tokens = max(0, m.peer.Tokens-load.Tokens)
+	if load.Left {
+		m.leftByPeers = max(0, m.leftByPeers-1)
+	}
 }
 
 // requests is the number of requests in flight from all routers.
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -85,6 +85,8 @@
 	Requests int
 	// Tokens are prompt tokens still to be read.
 	Tokens int
+	// Left is set while the router leaves the instance alone.
+	Left bool
 }
 
 // Registry is the knowledge of one router. It is safe for concurrent use.
@@ -101,6 +103,8 @@
 	removed map[string]removal
 	// cacheTokens is the prompt memory of an instance by pool.
 	cacheTokens map[string]int
+	// failures is the share of requests that fail by pool.
+	failures map[string]float64
 	// returnedAt is when the store answered again after an outage.
 	returnedAt time.Time
 	// placed are the prompts placed lately, oldest first, for the other routers.
@@ -131,6 +135,7 @@
 		peers:       make(map[string]*peerLoad),
 		removed:     make(map[string]removal),
 		cacheTokens: make(map[string]int),
+		failures:    make(map[string]float64),
 	}
 }
 
@@ -323,6 +328,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetPeer(peer)
+	if r.isolated(loads) {
+		for id, load := range loads {
+			load.Left = false
+			loads[id] = load
+		}
+	}
 	r.peers[peer] = &peerLoad{at: r.now(), loads: loads}
 	for id, load := range loads {
 		if m, ok := r.members[id]; ok {
@@ -331,6 +342,21 @@
 	}
 }
 
+// isolated reports whether a router leaves so many instances that its own links are the likely cause.
+func (r *Registry) isolated(loads map[string]Load) bool {
+	left := 0
+	for _, load := range loads {
+		if load.Left {
+			left++
+		}
+	}
+	return left*isolatedShare > len(r.members)
+}
+
+// isolatedShare is the part of all instances, one in so many, above which a router that leaves them is
+// taken to be cut off itself.
+const isolatedShare = 3
+
 func (r *Registry) forgetPeer(peer string) {
 	p, ok := r.peers[peer]
 	if !ok {
@@ -339,20 +365,23 @@
 	delete(r.peers, peer)
 	for id, load := range p.loads {
 		if m, ok := r.members[id]; ok {
-			m.peer.Requests = max(0, m.peer.Requests-load.Requests)
-			m.peer.Tokens = max(0, m.peer.Tokens-load.Tokens)
+			m.removePeer(load)
 		}
 	}
 }
 
-// Own returns what this router has in flight, without instances at which it has nothing.
+// Own returns what this router has in flight and which instances it leaves alone, without instances of
+// which there is nothing to tell.
 func (r *Registry) Own() map[string]Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]Load)
+	now := r.now()
 	for id, m := range r.members {
-		if m.own != (Load{}) {
-			out[id] = m.own
+		load := m.own
+		load.Left = m.health.left(now)
+		if load != (Load{}) {
+			out[id] = load
 		}
 	}
 	return out
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -98,7 +98,7 @@
 func TestOrdinaryErrorsEjectNobody(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(5, 6))
-	ejections := func(share float64) int {
+	ejections := func(share, normal float64) int {
 		var h health
 		n := 0
 		now := time.Unix(0, 0)
@@ -107,15 +107,44 @@
 			if random.Float64() < share {
 				outcome = Errored
 			}
-			if h.note(outcome, now) {
+			if h.note(outcome, normal, now) {
 				n++
 				h = health{}
 			}
 		}
 		return n
 	}
-	is.True(ejections(0.14) <= 10)
-	is.True(ejections(0.5) >= 30)
+	is.True(ejections(0.14, 0.14) <= 10)
+	is.True(ejections(0.5, 0.05) >= 30)
+}
+
+// Guards against a fleet in which each router must find the same failing instance, and against one
+// router with broken links that takes all instances away from the others.
+func TestEjectionsAreShared(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	failing := f.routers[0].Choose(prompt(1))
+	failing.Release(Unreachable)
+	f.exchange()
+	for range 20 {
+		l := f.routers[1].Choose(prompt(1))
+		is.True(l.Instance.ID != failing.Instance.ID)
+		l.Release(Served)
+	}
+	f.clock.advance(longestEjection)
+	f.exchange()
+	is.Equal(f.routers[1].Summary("llm").Usable, 12)
+	for range 12 {
+		f.routers[0].Choose(prompt(rand.Uint64())).Release(Unreachable)
+	}
+	f.exchange()
+	healthy := 0
+	for _, m := range f.routers[1].pools["llm"] {
+		if m.leftByPeers == 0 {
+			healthy++
+		}
+	}
+	is.Equal(healthy, 12)
 }
 
 // Guards against an instance that gets a burst at the end of its time away, and against one that is
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -70,7 +70,7 @@
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 	}
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	if failed && s.route.Repeatable() && s.sent < s.route.Attempts {
+	if failed && s.repeatsError() {
 		resp.Finish()
 		return pool.Errored, verdict.New(verdict.Ran, verdict.ReasonEngineError, "status "+strconv.Itoa(resp.StatusCode))
 	}
@@ -91,6 +91,16 @@
 	return pool.Served, nil
 }
 
+// repeatsError decides whether a request that a backend server answered with an error is sent to
+// another one, and pays for it. Otherwise the caller gets the backend server's own answer.
+func (s *serving) repeatsError() bool {
+	if !s.route.Repeatable() || s.sent >= s.route.Attempts || !s.g.registry.HasOther(s.wanted()) {
+		return false
+	}
+	s.prepaid = s.budget.Withdraw(time.Now())
+	return s.prepaid
+}
+
 // relayLong passes on an answer that is too long to be held.
 func (s *serving) relayLong(resp *backend.Response, begin []byte) (pool.Outcome, error) {
 	s.writeHeader(resp.Response)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,7 +12,6 @@
 
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
-	"jacinthfork.example/jacinthfork/retry"
 	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
@@ -43,7 +42,7 @@
 	streamed  bool
 	lastEvent string
 	// budget is the retry budget of the pool; prepaid is set when the next repeat is paid already.
-	budget  *retry.Budget
+	budget  *poolBudget
 	prepaid bool
 	// waited is the time before admission.
 	waited time.Duration
@@ -180,8 +179,7 @@
 		return err
 	}
 	defer grant.Done()
-	s.budget = s.g.budgets.of(s.pool)
-	s.budget.Request(time.Now())
+	s.budget = s.g.budgets.request(s.pool, time.Now())
 	return s.tryInstances(ctx)
 }
 
