Trust news of other routers' load for one service time

Change: what the other routers had in flight at one instance counts with exp(-age / service time); the rest is taken to be spread evenly. The service time is learned by pool.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -113,7 +114,7 @@
 	s.g.suspects.Completed(s.fingerprint)
 	s.g.log.Info("request served", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
 		"organisation", s.organisation, "instance", lease.Instance.ID, "attempt", attempt, "cached", lease.Cached, "fetched_from", lease.FetchFrom,
-		"load", lease.Requests, "mean", lease.Mean, "waited_ms", s.waited.Milliseconds(),
+		"load", math.Round(10*lease.Load)/10, "mean", math.Round(10*lease.Mean)/10, "waited_ms", s.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "config", s.version())
 }
 
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,14 +49,14 @@
 	Cached int
 	// FetchFrom is the address of an instance that holds more of the prompt, or empty.
 	FetchFrom string
-	// Requests and Mean are the load that the choice saw.
-	Requests int
-	Mean     float64
+	// Load and Mean are the estimated requests in flight at the instance and at the mean of its pool.
+	Load, Mean float64
 
 	registry *Registry
 	member   *member
 	tokens   int
 	parts    []Part
+	begin    time.Time
 	started  bool
 	released bool
 }
@@ -69,14 +70,14 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	mean := r.mean(q.Pool)
+	e := r.estimate(q.Pool, now)
 	var best *member
 	if len(q.Parts) > 0 {
-		best = r.byPrompt(q, candidates, mean, now)
+		best = r.byPrompt(q, candidates, e)
 	} else {
-		best = r.byLoad(candidates)
+		best = r.byLoad(candidates, e)
 	}
-	return r.lease(q, best, mean, now)
+	return r.lease(q, best, e, now)
 }
 
 // HasOther reports whether a healthy instance could take the request besides those that had it.
@@ -120,17 +121,40 @@
 	return rest
 }
 
-// mean is the number of requests in flight for one instance of the pool that takes work.
-func (r *Registry) mean(pool string) float64 {
-	total, n := 0, 0
+// estimate is what the requests in flight at instances are taken to be now.
+type estimate struct {
+	// mean is the number for one instance of the pool that takes work, peerMean the part of the others.
+	mean, peerMean float64
+	// trust is the weight of what the other routers had in flight at one instance. It falls with the age
+	// of their news in service times: what was in flight several service times ago is over, and routers
+	// that all avoid the instance that was busy then would bury another one.
+	trust float64
+}
+
+func (r *Registry) estimate(pool string, now time.Time) estimate {
+	var own, peer, n int
 	for _, m := range r.pools[pool] {
 		if m.Leaving {
 			continue
 		}
-		total += m.requests()
+		own += m.own.Requests
+		peer += m.peer.Requests
 		n++
 	}
-	return float64(total) / float64(max(1, n))
+	e := estimate{mean: float64(own+peer) / float64(max(1, n)), peerMean: float64(peer) / float64(max(1, n)), trust: 1}
+	if held := r.held[pool]; held > 0 && len(r.peers) > 0 {
+		var age time.Duration
+		for _, p := range r.peers {
+			age += now.Sub(p.at)
+		}
+		e.trust = math.Exp(-float64(age) / float64(len(r.peers)) / float64(held))
+	}
+	return e
+}
+
+// load is the estimated number of requests in flight at an instance.
+func (e estimate) load(m *member) float64 {
+	return float64(m.own.Requests) + e.trust*float64(m.peer.Requests) + (1-e.trust)*e.peerMean
 }
 
 // bound is the number of requests in flight that no instance exceeds.
@@ -142,16 +166,16 @@
 // for, requests in flight. Only holders of a part of the prompt and the first of the rendezvous order
 // compete, so that prompts keep few homes; when all of them are at the bound, the least loaded one
 // below it becomes another home.
-func (r *Registry) byPrompt(q *Request, candidates []*member, mean float64, now time.Time) *member {
-	bound := r.bound(mean)
+func (r *Registry) byPrompt(q *Request, candidates []*member, e estimate) *member {
+	bound := r.bound(e.mean)
 	var best, first, spare *member
 	bestCost := 0
 	var firstScore uint64
 	for _, m := range candidates {
-		if float64(m.requests()+1) > bound || (m.Slots > 0 && m.requests() >= m.Slots) {
+		if load := e.load(m); load+1 > bound || (m.Slots > 0 && load >= float64(m.Slots)) {
 			continue
 		}
-		if spare == nil || r.cost(q, m, 0) < r.cost(q, spare, 0) {
+		if spare == nil || r.cost(q, m, 0, e) < r.cost(q, spare, 0, e) {
 			spare = m
 		}
 		score := rendezvous.Score(q.home(), m.hash)
@@ -162,19 +186,19 @@
 		if held*2 < q.Tokens {
 			continue
 		}
-		if cost := r.cost(q, m, held); best == nil || cost < bestCost {
+		if cost := r.cost(q, m, held, e); best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
 	}
 	switch {
 	case best == nil && first == nil:
-		return r.byLoad(candidates)
+		return r.byLoad(candidates, e)
 	case best == nil:
 		best = first
-	case r.cost(q, first, first.cache.cached(q.Parts)) < bestCost:
+	case r.cost(q, first, first.cache.cached(q.Parts), e) < bestCost:
 		best = first
 	}
-	if cost := r.cost(q, best, best.cache.cached(q.Parts)); r.cost(q, spare, spare.cache.cached(q.Parts)) < cost-q.Tokens {
+	if cost := r.cost(q, best, best.cache.cached(q.Parts), e); r.cost(q, spare, spare.cache.cached(q.Parts), e) < cost-q.Tokens {
 		return spare
 	}
 	return best
@@ -208,18 +232,18 @@
 }
 
 // cost compares instances in prompt tokens.
-func (r *Registry) cost(q *Request, m *member, held int) int {
-	return max(0, q.Tokens-held) + m.own.Tokens + m.peer.Tokens + m.requests()*r.settings.RequestTokens
+func (r *Registry) cost(q *Request, m *member, held int, e estimate) int {
+	return max(0, q.Tokens-held) + m.own.Tokens + m.peer.Tokens + int(e.load(m)*float64(r.settings.RequestTokens))
 }
 
 // byLoad chooses the instance with the fewest requests in flight per slot, the own failure domain
 // first among equals and then at random, so that routers do not all choose the same one.
-func (r *Registry) byLoad(candidates []*member) *member {
+func (r *Registry) byLoad(candidates []*member, e estimate) *member {
 	start := rand.IntN(len(candidates))
 	best := candidates[start]
 	for n := range candidates {
 		m := candidates[(start+n)%len(candidates)]
-		a, b := m.requests()*max(1, best.Slots), best.requests()*max(1, m.Slots)
+		a, b := e.load(m)*float64(max(1, best.Slots)), e.load(best)*float64(max(1, m.Slots))
 		switch {
 		case a < b:
 			best = m
@@ -230,12 +254,13 @@
 	return best
 }
 
-func (r *Registry) lease(q *Request, m *member, mean float64, now time.Time) *Lease {
+func (r *Registry) lease(q *Request, m *member, e estimate, now time.Time) *Lease {
 	l := &Lease{
 		Instance: m.Instance,
 		Cached:   m.cache.cached(q.Parts),
-		Requests: m.requests(),
-		Mean:     mean,
+		Load:     e.load(m),
+		Mean:     e.mean,
+		begin:    now,
 		registry: r,
 		member:   m,
 		parts:    q.Parts,
@@ -297,6 +322,9 @@
 	if o == Served || o == Errored || o == Full {
 		m.progressAt = now
 	}
+	if o == Served {
+		r.noteHeld(m.Pool, now.Sub(l.begin))
+	}
 	if !m.health.note(o, r.noteFailures(m.Pool, o), now) {
 		return false
 	}
@@ -307,6 +335,18 @@
 	return true
 }
 
+// heldWeight is the weight of the newest request in the mean time that requests take.
+const heldWeight = 0.02
+
+// noteHeld takes the time of one request into the mean of its pool.
+func (r *Registry) noteHeld(pool string, took time.Duration) {
+	if r.held[pool] == 0 {
+		r.held[pool] = took
+		return
+	}
+	r.held[pool] += time.Duration(heldWeight * float64(took-r.held[pool]))
+}
+
 // noteFailures takes an outcome into the pool's share of failures and returns it.
 func (r *Registry) noteFailures(pool string, o Outcome) float64 {
 	normal := r.failures[pool]
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -105,6 +105,8 @@
 	cacheTokens map[string]int
 	// failures is the share of requests that fail by pool.
 	failures map[string]float64
+	// held is the mean time that requests take by pool.
+	held map[string]time.Duration
 	// returnedAt is when the store answered again after an outage.
 	returnedAt time.Time
 	// placed are the prompts placed lately, oldest first, for the other routers.
@@ -136,6 +138,7 @@
 		removed:     make(map[string]removal),
 		cacheTokens: make(map[string]int),
 		failures:    make(map[string]float64),
+		held:        make(map[string]time.Duration),
 	}
 }
 
