Read the store in the order of the routers' names, and spread cold prompts

Change: a router waits 150 ms for each of up to three live peers with lower names before it reads; above eight routers the configuration is read the same way, and a router that hears of a position beyond its own reads at once. A prompt that nobody holds goes to the second of its order when 4,096 tokens more wait at the first.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -201,6 +201,11 @@
 // follow takes over what a peer knows of a feed.
 func (g *Gateway) follow(news *peerpb.News, position *peerpb.Position) {
 	if position.GetAgeMs() < 0 {
+		for _, f := range g.followers() {
+			if uint32(f.id) == position.GetFeed() {
+				f.follower.Ahead(position.GetNext())
+			}
+		}
 		return
 	}
 	n := feed.News{
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -87,8 +87,10 @@
 	sparedRetry = 3 * time.Second
 	// outageAfter is the age of a feed above which its store is taken to have been unavailable.
 	outageAfter = 2500 * time.Millisecond
-	// spread is the part of MaxAge by which reads of routers that started together drift apart.
-	spread = 0.6
+	// turn is the time that the reads of one router have to reach the others, turns the number of routers
+	// that wait for each other in order; all others wait for as long as the last of them.
+	turn  = 150 * time.Millisecond
+	turns = 3
 	// idle is the resolution of the wait for MaxAge.
 	idle = 50 * time.Millisecond
 )
@@ -114,6 +116,10 @@
 	// followed is the offset from which on all records are known, removals included. What was removed
 	// before it is not in records, because the newest record of each key does not tell.
 	followed uint64
+	// rank is the place of this router in the order of reading.
+	rank int
+	// ahead is the highest position that a peer is known to have reached.
+	ahead uint64
 	// freshAt is when the store was last known to have nothing beyond next, and failing the error of
 	// the last own read.
 	freshAt time.Time
@@ -142,21 +148,47 @@
 	}
 }
 
-// awaitAge waits until a feed that is read without waiting is old enough to be read again.
+// awaitAge waits until a feed that is read without waiting is old enough to be read again, or a peer is
+// known to have read on.
 func (f *Follower) awaitAge(ctx context.Context) {
-	if f.pace.MaxAge == 0 {
-		return
-	}
-	limit := f.pace.MaxAge + time.Duration(rand.Float64()*spread*float64(f.pace.MaxAge))
+	drift := time.Duration(rand.Int64N(int64(turn / 2)))
 	for ctx.Err() == nil {
-		age := f.Age()
-		if age < 0 || age >= limit {
+		f.mu.Lock()
+		limit := f.pace.MaxAge
+		if limit > 0 {
+			limit += time.Duration(min(f.rank, turns))*turn + drift
+		}
+		due := f.freshAt.IsZero() || f.ahead > f.next || f.now().Sub(f.freshAt) >= limit
+		f.mu.Unlock()
+		if due {
 			return
 		}
 		sleep(ctx, idle)
 	}
 }
 
+// SetPace changes how the feed is read.
+func (f *Follower) SetPace(pace Pace) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pace = pace
+}
+
+// SetRank sets how many other routers read before this one. Were all to read at the same age, each would
+// read before it hears of the others.
+func (f *Follower) SetRank(rank int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rank = rank
+}
+
+// Ahead notes that a peer has reached a position, although it did not pass its records on.
+func (f *Follower) Ahead(next uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ahead = max(f.ahead, next)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -243,9 +243,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var followers []*Follower
 		var sinks []*fakeSink
-		for range routers {
+		for n := range routers {
 			sink := newSink()
 			f := NewFollower(Instances, source, sink, instancesPace)
+			f.SetRank(n)
 			followers, sinks = append(followers, f), append(sinks, sink)
 			go f.Run(ctx)
 		}
@@ -270,8 +271,8 @@
 		for _, s := range sinks {
 			is.Equal(s.get("a"), "last")
 		}
-		// Thirty routers that read alone would make 540 calls and more.
-		is.True(source.count()-before < 120)
+		// Thirty routers that read alone would make 540 calls and more, one would make 30.
+		is.True(source.count()-before < 60)
 		cancel()
 		time.Sleep(time.Second)
 		synctest.Wait()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,7 +139,7 @@
 	go g.keepHouse(ctx)
 	go g.serve(g.server, g.callerListener)
 	go g.serve(g.ready, g.readyListener)
-	g.log.Info("started", "node", g.settings.Node, "callers", g.CallerAddress(), "peers", g.peers.Address(), "domain", g.settings.FailureDomain)
+	g.log.Info("started", "callers", g.CallerAddress(), "peers", g.peers.Address(), "domain", g.settings.FailureDomain)
 	return nil
 }
 
@@ -210,6 +210,10 @@
 			g.log.Info("instance", "instance", id, "change", "lapsed")
 		}
 		g.connections.Expire()
+		g.configuration.SetPace(g.configurationPace())
+		rank := g.peers.Rank()
+		g.configuration.SetRank(rank)
+		g.instances.SetRank(rank)
 		g.admission.refresh()
 		g.budgets.refresh(1+g.registry.Peers(), housekeeping)
 		if t := g.table.Load(); t != nil {
@@ -218,6 +222,14 @@
 	}
 }
 
+// configurationPace is how the configuration is read by a fleet of the present size.
+func (g *Gateway) configurationPace() feed.Pace {
+	if 1+g.registry.Peers() > g.settings.LargeFleet {
+		return g.settings.LargeFleetPace
+	}
+	return g.settings.ConfigurationPace
+}
+
 const (
 	// directoryRetry is the pause after a failed call to the directory.
 	directoryRetry = 2 * time.Second
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -170,6 +170,20 @@
 	return out
 }
 
+// Rank returns the number of peers heard lately whose names come before this router's.
+func (e *Exchange) Rank() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lately := quietAfter*pause(len(e.peers)) + callTimeout
+	rank := 0
+	for _, p := range e.peers {
+		if p.node < e.self && p.node != "" && time.Since(p.heardAt) < lately {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Exchange implements peerpb.PeerServer.
 func (e *Exchange) Exchange(_ context.Context, news *peerpb.News) (*peerpb.News, error) {
 	e.heard(news)
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -168,9 +168,9 @@
 // below it becomes another home.
 func (r *Registry) byPrompt(q *Request, candidates []*member, e estimate) *member {
 	bound := r.bound(e.mean)
-	var best, first, spare *member
+	var best, first, second, spare *member
 	bestCost := 0
-	var firstScore uint64
+	var firstScore, secondScore uint64
 	for _, m := range candidates {
 		if load := e.load(m); load+1 > bound || (m.Slots > 0 && load >= float64(m.Slots)) {
 			continue
@@ -179,8 +179,12 @@
 			spare = m
 		}
 		score := rendezvous.Score(q.home(), m.hash)
-		if first == nil || score > firstScore {
+		switch {
+		case first == nil || score > firstScore:
+			second, secondScore = first, firstScore
 			first, firstScore = m, score
+		case second == nil || score > secondScore:
+			second, secondScore = m, score
 		}
 		held := m.cache.cached(q.Parts)
 		if held*2 < q.Tokens {
@@ -195,6 +199,9 @@
 		return r.byLoad(candidates, e)
 	case best == nil:
 		best = first
+		if second != nil && r.cost(q, second, 0, e)+r.settings.SecondHomeTokens < r.cost(q, first, 0, e) {
+			best = second
+		}
 	case r.cost(q, first, first.cache.cached(q.Parts), e) < bestCost:
 		best = first
 	}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -33,6 +33,9 @@
 	BoundExtra  float64
 	// RequestTokens is the cost of one request in flight in prompt tokens, when instances are compared.
 	RequestTokens int
+	// SecondHomeTokens is how many more prompt tokens must wait at the first instance of a prompt's order
+	// than at the second for a prompt that nobody holds to be read by the second.
+	SecondHomeTokens int
 	// FetchTokens is the number of prompt tokens above which an instance fetches what another one holds
 	// instead of reading it.
 	FetchTokens int
@@ -48,13 +51,14 @@
 // DefaultSettings returns the settings for pools of a few to a few hundred instances.
 func DefaultSettings() Settings {
 	return Settings{
-		BoundFactor:   1.9,
-		BoundExtra:    2,
-		RequestTokens: 200,
-		FetchTokens:   256,
-		PeerLoadAge:   3 * time.Second,
-		StallAfter:    time.Second,
-		LapseGrace:    2200 * time.Millisecond,
+		BoundFactor:      1.9,
+		BoundExtra:       2,
+		RequestTokens:    200,
+		SecondHomeTokens: 4096,
+		FetchTokens:      256,
+		PeerLoadAge:      3 * time.Second,
+		StallAfter:       time.Second,
+		LapseGrace:       2200 * time.Millisecond,
 	}
 }
 
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -288,6 +288,25 @@
 	is.True(reads <= 2) // the other homes fetch it
 }
 
+// Replays the start of a day: many long documents that nobody holds arrive at once. Guards against
+// several of them that wait for one engine while others are idle.
+func TestColdDocumentsSpread(t *testing.T) {
+	is := is.New(t)
+	r, _ := testRegistry()
+	const engines = 18
+	for n := range engines {
+		r.Publish(engine(n))
+	}
+	waiting := make(map[string]int)
+	most := 0
+	for doc := range uint64(engines) {
+		l := r.Choose(prompt(doc))
+		waiting[l.Instance.ID]++
+		most = max(most, waiting[l.Instance.ID])
+	}
+	is.True(most <= 2)
+}
+
 // Guards against documents that each router takes to another engine, without a hot one.
 func TestDocumentsKeepOneHome(t *testing.T) {
 	is := is.New(t)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,9 +31,12 @@
 	RepeatShare  float64
 	RepeatBurst  float64
 	RepeatWindow time.Duration
-	// ConfigurationPace and InstancesPace say how the feeds are read.
+	// ConfigurationPace and InstancesPace say how the feeds are read, and LargeFleetPace how the
+	// configuration is read by more than LargeFleet routers.
 	ConfigurationPace feed.Pace
 	InstancesPace     feed.Pace
+	LargeFleetPace    feed.Pace
+	LargeFleet        int
 	Pool              pool.Settings
 }
 
@@ -53,7 +56,11 @@
 		// Publications come all the time, so a read that waits would return for each of them. A departure
 		// is due within two seconds.
 		InstancesPace: feed.Pace{MaxAge: 700 * time.Millisecond},
-		Pool:          pool.DefaultSettings(),
+		// Reads that wait would come from each router all the time, half a call a second. In a large fleet one
+		// router reads for all, and the others read when it tells them of a change.
+		LargeFleetPace: feed.Pace{MaxAge: 700 * time.Millisecond},
+		LargeFleet:     8,
+		Pool:           pool.DefaultSettings(),
 	}
 }
 
@@ -72,6 +79,11 @@
 	if s.RepeatShare < 0 || s.RepeatShare > 1 {
 		faults = append(faults, errors.New("the share of repeats must be from 0 to 1"))
 	}
+	for _, pace := range []feed.Pace{s.ConfigurationPace, s.InstancesPace, s.LargeFleetPace} {
+		if pace.Wait <= 0 && pace.MaxAge <= 0 {
+			faults = append(faults, errors.New("a feed needs a wait or an age"))
+		}
+	}
 	if s.StopTime <= 0 {
 		faults = append(faults, errors.New("the stop time must be positive"))
 	}
