Send what runs once on connections that were used a moment ago

Change: a request that runs at most once, or a repeat, takes a kept connection only within 0.5 s of its last use; one reset closes all kept connections to that instance.

--- a/cmd/jacinthfork/explain.go
+++ b/cmd/jacinthfork/explain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -18,14 +19,16 @@
 	settings settingsFlag
 	subject  string
 	json     bool
+	logs     []string
 }
 
 func (e *explainCommand) attach(parser *flaggy.Parser) *flaggy.Subcommand {
 	command := flaggy.NewSubcommand("explain")
-	command.Description = "Print what the journals of all nodes say about a request ID, instance, object or key."
+	command.Description = "Print what the journals of all nodes, or log files, say about a request ID, instance, object or key."
 	command.AddPositionalValue(&e.subject, "REQUEST-ID", 1, true, "request ID or other subject of the journal")
 	e.settings.attach(command)
 	command.Bool(&e.json, "j", "json", "print a JSON list")
+	command.StringSlice(&e.logs, "l", "logs", "read log files instead of the nodes' journals; - is standard input; may be repeated")
 	parser.AttachSubcommand(command, 1)
 	return command
 }
@@ -37,6 +40,9 @@
 }
 
 func (e *explainCommand) run(ctx context.Context, out output) error {
+	if len(e.logs) > 0 {
+		return explainLogs(e.logs, e.subject, e.json, os.Stdin, out)
+	}
 	o, err := e.settings.open()
 	if err != nil {
 		return err
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -25,6 +25,10 @@
 	// staleWithin is the time within which a failure on a kept connection says that the connection was
 	// stale, and nothing of the instance.
 	staleWithin = 20 * time.Millisecond
+	// freshWithin is the idle time above which a request that runs at most once goes on a new connection.
+	// A backend server may have dropped a kept one without notice; what is sent on it is lost without a
+	// proof, while a new connection that is refused proves that nothing ran. A new one takes 1 ms.
+	freshWithin = 500 * time.Millisecond
 )
 
 // serverName names one start of an instance, so that connections do not outlive it.
@@ -95,7 +99,7 @@
 // attempt sends the request to one instance and relays its answer.
 func (s *serving) attempt(ctx context.Context, lease *pool.Lease) (pool.Outcome, error) {
 	i := lease.Instance
-	conn, err := s.g.connections.Get(ctx, serverName(i), i.Address)
+	conn, err := s.g.connections.Get(ctx, serverName(i), i.Address, s.freshness())
 	if err != nil {
 		if ctx.Err() != nil {
 			return pool.Abandoned, s.ended(ctx, verdict.NotRun)
@@ -113,6 +117,15 @@
 	return s.relay(ctx, lease, resp)
 }
 
+// freshness is the idle time of a connection that the request may use, 0 for any. A repeat has no
+// attempt to lose either.
+func (s *serving) freshness() time.Duration {
+	if s.route.Mode == routes.NonIdempotent || s.sent > 0 {
+		return freshWithin
+	}
+	return 0
+}
+
 // request builds what is sent to an instance.
 func (s *serving) request(lease *pool.Lease) *backend.Request {
 	header := endToEnd(s.r.Header)
@@ -172,6 +185,8 @@
 		}
 		return pool.Broken, verdict.Wrap(verdict.Unknown, reason, err)
 	}
+	// What dropped this connection has dropped the other kept ones too.
+	s.g.connections.Forget(serverName(lease.Instance))
 	if stale {
 		return pool.Abandoned, verdict.Wrap(verdict.Unknown, verdict.ReasonBroken, err)
 	}
--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -78,12 +78,12 @@
 	return errors.Join(err, failure)
 }
 
-// Get returns a kept connection to a backend server that is still open, or a new one. server names
-// the incarnation of the backend server, because an address may be given to another one. An error
-// proves that nothing was sent.
-func (p *Pool) Get(ctx context.Context, server, address string) (*Conn, error) {
+// Get returns a kept connection to a backend server that is still open and was used within the given
+// time, or a new one. 0 sets no limit. server names the incarnation of the backend server, because an
+// address may be given to another one. An error proves that nothing was sent.
+func (p *Pool) Get(ctx context.Context, server, address string, within time.Duration) (*Conn, error) {
 	for {
-		c := p.take(server)
+		c := p.take(server, within)
 		if c == nil {
 			return p.Dial(ctx, server, address)
 		}
@@ -107,12 +107,15 @@
 }
 
 // take removes the connection that was used last, so that the others can time out.
-func (p *Pool) take(server string) *Conn {
+func (p *Pool) take(server string, within time.Duration) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[server]
 	for len(list) > 0 {
 		c := list[len(list)-1]
+		if within > 0 && p.now().Sub(c.idleSince) > within {
+			return nil
+		}
 		list = list[:len(list)-1]
 		p.idle[server] = list
 		if p.now().Sub(c.idleSince) < c.keep {
