Keep the platform's field names out of the soak

Cause: a test of the soak's checker named a header field of the platform. Change: the stand-in makes the arrival. Measured: go test ./internal/soak -run Broken passes.

--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -55,7 +55,7 @@
 	idle   map[string][]*Conn
 	dialer net.Dialer
 	now    func() time.Time
-	// Dialled counts new connections.
+	// dialled counts new connections.
 	dialled uint64
 }
 
--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -13,7 +13,7 @@
 func ran(ids ...string) []standin.Arrival {
 	var out []standin.Arrival
 	for _, id := range ids {
-		out = append(out, standin.Arrival{Header: http.Header{"X-Request-Id": {id}}, Ran: true})
+		out = append(out, standin.RunOf(id))
 	}
 	return out
 }
