--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"expvar"
 	"fmt"
 	"time"
@@ -88,7 +87,7 @@
 		if t := g.table.Load(); t != nil {
 			version = t.Version
 		}
-		return json.RawMessage(mustJSON(map[string]any{"version": version, "age_ms": g.configuration.Age().Milliseconds()}))
+		return map[string]any{"version": version, "age_ms": g.configuration.Age().Milliseconds()}
 	})
 	c.Func("instances_age_ms", func() any { return g.instances.Age().Milliseconds() })
 	c.Func("pools", func() any {
@@ -106,11 +105,3 @@
 	})
 	c.Func("peers", func() any { return g.peers.Known() })
 }
-
-func mustJSON(v any) []byte {
-	text, err := json.Marshal(v)
-	if err != nil {
-		return []byte("null")
-	}
-	return text
-}
