--- a/cmd/jacinthfork-gateway/main.go
+++ b/cmd/jacinthfork-gateway/main.go
@@ -13,13 +13,30 @@
 // version is set by the build.
 var version = "development"
 
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
 func main() {
+	check := false
 	flaggy.SetName("jacinthfork-gateway")
 	flaggy.SetDescription("a router that reaches backend servers itself; its settings file is named by " + platform.SettingsVariable)
 	flaggy.SetVersion(version)
+	flaggy.Bool(&check, "c", "check", "check the settings file and exit")
 	flaggy.Parse()
-	if err := platform.Run(version); err != nil {
+	settings, path, err := platform.SettingsFromEnvironment()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "jacinthfork-gateway:", err)
+		os.Exit(exitSettings)
+	}
+	if check {
+		fmt.Println(path + ": the settings are valid")
+		return
+	}
+	if err := platform.Run(version, settings, path); err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthfork-gateway:", err)
-		os.Exit(1)
+		os.Exit(exitFailed)
 	}
 }
