Count the exchange's bytes, and send fewer addresses and repeats

Cause: each message carried the addresses of all peers, 6 KB at 390 gateways, and placements of the last 0.9 s, six times each at four gateways; the bytes were not counted.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/suspect"
+	"jacinthfork.example/jacinthfork/traffic"
 )
 
 // Environment is what a deployment supplies.
@@ -109,7 +110,7 @@
 		f.OnState = g.storeState
 		f.OnFailure = g.storeFailure
 	}
-	g.peers = peer.New(settings.Node, settings.PeerAddress, g)
+	g.peers = peer.New(settings.Node, settings.PeerAddress, g, traffic.NewMeter(env.Counters))
 	g.publish()
 	return g, nil
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -17,7 +17,7 @@
 	news := &peerpb.News{
 		Node:     g.settings.Node,
 		Address:  g.peers.Address(),
-		Peers:    g.peers.Known(),
+		Peers:    g.peers.Some(),
 		Leaving:  g.leaving.Load(),
 		Suspects: g.suspects.Export(suspectsPerMessage),
 	}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -20,14 +20,15 @@
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/internal/transport"
 	"jacinthfork.example/jacinthfork/kernel/settings"
+	"jacinthfork.example/jacinthfork/traffic"
 )
 
 const (
 	// shortestPause is the pause between two calls to one peer in a small fleet. What a peer has in
 	// flight is then younger than a typical request is long.
 	shortestPause = 150 * time.Millisecond
-	// callsPerSecond bounds the calls of one router. A call takes about 0.2 ms of processor time at
-	// both ends and up to 200 bytes, so 25 of them stay near 1% of a core and 5 KB/s.
+	// callsPerSecond bounds the calls that one router makes, and as many that it gets, in a large fleet.
+	// docs/CAPACITY.md has their bytes.
 	callsPerSecond = 25
 	// callTimeout bounds one call. Peers are a few milliseconds away.
 	callTimeout = 600 * time.Millisecond
@@ -56,6 +57,7 @@
 	self    string
 	address string
 	host    Host
+	meter   *traffic.Meter
 	server  *grpc.Server
 
 	mu    sync.Mutex
@@ -77,9 +79,10 @@
 	theirs []*peerpb.Position
 }
 
-// New returns an exchange for the router of the given name. address is where it serves peers.
-func New(self, address string, host Host) *Exchange {
-	return &Exchange{self: self, address: address, host: host, peers: make(map[string]*remote)}
+// New returns an exchange for the router of the given name. address is where it serves peers. meter
+// counts its bytes.
+func New(self, address string, host Host, meter *traffic.Meter) *Exchange {
+	return &Exchange{self: self, address: address, host: host, meter: meter, peers: make(map[string]*remote)}
 }
 
 // Start listens and serves peers in the background.
@@ -97,7 +100,7 @@
 	e.mu.Unlock()
 	e.server = grpc.NewServer(append(options, grpc.ReadBufferSize(messageBuffer), grpc.WriteBufferSize(messageBuffer))...)
 	peerpb.RegisterPeerServer(e.server, e)
-	go func() { _ = e.server.Serve(listener) }()
+	go func() { _ = e.server.Serve(e.meter.Listen(listener, traffic.PeerRouter, traffic.ClassControl)) }()
 	return nil
 }
 
@@ -136,7 +139,7 @@
 	if p, ok := e.peers[address]; ok {
 		return p
 	}
-	conn, err := dial(address)
+	conn, err := e.dial(address)
 	if err != nil {
 		return nil
 	}
@@ -148,15 +151,30 @@
 // messageBuffer is the read and write buffer of a connection; messages are shorter.
 const messageBuffer = 4 << 10
 
-func dial(address string) (*grpc.ClientConn, error) {
+func (e *Exchange) dial(address string) (*grpc.ClientConn, error) {
 	options, err := transport.DialOptions(settings.TLS{})
 	if err != nil {
 		return nil, err
 	}
+	metered := e.meter.Dialer(traffic.PeerRouter, traffic.ClassControl)
+	options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		return metered(ctx, "tcp", address)
+	}))
 	options = append(options, grpc.WithReadBufferSize(messageBuffer), grpc.WithWriteBufferSize(messageBuffer), grpc.WithIdleTimeout(0))
 	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
+// toldPeers bounds the addresses in one message. The list of all would be most of a message in a large
+// fleet; any few of them reach everybody within some messages.
+const toldPeers = 4
+
+// Some returns a few addresses of peers heard lately, others each time.
+func (e *Exchange) Some() []string {
+	known := e.Known()
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	return known[:min(len(known), toldPeers)]
+}
+
 // Known returns the addresses of peers heard lately.
 func (e *Exchange) Known() []string {
 	e.mu.Lock()
@@ -263,7 +281,7 @@
 func (e *Exchange) Span() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return 2*pause(len(e.peers)) + callTimeout
+	return 2*pause(len(e.peers)) + tick
 }
 
 // due returns the peers to call now and forgets those that stay silent.
@@ -325,7 +343,7 @@
 	if p.fails%reconnectAfter != 0 {
 		return
 	}
-	conn, err := dial(p.address)
+	conn, err := e.dial(p.address)
 	if err != nil {
 		return
 	}
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/traffic"
 )
 
 // soon bounds what happens by itself in a test.
@@ -30,7 +32,16 @@
 	if want {
 		h.wanted++
 	}
-	return &peerpb.News{Node: h.exchange.self, Address: h.exchange.Address(), Peers: h.exchange.Known()}
+	news := &peerpb.News{Node: h.exchange.self, Address: h.exchange.Address(), Peers: h.exchange.Some()}
+	for n := range 10 {
+		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: fmt.Sprintf("i-%010d", n), Requests: 1, Tokens: 2000})
+	}
+	for n := range 2 {
+		parts := []*peerpb.PromptPart{{Id: 1, Tokens: 500}, {Id: 2, Tokens: 10000}}
+		news.Prompts = append(news.Prompts, &peerpb.PlacedPrompt{Instance: fmt.Sprintf("i-%010d", n), Parts: parts})
+		news.Positions = append(news.Positions, &peerpb.Position{Feed: uint32(n), Next: 500, Base: 500, Followed: 20, AgeMs: 300})
+	}
+	return news
 }
 
 func (h *fakeHost) Heard(news *peerpb.News) {
@@ -51,10 +62,12 @@
 	return len(h.heard)
 }
 
-func start(t *testing.T, n int) *fakeHost {
+func start(t *testing.T, n int) *fakeHost { return startHost(t, n) }
+
+func startHost(t testing.TB, n int) *fakeHost {
 	t.Helper()
 	h := &fakeHost{heard: make(map[string]int)}
-	h.exchange = New(fmt.Sprintf("node-%d", n), "127.0.0.1:0", h)
+	h.exchange = New(fmt.Sprintf("node-%d", n), "127.0.0.1:0", h, traffic.NewMeter(kernel.NewCounters()))
 	if err := h.exchange.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -106,7 +119,7 @@
 	b.exchange.Stop()
 	time.Sleep(2 * shortestPause)
 	again := &fakeHost{heard: make(map[string]int)}
-	again.exchange = New("node-1", address, again)
+	again.exchange = New("node-1", address, again, traffic.NewMeter(kernel.NewCounters()))
 	is.New(t).NoErr(again.exchange.Start())
 	t.Cleanup(again.exchange.Stop)
 	eventually(t, func() bool { return again.peers() == 1 })
@@ -130,6 +143,28 @@
 	is.True(time.Since(begin) >= askPause) // not all at once
 }
 
+// BenchmarkControl measures the bytes per second of one router in fleets of several sizes, with messages
+// of the size that a router has with ten requests in flight and two new prompts.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{4, 8, 16, 31} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var hosts []*fakeHost
+			for i := range n {
+				h := startHost(b, i)
+				for _, other := range hosts {
+					h.exchange.Add(other.exchange.Address())
+				}
+				hosts = append(hosts, h)
+			}
+			time.Sleep(2 * time.Second)
+			before := hosts[0].exchange.meter.Control()
+			const span = 5 * time.Second
+			time.Sleep(span)
+			b.ReportMetric(float64(hosts[0].exchange.meter.Control()-before)/span.Seconds(), "B/s")
+		})
+	}
+}
+
 // Guards against control traffic that grows with the square of the fleet: the calls of one router stay
 // within their bound at any number of peers.
 func TestCallsAreBounded(t *testing.T) {
