Name ejection, weights and timeouts of the gateway by the field's terms

Cause: "left alone", "patience", "trust" and "prepaid" were private words for an ejected instance, a first byte timeout, a weight and a reserved repeat. Change: names, comments, the log line "instance ejected" and the field of the exchange; no decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,9 +19,9 @@
 	// that it is tried at. A failure domain that just went leaves many that cannot be reached.
 	maxAttempts = 4
 	maxDials    = 10
-	// impatience is the part of the objective after which a request that may be repeated is taken from
+	// firstByteShare is the part of the objective after which a request that may be repeated is taken from
 	// an instance that has not begun to answer.
-	impatience = 0.75
+	firstByteShare = 0.75
 	// staleWithin is the time within which a failure on a kept connection says that the connection was
 	// stale, and nothing of the instance.
 	staleWithin = 20 * time.Millisecond
@@ -53,7 +53,7 @@
 		s.g.metrics.attempts.Add(s.pool+"/"+outcome.String(), 1)
 		if ejected {
 			s.g.metrics.ejections.Add(s.pool, 1)
-			s.g.log.Warn("instance left alone", "instance", lease.Instance.ID, "outcome", outcome.String(), "id", s.call.ID)
+			s.g.log.Warn("instance ejected", "instance", lease.Instance.ID, "outcome", outcome.String(), "id", s.call.ID)
 		}
 		if err == nil {
 			s.served(lease, attempt)
@@ -86,8 +86,8 @@
 		return false
 	}
 	// A request that never left this process is no repeat for the pool.
-	free := failure.Reason == verdict.ReasonUnreachable || s.prepaid
-	s.prepaid = false
+	free := failure.Reason == verdict.ReasonUnreachable || s.repeatReserved
+	s.repeatReserved = false
 	if !free && !s.budget.Withdraw(time.Now()) {
 		s.g.metrics.repeats.Add(s.pool+"/denied", 1)
 		return false
@@ -99,7 +99,7 @@
 // attempt sends the request to one instance and relays its answer.
 func (s *serving) attempt(ctx context.Context, lease *pool.Lease) (pool.Outcome, error) {
 	i := lease.Instance
-	conn, err := s.g.connections.Get(ctx, serverName(i), i.Address, s.freshness())
+	conn, err := s.g.connections.Get(ctx, serverName(i), i.Address, s.maxIdle())
 	if err != nil {
 		if ctx.Err() != nil {
 			return pool.Abandoned, s.ended(ctx, verdict.NotRun)
@@ -119,7 +119,7 @@
 
 // freshness is the idle time of a connection that the request may use, 0 for any. A repeat has no
 // attempt to lose either.
-func (s *serving) freshness() time.Duration {
+func (s *serving) maxIdle() time.Duration {
 	if s.route.Mode == routes.NonIdempotent || s.sent > 0 {
 		return freshWithin
 	}
@@ -148,7 +148,7 @@
 		Body:      s.body,
 		HasBody:   len(s.body) > 0 || s.r.ContentLength != 0 || s.r.Header.Get("Content-Length") != "",
 		Owns:      s.owns,
-		FirstByte: s.patience(),
+		FirstByte: s.firstByteTimeout(),
 		GiveUp:    func() bool { return !lease.Overloaded() && s.g.registry.HasOther(s.wanted()) },
 	}
 }
@@ -163,13 +163,13 @@
 	return resp.StatusCode >= http.StatusBadRequest
 }
 
-// patience is how long an answer may take to begin before the request goes to another instance. 0 is
+// firstByteTimeout is how long an answer may take to begin before the request goes to another instance. 0 is
 // without bound.
-func (s *serving) patience() time.Duration {
+func (s *serving) firstByteTimeout() time.Duration {
 	if s.route.Mode != routes.Idempotent || s.sent >= s.route.Attempts || s.route.Objective == 0 {
 		return 0
 	}
-	return time.Duration(float64(s.route.Objective) * impatience)
+	return time.Duration(float64(s.route.Objective) * firstByteShare)
 }
 
 // exchangeFailed turns a failure before the answer's header into a verdict.
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -53,9 +53,9 @@
 // maxForeignBytes bounds the body of a foreign response that is skipped.
 const maxForeignBytes = 1 << 20
 
-// asideBytes is the body size above which it is written beside the reading, because a backend server
+// asyncWriteBytes is the body size above which it is written beside the reading, because a backend server
 // may answer before it has read a long body.
-const asideBytes = 16 << 10
+const asyncWriteBytes = 16 << 10
 
 // Response is the header of an answer whose body is still to be read from Body. Exactly one of
 // Finish and Abort must be called.
@@ -190,7 +190,7 @@
 		head.WriteString("\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(req.Body) <= asideBytes {
+	if len(req.Body) <= asyncWriteBytes {
 		head.Write(req.Body)
 		_, err := c.Write(head.Bytes())
 		return nil, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 	go g.instances.Run(ctx)
 	go g.peers.Run(ctx)
 	go g.findPeers(ctx)
-	go g.keepHouse(ctx)
+	go g.maintain(ctx)
 	go g.serve(g.server, g.callerListener)
 	go g.serve(g.ready, g.readyListener)
 	g.log.Info("started", "callers", g.CallerAddress(), "peers", g.peers.Address(), "domain", g.settings.FailureDomain)
@@ -197,8 +197,8 @@
 	fmt.Fprintln(w, "ready")
 }
 
-// keepHouse does what no request triggers until ctx ends.
-func (g *Gateway) keepHouse(ctx context.Context) {
+// maintain does what no request triggers until ctx ends.
+func (g *Gateway) maintain(ctx context.Context) {
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
 	for {
@@ -281,8 +281,8 @@
 	time.Sleep(min(g.settings.UnreadyTime, g.settings.StopTime/2))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.settings.StopTime-stopMargin))
 	defer cancel()
-	farewell, end := context.WithTimeout(ctx, time.Second)
-	g.peers.Farewell(farewell)
+	announce, end := context.WithTimeout(ctx, time.Second)
+	g.peers.AnnounceLeave(announce)
 	end()
 	err := g.server.Shutdown(ctx)
 	g.log.Info("stopped", "took_ms", time.Since(begin).Milliseconds(), "cut_off", err != nil)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -17,12 +17,12 @@
 	news := &peerpb.News{
 		Node:     g.settings.Node,
 		Address:  g.peers.Address(),
-		Peers:    g.peers.Some(),
+		Peers:    g.peers.SamplePeers(),
 		Leaving:  g.leaving.Load(),
 		Suspects: g.suspects.Export(suspectsPerMessage),
 	}
 	for id, load := range g.registry.Own() {
-		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: id, Requests: uint32(max(0, load.Requests)), Tokens: uint32(max(0, load.Tokens)), Left: load.Left})
+		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: id, Requests: uint32(max(0, load.Requests)), Tokens: uint32(max(0, load.Tokens)), Ejected: load.Ejected})
 	}
 	for _, f := range g.followers() {
 		g.supply(news, f, positionOf(theirs, f.id), want)
@@ -87,7 +87,7 @@
 func (g *Gateway) Heard(news *peerpb.News) {
 	loads := make(map[string]pool.Load, len(news.GetLoads()))
 	for _, l := range news.GetLoads() {
-		loads[l.GetInstance()] = pool.Load{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Left: l.GetLeft()}
+		loads[l.GetInstance()] = pool.Load{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Ejected: l.GetEjected()}
 	}
 	g.registry.SetPeer(news.GetNode(), loads)
 	g.suspects.Merge(news.GetSuspects())
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -164,15 +164,15 @@
 	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
-// toldPeers bounds the addresses in one message. The list of all would be most of a message in a large
+// maxPeerAddresses bounds the addresses in one message. The list of all would be most of a message in a large
 // fleet; any few of them reach everybody within some messages.
-const toldPeers = 4
+const maxPeerAddresses = 4
 
-// Some returns a few addresses of peers heard lately, others each time.
-func (e *Exchange) Some() []string {
+// SamplePeers returns a few addresses of peers heard lately, others each time.
+func (e *Exchange) SamplePeers() []string {
 	known := e.Known()
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	return known[:min(len(known), toldPeers)]
+	return known[:min(len(known), maxPeerAddresses)]
 }
 
 // Known returns the addresses of peers heard lately.
@@ -351,8 +351,8 @@
 	p.conn = conn
 }
 
-// Farewell tells all peers once that this router stops.
-func (e *Exchange) Farewell(ctx context.Context) {
+// AnnounceLeave tells all peers once that this router stops.
+func (e *Exchange) AnnounceLeave(ctx context.Context) {
 	e.mu.Lock()
 	list := make([]*remote, 0, len(e.peers))
 	for _, p := range e.peers {
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -32,7 +32,7 @@
 	if want {
 		h.wanted++
 	}
-	news := &peerpb.News{Node: h.exchange.self, Address: h.exchange.Address(), Peers: h.exchange.Some()}
+	news := &peerpb.News{Node: h.exchange.self, Address: h.exchange.Address(), Peers: h.exchange.SamplePeers()}
 	for n := range 10 {
 		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: fmt.Sprintf("i-%010d", n), Requests: 1, Tokens: 2000})
 	}
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -42,7 +42,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	for _, m := range r.candidates(q, now) {
-		if !m.health.left(now) && !m.stalled(now, r.settings.StallAfter) {
+		if !m.health.ejected(now) && !m.stalled(now, r.settings.StallAfter) {
 			return true
 		}
 	}
@@ -50,7 +50,7 @@
 }
 
 // candidates returns the members that may be asked, the best kind that is not empty: healthy ones,
-// then those that stall or have just refused, then those left alone.
+// then those that stall or have just refused, then ejected ones.
 func (r *Registry) candidates(q *Request, now time.Time) []*member {
 	var healthy, doubtful, rest []*member
 	for _, m := range r.pools[q.Pool] {
@@ -58,11 +58,11 @@
 			continue
 		}
 		switch {
-		case m.health.left(now):
+		case m.health.ejected(now):
 			rest = append(rest, m)
 		case m.health.trial && m.own.Requests > 0:
 			rest = append(rest, m)
-		case m.leftByPeers > 0, m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
+		case m.ejectedByPeers > 0, m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
 			doubtful = append(doubtful, m)
 		default:
 			healthy = append(healthy, m)
@@ -81,10 +81,10 @@
 type estimate struct {
 	// mean is the number for one instance of the pool that takes work, peerMean the part of the others.
 	mean, peerMean float64
-	// trust is the weight of what the other routers had in flight at one instance. It falls with the age
+	// peerWeight is the weight of what the other routers had in flight at one instance. It falls with the age
 	// of their news and is 0 after one service time: what was in flight then is over, and however little
 	// it counted, routers that all avoid the instance that was busy then would bury another one.
-	trust float64
+	peerWeight float64
 }
 
 func (r *Registry) estimate(pool string, now time.Time) estimate {
@@ -97,20 +97,20 @@
 		peer += m.peer.Requests
 		n++
 	}
-	e := estimate{mean: float64(own+peer) / float64(max(1, n)), peerMean: float64(peer) / float64(max(1, n)), trust: 1}
+	e := estimate{mean: float64(own+peer) / float64(max(1, n)), peerMean: float64(peer) / float64(max(1, n)), peerWeight: 1}
 	if held := r.held[pool]; held > 0 && len(r.peers) > 0 {
 		var age time.Duration
 		for _, p := range r.peers {
 			age += now.Sub(p.at)
 		}
-		e.trust = max(0, 1-float64(age)/float64(len(r.peers))/float64(held))
+		e.peerWeight = max(0, 1-float64(age)/float64(len(r.peers))/float64(held))
 	}
 	return e
 }
 
 // load is the estimated number of requests in flight at an instance.
 func (e estimate) load(m *member) float64 {
-	return float64(m.own.Requests) + e.trust*float64(m.peer.Requests) + (1-e.trust)*e.peerMean
+	return float64(m.own.Requests) + e.peerWeight*float64(m.peer.Requests) + (1-e.peerWeight)*e.peerMean
 }
 
 // bound is the number of requests in flight that no instance exceeds.
--- a/gateway/pool/health.go
+++ b/gateway/pool/health.go
@@ -31,7 +31,7 @@
 
 const (
 	// failingShare is the share of failed requests of an instance that is to be found, and suspectScore
-	// the evidence at which it is left: it is then 300 times as likely to fail that share of its requests
+	// the evidence at which it is ejected: it is then 300 times as likely to fail that share of its requests
 	// as to fail no more than its pool does.
 	failingShare = 0.45
 	suspectScore = 5.7
@@ -64,10 +64,10 @@
 	fullUntil time.Time
 }
 
-// left reports whether the instance is left alone now.
-func (h *health) left(now time.Time) bool { return now.Before(h.until) }
+// ejected reports whether the instance gets no requests now.
+func (h *health) ejected(now time.Time) bool { return now.Before(h.until) }
 
-// note takes an outcome in and reports whether the instance is to be left now. normal is the share of
+// note takes an outcome in and reports whether the instance is to be ejected now. normal is the share of
 // requests that fail in the whole pool.
 func (h *health) note(o Outcome, normal float64, now time.Time) (eject bool) {
 	normal = min(max(normal, leastNormal), failingShare/2)
@@ -93,8 +93,8 @@
 }
 
 // leave starts a time away, twice as long as the one before.
-func (h *health) leave(now time.Time) {
-	if h.left(now) {
+func (h *health) startEjection(now time.Time) {
+	if h.ejected(now) {
 		return
 	}
 	away := min(longestEjection, firstEjection<<min(h.times, 8))
--- a/gateway/pool/lease.go
+++ b/gateway/pool/lease.go
@@ -70,8 +70,8 @@
 	return l.member.stalled(r.now(), after)
 }
 
-// Release frees the place and notes how the request ended. It reports whether the instance is left
-// alone from now on. Only the first call has an effect.
+// Release frees the place and notes how the request ended. It reports whether the instance is
+// ejected by it. Only the first call has an effect.
 func (l *Lease) Release(o Outcome) (ejected bool) {
 	r := l.registry
 	r.mu.Lock()
@@ -95,10 +95,10 @@
 	if !m.health.note(o, r.noteFailures(m.Pool, o), now) {
 		return false
 	}
-	if !m.health.hard && !r.mayLeave(m, now) {
+	if !m.health.hard && !r.mayEject(m, now) {
 		return false
 	}
-	m.health.leave(now)
+	m.health.startEjection(now)
 	return true
 }
 
@@ -136,17 +136,17 @@
 	return l.member.Slots > 0 && l.member.requests() > l.member.Slots
 }
 
-// mayLeave reports whether at least half of the pool stays when one more instance is left alone.
-func (r *Registry) mayLeave(m *member, now time.Time) bool {
-	left, all := 1, 0
+// mayEject reports whether at least half of the pool stays when one more instance is ejected.
+func (r *Registry) mayEject(m *member, now time.Time) bool {
+	ejected, all := 1, 0
 	for _, other := range r.pools[m.Pool] {
 		if other.Leaving {
 			continue
 		}
 		all++
-		if other != m && other.health.left(now) {
-			left++
+		if other != m && other.health.ejected(now) {
+			ejected++
 		}
 	}
-	return left*2 <= all || m.health.left(now)
+	return ejected*2 <= all || m.health.ejected(now)
 }
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -11,9 +11,9 @@
 	hash uint64
 	own  Load
 	peer Load
-	// leftByPeers is the number of other routers that leave the instance alone. Their next trial decides
+	// ejectedByPeers is the number of other routers that have ejected the instance. Their next trial decides
 	// for this router too, so that a failing instance is not tried by each router of the fleet.
-	leftByPeers int
+	ejectedByPeers int
 	// lapsedAt is set while the entry is missing and the store was unavailable.
 	lapsedAt time.Time
 	// progressAt is the time of the last byte from the instance, idleSince that of the last moment
@@ -26,16 +26,16 @@
 func (m *member) addPeer(load Load) {
 	m.peer.Requests += load.Requests
 	m.peer.Tokens += load.Tokens
-	if load.Left {
-		m.leftByPeers++
+	if load.Ejected {
+		m.ejectedByPeers++
 	}
 }
 
 func (m *member) removePeer(load Load) {
 	m.peer.Requests = max(0, m.peer.Requests-load.Requests)
 	m.peer.Tokens = max(0, m.peer.Tokens-load.Tokens)
-	if load.Left {
-		m.leftByPeers = max(0, m.leftByPeers-1)
+	if load.Ejected {
+		m.ejectedByPeers = max(0, m.ejectedByPeers-1)
 	}
 }
 
--- a/gateway/pool/peers.go
+++ b/gateway/pool/peers.go
@@ -7,8 +7,8 @@
 	Requests int
 	// Tokens are prompt tokens still to be read.
 	Tokens int
-	// Left is set while the router leaves the instance alone.
-	Left bool
+	// Ejected is set while the router sends the instance nothing.
+	Ejected bool
 }
 
 // peerLoad is what one other router told last.
@@ -24,7 +24,7 @@
 	r.forgetPeer(peer)
 	if r.isolated(loads) {
 		for id, load := range loads {
-			load.Left = false
+			load.Ejected = false
 			loads[id] = load
 		}
 	}
@@ -36,18 +36,18 @@
 	}
 }
 
-// isolated reports whether a router leaves so many instances that its own links are the likely cause.
+// isolated reports whether a router has ejected so many instances that its own links are the likely cause.
 func (r *Registry) isolated(loads map[string]Load) bool {
-	left := 0
+	ejected := 0
 	for _, load := range loads {
-		if load.Left {
-			left++
+		if load.Ejected {
+			ejected++
 		}
 	}
-	return left*isolatedShare > len(r.members)
+	return ejected*isolatedShare > len(r.members)
 }
 
-// isolatedShare is the part of all instances, one in so many, above which a router that leaves them is
+// isolatedShare is the part of all instances, one in so many, above which a router that has ejected them is
 // taken to be cut off itself.
 const isolatedShare = 3
 
@@ -64,7 +64,7 @@
 	}
 }
 
-// Own returns what this router has in flight and which instances it leaves alone, without instances of
+// Own returns what this router has in flight and which instances it has ejected, without instances of
 // which there is nothing to tell.
 func (r *Registry) Own() map[string]Load {
 	r.mu.Lock()
@@ -73,7 +73,7 @@
 	now := r.now()
 	for id, m := range r.members {
 		load := m.own
-		load.Left = m.health.left(now)
+		load.Ejected = m.health.ejected(now)
 		if load != (Load{}) {
 			out[id] = load
 		}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -13,8 +13,8 @@
 // times the pool's mean plus Settings.BoundExtra, counted over all routers. The next instance of the
 // order then becomes another home.
 //
-// An instance that fails: it is left for a while that doubles, and taken back by a single request.
-// At most half of a pool is left at a time for failed requests, because a cause that all instances
+// An instance that fails: it is ejected for a time that doubles, and readmitted by a single request. At
+// most half of a pool is ejected at a time for failed requests, because a cause that all instances
 // share must not empty the pool.
 package pool
 
@@ -146,7 +146,7 @@
 		switch {
 		case m.Leaving:
 			s.Leaving++
-		case m.health.left(now):
+		case m.health.ejected(now):
 			s.Ejected++
 		default:
 			s.Usable++
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -93,7 +93,7 @@
 	is.Equal(s.Usable, 3)
 }
 
-// Guards against instances that are left alone for errors that their service makes in normal
+// Guards against instances that are ejected for errors that their service makes in normal
 // operation, one in seven here, and against one that keeps its work although it fails half of it.
 func TestOrdinaryErrorsEjectNobody(t *testing.T) {
 	is := is.New(t)
@@ -140,7 +140,7 @@
 	f.exchange()
 	healthy := 0
 	for _, m := range f.routers[1].pools["llm"] {
-		if m.leftByPeers == 0 {
+		if m.ejectedByPeers == 0 {
 			healthy++
 		}
 	}
--- a/gateway/pool/prompt.go
+++ b/gateway/pool/prompt.go
@@ -118,7 +118,7 @@
 	own := m.cache.cached(q.Parts)
 	most := own + r.settings.FetchTokens
 	for _, other := range r.pools[q.Pool] {
-		if other == m || other.health.left(now) || other.stalled(now, r.settings.StallAfter) {
+		if other == m || other.health.ejected(now) || other.stalled(now, r.settings.StallAfter) {
 			continue
 		}
 		if held := other.cache.cached(q.Parts); held > most {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -97,8 +97,8 @@
 	if !s.route.Repeatable() || s.sent >= s.route.Attempts || !s.g.registry.HasOther(s.wanted()) {
 		return false
 	}
-	s.prepaid = s.budget.Withdraw(time.Now())
-	return s.prepaid
+	s.repeatReserved = s.budget.Withdraw(time.Now())
+	return s.repeatReserved
 }
 
 // relayLong passes on an answer that is too long to be held.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -41,9 +41,10 @@
 	// event of a stream.
 	streamed  bool
 	lastEvent string
-	// budget is the retry budget of the pool; prepaid is set when the next repeat is paid already.
-	budget  *poolBudget
-	prepaid bool
+	// budget is the retry budget of the pool; repeatReserved is set when the next
+	// repeat is taken from it already.
+	budget         *poolBudget
+	repeatReserved bool
 	// waited is the time before admission.
 	waited time.Duration
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,7 +149,7 @@
 		return pool.Abandoned, s.ended(ctx, verdict.Ran)
 	}
 	if errors.Is(err, errStalled) {
-		s.prepaid = true
+		s.repeatReserved = true
 	} else {
 		s.g.crashes.note(lease.Instance, s.fingerprint)
 	}
