Log peers that are lost and regained

Cause: a failed call to another gateway was only counted down, although each lost or regained dependency is to have its line. Measured: tests of gateway/peer and platform pass.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -41,6 +41,15 @@
 // the store. A configuration of a thousand routes to each peer would fill a router's link.
 const longRecord = 4 << 10
 
+// PeerState implements peer.Host. It must not call the exchange.
+func (g *Gateway) PeerState(address string, err error) {
+	if err != nil {
+		g.log.Warn("peer lost", "peer", address, "error", err)
+		return
+	}
+	g.log.Info("peer regained", "peer", address)
+}
+
 // Wants implements peer.Host.
 func (g *Gateway) Wants() bool { return g.configuration.Failing() || g.instances.Failing() }
 
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -49,6 +49,8 @@
 	Wants() bool
 	// Heard takes the news of a peer over.
 	Heard(news *peerpb.News)
+	// PeerState is called when a peer stops answering, with the error, and when it answers again.
+	PeerState(address string, err error)
 }
 
 // Exchange is the exchange of one router. It is safe for concurrent use.
@@ -141,6 +143,8 @@
 	}
 	conn, err := e.dial(address)
 	if err != nil {
+		// gRPC connects later, so that an error here is an address that is none.
+		e.host.PeerState(address, err)
 		return nil
 	}
 	p := &remote{address: address, conn: conn, addedAt: time.Now()}
@@ -211,10 +215,7 @@
 func (e *Exchange) heard(news *peerpb.News) {
 	e.mu.Lock()
 	if p := e.add(news.GetAddress()); p != nil {
-		p.node = news.GetNode()
-		p.heardAt = time.Now()
-		p.fails = 0
-		p.theirs = news.GetPositions()
+		e.answered(p, news)
 	}
 	for _, address := range news.GetPeers() {
 		e.add(address)
@@ -223,6 +224,17 @@
 	e.host.Heard(news)
 }
 
+// answered notes that a peer was heard.
+func (e *Exchange) answered(p *remote, news *peerpb.News) {
+	if p.fails >= reconnectAfter {
+		e.host.PeerState(p.address, nil)
+	}
+	p.fails = 0
+	p.node = news.GetNode()
+	p.heardAt = time.Now()
+	p.theirs = news.GetPositions()
+}
+
 // tick is the resolution of the calls' times.
 const tick = 50 * time.Millisecond
 
@@ -318,15 +330,15 @@
 	p.busy = false
 	if err != nil {
 		p.fails++
+		if p.fails == reconnectAfter {
+			e.host.PeerState(p.address, err)
+		}
 		e.reconnect(p)
 		p.nextAt = time.Now().Add(min(longestBackoff, shortestPause<<min(p.fails, 6)))
 		e.mu.Unlock()
 		return
 	}
-	p.fails = 0
-	p.node = news.GetNode()
-	p.heardAt = time.Now()
-	p.theirs = news.GetPositions()
+	e.answered(p, news)
 	e.mu.Unlock()
 	if news.GetNode() != e.self {
 		e.host.Heard(news)
@@ -345,6 +357,7 @@
 	}
 	conn, err := e.dial(p.address)
 	if err != nil {
+		// The old connection stays; the next failure tries again.
 		return
 	}
 	_ = p.conn.Close()
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -50,6 +50,8 @@
 	h.heard[news.GetNode()]++
 }
 
+func (h *fakeHost) PeerState(string, error) {}
+
 func (h *fakeHost) Wants() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
