Send records of the feeds only to peers whose position is known, and few of them

Ruled out: the steady exchange, which grows to 50 KB/s only.

Change: a message to a peer that has not said its position has no records; more than 4 KB of them go only to a peer that asks, and one asks when the store does not serve it or nothing is known yet, one peer at a time.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/feed"
@@ -37,9 +36,10 @@
 	return news
 }
 
-// longRecord is the size in bytes above which a record is sent only to a peer that cannot read it from
-// the store. A configuration of a thousand routes to each peer would fill a router's link.
-const longRecord = 4 << 10
+// freeRecords is the size in bytes above which records are sent only to a peer that cannot read them from
+// the store. A configuration of a thousand routes, or the entries of thousands of instances at a start,
+// to each peer would fill a router's link.
+const freeRecords = 4 << 10
 
 // PeerState implements peer.Host. It must not call the exchange.
 func (g *Gateway) PeerState(address string, err error) {
@@ -51,7 +51,10 @@
 }
 
 // Wants implements peer.Host.
-func (g *Gateway) Wants() bool { return g.configuration.Failing() || g.instances.Failing() }
+func (g *Gateway) Wants() bool {
+	starting := !g.Ready() && !g.leaving.Load()
+	return starting || g.configuration.Failing() || g.instances.Failing()
+}
 
 // supply adds the own position in a feed and the records that a peer is missing. Without all records
 // the position is left out, so that the peer does not take it over.
@@ -60,11 +63,15 @@
 	news.Positions = append(news.Positions, own)
 	n := f.follower.Since(own.Base)
 	own.Next, own.Followed = n.Next, n.Followed
-	if n.FreshAt.IsZero() {
+	// A peer whose position is not known yet says it with its first answer.
+	if n.FreshAt.IsZero() || theirs == nil {
 		return
 	}
-	long := func(r feed.Record) bool { return len(r.Value) > longRecord }
-	if !theirs.GetWant() && slices.ContainsFunc(n.Records, long) {
+	size := 0
+	for _, r := range n.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	if size > freeRecords && !theirs.GetWant() {
 		return
 	}
 	own.AgeMs = time.Since(n.FreshAt).Milliseconds()
