Keep the load bound by what other routers told, also when the news is old

Loads that fade with age made the bound fade too, since one service time is the mean over long and very short generations. Ruled out: the exchange, whose pause is unchanged.

Change: the bound takes the higher of the load as told and the faded one.

--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -463,3 +463,23 @@
 	t.Logf("excess %.2f", excess/float64(sent))
 	is.True(excess/float64(sent) < 0.5)
 }
+
+// Guards against a load bound that fades with the news: an instance at the bound by what another router
+// told gets no prompt, although short requests make that news old.
+func TestBoundDoesNotFade(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	for n := range 4 {
+		r.Publish(engine(n))
+	}
+	home := r.Choose(prompt(1))
+	c.advance(200 * time.Millisecond)
+	home.Release(Served) // requests take 0.2 s
+	r.SetPeer("p", map[string]Load{home.Instance.ID: {Requests: 12}})
+	c.advance(400 * time.Millisecond)
+	for range 3 {
+		l := r.Choose(prompt(1))
+		is.True(l.Instance.ID != home.Instance.ID) // the mean is 3, the bound 7.7
+		l.Release(Abandoned)
+	}
+}
--- a/gateway/pool/prompt.go
+++ b/gateway/pool/prompt.go
@@ -57,7 +57,8 @@
 	var h homes
 	bound := r.bound(e.mean)
 	for _, m := range candidates {
-		if load := e.load(m); load+1 > bound || (m.Slots > 0 && load >= float64(m.Slots)) {
+		// The bound holds for what the others told as well: fading tells what is likely, not what is safe.
+		if load := max(e.load(m), float64(m.requests())); load+1 > bound || (m.Slots > 0 && load >= float64(m.Slots)) {
 			continue
 		}
 		if cost := r.cost(q, m, 0, e); h.spare == nil || cost < h.spareCost {
