Test that failing reads of a feed do not wait

Cause: taking out the short reads while the store fails was caught by no test. Change: an outage of 8 s with a wait of 5 s; a change is known 3 s after the return.

--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -278,3 +278,26 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a router that finds the store's return only at the end of a long wait: while reads
+// fail, they do not wait.
+func TestFailingReadsDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source, sink := &hangingSource{}, newSink()
+		source.put("config", "0")
+		f := NewFollower(Configuration, source, sink, Pace{Wait: 5 * time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		source.hang(true)
+		time.Sleep(8 * time.Second)
+		source.hang(false)
+		source.put("config", "1")
+		time.Sleep(3 * time.Second)
+		is.Equal(sink.get("config"), "1")
+		cancel()
+		time.Sleep(time.Second) // the read in progress sees the end
+		synctest.Wait()
+	})
+}
