Drop log lines by class, those of served requests first

Cause: the log's buffer dropped whatever arrived while it was full. A storm of served or refused requests could push out the ejection or the lost store that explains it. Change: lines have a class. Counts are reported and published by class. TestStateLinesOutliveStorms holds the order of the classes.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -99,7 +99,7 @@
 // note logs and counts a request that was not served.
 func (s *serving) note(err *verdict.Error, code int) {
 	s.g.metrics.refusals.Add(string(err.Reason), 1)
-	s.g.log.Info("request failed", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
+	s.g.log.InfoContext(failedLine, "request failed", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
 		"organisation", s.organisation, "status", code, "reason", string(err.Reason), "verdict", err.Verdict.String(),
 		"detail", err.Detail, "attempts", len(s.tried), "tried", s.tried, "last_event", s.lastEvent,
 		"retry_after_ms", err.RetryAfter.Milliseconds(), "waited_ms", s.waited.Milliseconds(),
@@ -112,7 +112,7 @@
 	s.g.metrics.whole.observe(took)
 	s.g.metrics.requests.Add(s.pool, 1)
 	s.g.suspects.Completed(s.fingerprint)
-	s.g.log.Info("request served", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
+	s.g.log.InfoContext(servedLine, "request served", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
 		"organisation", s.organisation, "instance", lease.Instance.ID, "attempt", attempt, "cached", lease.Cached, "fetched_from", lease.FetchFrom,
 		"load", math.Round(10*lease.Load)/10, "mean", math.Round(10*lease.Mean)/10, "waited_ms", s.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "config", s.version())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,7 +63,7 @@
 		if failure.Reason != verdict.ReasonUnreachable {
 			sent++
 		}
-		s.g.log.Info("attempt failed", "id", s.call.ID, "instance", lease.Instance.ID, "attempt", attempt,
+		s.g.log.InfoContext(failedLine, "attempt failed", "id", s.call.ID, "instance", lease.Instance.ID, "attempt", attempt,
 			"reason", string(failure.Reason), "verdict", failure.Verdict.String(), "detail", failure.Detail,
 			"took_ms", time.Since(begin).Milliseconds())
 		last = err
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -1,14 +1,22 @@
 package gateway
 
 import (
+	"context"
 	"expvar"
 	"fmt"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/internal/asynclog"
 	"jacinthfork.example/jacinthfork/kernel"
 )
 
+// Contexts of lines that are sampled or dropped first when the log cannot follow.
+var (
+	servedLine = asynclog.Mark(context.Background(), asynclog.Served)
+	failedLine = asynclog.Mark(context.Background(), asynclog.Failed)
+)
+
 // metrics are the counters of the request path. Labels are pools, reasons and outcomes, whose
 // numbers are bounded by the configuration.
 type metrics struct {
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -43,7 +43,7 @@
 		is.NoErr(err)
 		is.Equal(n, len(line))
 	}
-	is.True(w.Dropped() > lines/2)
+	is.True(w.Dropped()["state"] > lines/2)
 	w.mu.Lock()
 	is.True(len(w.pending) <= bufferBytes)
 	w.mu.Unlock()
--- /dev/null
+++ b/internal/asynclog/handler_test.go
@@ -0,0 +1,78 @@
+package asynclog
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a storm of served or refused requests that leaves no room for the lines that explain
+// it, and against drops that are not counted.
+func TestStateLinesOutliveStorms(t *testing.T) {
+	is := is.New(t)
+	out := &blocked{release: make(chan struct{})}
+	w := New(out)
+	log := slog.New(NewHandler(w, nil)).With("node", "n1")
+	served, failed := Mark(t.Context(), Served), Mark(t.Context(), Failed)
+	const lines = 20_000
+	padding := strings.Repeat("x", 100)
+	for range lines {
+		log.InfoContext(served, "request served", "padding", padding)
+	}
+	is.True(w.waiting.Load() <= limits[Served]+1000)
+	for range lines {
+		log.InfoContext(failed, "request failed", "padding", padding)
+	}
+	is.True(w.waiting.Load() <= limits[Failed]+1000)
+	const ejections = 100
+	for range ejections {
+		log.Warn("instance ejected", "instance", "w1")
+	}
+	dropped := w.Dropped()
+	is.True(dropped["served"] > 0)
+	is.True(dropped["failed"] > 0)
+	is.Equal(dropped["state"], uint64(0))
+	close(out.release)
+	w.Close()
+	text := out.String()
+	is.Equal(strings.Count(text, `"msg":"instance ejected"`), ejections)
+	is.Equal(strings.Count(text, `"msg":"request served"`), lines-int(dropped["served"]))
+	is.True(strings.Contains(text, `"msg":"log lines dropped","class":"served"`))
+	is.True(strings.Contains(text, `"msg":"log lines dropped","class":"failed"`))
+}
+
+// Guards against lines lost at an ordinary rate, and against a class that changes what a line holds.
+func TestHandlerWritesWhole(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out)
+	log := slog.New(NewHandler(w, nil)).With("node", "n1").WithGroup("g")
+	log.InfoContext(Mark(context.Background(), Served), "request served", "id", "r1")
+	log.Debug("hidden")
+	w.Close()
+	is.True(strings.Contains(out.String(), `"msg":"request served","node":"n1","g":{"id":"r1"}}`))
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+}
+
+// BenchmarkServedLine gives the processor time of a line of a served request, written and sampled.
+func BenchmarkServedLine(b *testing.B) {
+	for name, fill := range map[string]int64{"written": 0, "dropped": limits[Served]} {
+		b.Run(name, func(b *testing.B) {
+			w := &Writer{pending: make([]byte, 0, bufferBytes)}
+			log := slog.New(NewHandler(w, nil)).With("node", "n1")
+			ctx := Mark(b.Context(), Served)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.pending = w.pending[:0]
+				w.waiting.Store(fill)
+				log.InfoContext(ctx, "request served", "id", "3b02a7d23c80ab8b", "route", "r-d5as7r4", "pool", "zipu7b",
+					"organisation", "acme", "instance", "w-17", "attempt", 1, "cached", 1200, "fetched_from", "", "load", 3.5,
+					"mean", 2.1, "waited_ms", 0, "took_ms", 812, "config", 41)
+			}
+		})
+	}
+}
