Let affinity keep one copy of a document that needs no more

Cause: min_spread was 2, so that each document was cached at two instances at least. In the target workload that is a second copy of 3,000 documents, which pushes chats out of the caches. Change: min_spread is 1 by default. Documents with a larger share of the work are spread as before, and the load bound still spills.

--- a/plugin/placement/affinity/affinity.go
+++ b/plugin/placement/affinity/affinity.go
@@ -28,7 +28,8 @@
 	// Spread scales the number of instances that a document is spread over: its share of the
 	// pool's work, times instances, times Spread.
 	Spread float64 `toml:"spread" min:"0" max:"16"`
-	// MinSpread is the least number of instances for a document; the less loaded goes first.
+	// MinSpread is the least number of instances for a document; the less loaded goes first. A second
+	// copy of every document pushes chats out of the caches where documents are many.
 	MinSpread int `toml:"min_spread" min:"1"`
 	// HintMaxAge is the age from which a load report is ignored.
 	HintMaxAge time.Duration `toml:"hint_max_age" min:"100ms" max:"1m"`
@@ -36,7 +37,7 @@
 
 // New returns a policy with default settings.
 func New() *Policy {
-	return &Policy{BoundFactor: 1.25, Headroom: 0, Spread: 2, MinSpread: 2, HintMaxAge: 5 * time.Second}
+	return &Policy{BoundFactor: 1.25, Headroom: 0, Spread: 2, MinSpread: 1, HintMaxAge: 5 * time.Second}
 }
 
 // Classes of candidates, best first.
