Name instances by a key of 4 bytes in the exchange between gateways

Cause: a load in a message took 24 bytes, most of it the ID of the instance and the framing of a nested message. Change: instances go by 32 bits of the hash that rendezvous uses, and loads and prompts as packed lists. Two instances with one key both count what is told of it. Lists of unequal length are rejected with a log line.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/feed"
@@ -20,16 +22,15 @@
 		Leaving:  g.leaving.Load(),
 		Suspects: g.suspects.Export(suspectsPerMessage),
 	}
-	for id, load := range g.registry.Own() {
-		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: id, Requests: uint32(max(0, load.Requests)), Tokens: uint32(max(0, load.Tokens)), Ejected: load.Ejected})
-	}
+	news.Loads = encodeLoads(g.registry.Own())
 	for _, f := range g.followers() {
 		g.supply(news, f, positionOf(theirs, f.id), want)
 	}
 	for _, p := range g.registry.Placements(g.peers.Span()) {
-		placed := &peerpb.PlacedPrompt{Instance: p.Instance}
+		placed := &peerpb.PlacedPrompt{Instance: uint32(p.Instance)}
 		for _, part := range p.Parts {
-			placed.Parts = append(placed.Parts, &peerpb.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
+			placed.Ids = append(placed.Ids, part.ID)
+			placed.Tokens = append(placed.Tokens, uint32(part.Tokens))
 		}
 		news.Prompts = append(news.Prompts, placed)
 	}
@@ -101,9 +102,10 @@
 
 // Heard implements peer.Host.
 func (g *Gateway) Heard(news *peerpb.News) {
-	loads := make(map[string]pool.Load, len(news.GetLoads()))
-	for _, l := range news.GetLoads() {
-		loads[l.GetInstance()] = pool.Load{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Ejected: l.GetEjected()}
+	loads, err := decodeLoads(news.GetLoads())
+	if err != nil {
+		g.log.Error("news of a peer ignored", "peer", news.GetNode(), "error", err)
+		return
 	}
 	g.registry.SetPeer(news.GetNode(), loads)
 	g.suspects.Merge(news.GetSuspects())
@@ -144,12 +146,45 @@
 // travelTime is added to the age of news for its way from a peer.
 const travelTime = 10 * time.Millisecond
 
+// encodeLoads puts loads into lists.
+func encodeLoads(loads map[pool.Key]pool.Load) *peerpb.Loads {
+	out := &peerpb.Loads{}
+	for key, load := range loads {
+		out.Instances = append(out.Instances, uint32(key))
+		out.Requests = append(out.Requests, uint32(max(0, load.Requests)))
+		out.Tokens = append(out.Tokens, uint32(max(0, load.Tokens)))
+		if load.Ejected {
+			out.Ejected = append(out.Ejected, uint32(key))
+		}
+	}
+	return out
+}
+
+// errLists is the error of a message whose lists do not belong together.
+var errLists = errors.New("lists of loads differ in length")
+
+func decodeLoads(lists *peerpb.Loads) (map[pool.Key]pool.Load, error) {
+	n := len(lists.GetInstances())
+	if len(lists.GetRequests()) != n || len(lists.GetTokens()) != n {
+		return nil, errLists
+	}
+	loads := make(map[pool.Key]pool.Load, n)
+	for i, key := range lists.GetInstances() {
+		loads[pool.Key(key)] = pool.Load{
+			Requests: int(lists.GetRequests()[i]),
+			Tokens:   int(lists.GetTokens()[i]),
+			Ejected:  slices.Contains(lists.GetEjected(), key),
+		}
+	}
+	return loads, nil
+}
+
 func placements(prompts []*peerpb.PlacedPrompt) []pool.Placement {
 	out := make([]pool.Placement, 0, len(prompts))
 	for _, p := range prompts {
-		placed := pool.Placement{Instance: p.GetInstance()}
-		for _, part := range p.GetParts() {
-			placed.Parts = append(placed.Parts, pool.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
+		placed := pool.Placement{Instance: pool.Key(p.GetInstance())}
+		for i, id := range p.GetIds()[:min(len(p.GetIds()), len(p.GetTokens()))] {
+			placed.Parts = append(placed.Parts, pool.Part{ID: id, Tokens: int(p.GetTokens()[i])})
 		}
 		out = append(out, placed)
 	}
--- /dev/null
+++ b/gateway/news_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/internal/proptest"
+)
+
+// Guards against loads that reach a peer for another instance or without their ejection.
+func TestLoadsSurviveTheWay(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		loads := rapid.MapOf(rapid.Map(rapid.Uint32(), func(k uint32) pool.Key { return pool.Key(k) }), rapid.Custom(func(t *rapid.T) pool.Load {
+			return pool.Load{
+				Requests: rapid.IntRange(0, 1000).Draw(t, "requests"),
+				Tokens:   rapid.IntRange(0, 1_000_000).Draw(t, "tokens"),
+				Ejected:  rapid.Bool().Draw(t, "ejected"),
+			}
+		})).Draw(t, "loads")
+		got, err := decodeLoads(encodeLoads(loads))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got) != len(loads) {
+			t.Fatalf("%d of %d instances", len(got), len(loads))
+		}
+		for key, load := range loads {
+			if got[key] != load {
+				t.Fatalf("%v became %v", load, got[key])
+			}
+		}
+	})
+}
+
+// Guards against a message of another version whose lists are cut short.
+func TestShortListsAreRejected(t *testing.T) {
+	is := is.New(t)
+	lists := encodeLoads(map[pool.Key]pool.Load{1: {Requests: 1}, 2: {Requests: 2}})
+	lists.Tokens = lists.Tokens[:1]
+	_, err := decodeLoads(lists)
+	is.True(errors.Is(err, errLists))
+	none, err := decodeLoads(nil)
+	is.NoErr(err)
+	is.Equal(len(none), 0)
+	is.Equal(len(placements([]*peerpb.PlacedPrompt{{Instance: 1, Ids: []uint64{1, 2}, Tokens: []uint32{5}}})[0].Parts), 1)
+}
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -33,12 +33,14 @@
 		h.wanted++
 	}
 	news := &peerpb.News{Node: h.exchange.self, Address: h.exchange.Address(), Peers: h.exchange.SamplePeers()}
+	news.Loads = &peerpb.Loads{}
 	for n := range 10 {
-		news.Loads = append(news.Loads, &peerpb.InstanceLoad{Instance: fmt.Sprintf("i-%010d", n), Requests: 1, Tokens: 2000})
+		news.Loads.Instances = append(news.Loads.Instances, uint32(n))
+		news.Loads.Requests = append(news.Loads.Requests, 1)
+		news.Loads.Tokens = append(news.Loads.Tokens, 2000)
 	}
 	for n := range 2 {
-		parts := []*peerpb.PromptPart{{Id: 1, Tokens: 500}, {Id: 2, Tokens: 10000}}
-		news.Prompts = append(news.Prompts, &peerpb.PlacedPrompt{Instance: fmt.Sprintf("i-%010d", n), Parts: parts})
+		news.Prompts = append(news.Prompts, &peerpb.PlacedPrompt{Instance: uint32(n), Ids: []uint64{1, 2}, Tokens: []uint32{500, 10000}})
 		news.Positions = append(news.Positions, &peerpb.Position{Feed: uint32(n), Next: 500, Base: 500, Followed: 20, AgeMs: 300})
 	}
 	return news
--- a/gateway/pool/placement.go
+++ b/gateway/pool/placement.go
@@ -4,7 +4,7 @@
 
 // Placement says that an instance reads the shared parts of a prompt that it did not hold.
 type Placement struct {
-	Instance string
+	Instance Key
 	Parts    []Part
 	at       time.Time
 }
@@ -25,7 +25,7 @@
 	if len(r.placed) == maxPlacements {
 		r.placed = append(r.placed[:0], r.placed[1:]...)
 	}
-	r.placed = append(r.placed, Placement{Instance: m.ID, Parts: q.Parts[:len(q.Parts)-1], at: now})
+	r.placed = append(r.placed, Placement{Instance: keyOf(m.hash), Parts: q.Parts[:len(q.Parts)-1], at: now})
 }
 
 // Placements returns the placements of this router within the given time.
@@ -46,7 +46,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range placements {
-		if m, ok := r.members[p.Instance]; ok {
+		for _, m := range r.byKey[p.Instance] {
 			m.cache.add(p.Parts)
 		}
 	}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -84,6 +84,7 @@
 	now      func() time.Time
 	members  map[string]*member
 	pools    map[string][]*member
+	byKey    map[Key][]*member
 	peers    map[string]*peerLoad
 	// removed holds the last publication of instances that are gone, so that one that arrives late
 	// does not bring them back.
@@ -108,6 +109,7 @@
 		now:         time.Now,
 		members:     make(map[string]*member),
 		pools:       make(map[string][]*member),
+		byKey:       make(map[Key][]*member),
 		peers:       make(map[string]*peerLoad),
 		removed:     make(map[string]removal),
 		cacheTokens: make(map[string]int),
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -350,7 +350,7 @@
 			"remove":  func(t *rapid.T) { r.Remove(engine(rapid.IntRange(0, 5).Draw(t, "n")).ID) },
 			"advance": func(t *rapid.T) { c.advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond) },
 			"peer": func(t *rapid.T) {
-				r.SetPeer("p", map[string]Load{engine(rapid.IntRange(0, 5).Draw(t, "n")).ID: {Requests: rapid.IntRange(0, 50).Draw(t, "load")}})
+				r.SetPeer("p", map[Key]Load{KeyOf(engine(rapid.IntRange(0, 5).Draw(t, "n")).ID): {Requests: rapid.IntRange(0, 50).Draw(t, "load")}})
 			},
 			"sweep": func(*rapid.T) { r.Sweep(c.now()) },
 			"choose": func(t *rapid.T) {
@@ -475,7 +475,7 @@
 	home := r.Choose(prompt(1))
 	c.advance(200 * time.Millisecond)
 	home.Release(Served) // requests take 0.2 s
-	r.SetPeer("p", map[string]Load{home.Instance.ID: {Requests: 12}})
+	r.SetPeer("p", map[Key]Load{KeyOf(home.Instance.ID): {Requests: 12}})
 	c.advance(400 * time.Millisecond)
 	for range 3 {
 		l := r.Choose(prompt(1))
@@ -483,3 +483,26 @@
 		l.Release(Abandoned)
 	}
 }
+
+// Guards against loads of another router that are lost when two instances share a key, and against what
+// remains of them after one of the two is gone.
+func TestInstancesThatShareAKey(t *testing.T) {
+	is := is.New(t)
+	r, _ := testRegistry()
+	r.Publish(engine(0))
+	r.Publish(engine(1))
+	first, second := r.members[engine(0).ID], r.members[engine(1).ID]
+	second.hash = first.hash
+	delete(r.byKey, KeyOf(engine(1).ID))
+	key := keyOf(first.hash)
+	r.byKey[key] = append(r.byKey[key], second)
+
+	r.SetPeer("p", map[Key]Load{key: {Requests: 3}})
+	is.Equal(first.peer.Requests, 3)
+	is.Equal(second.peer.Requests, 3)
+	r.drop(first)
+	r.SetPeer("p", map[Key]Load{key: {Requests: 1}})
+	is.Equal(second.peer.Requests, 1)
+	r.drop(second)
+	is.Equal(len(r.byKey), 0)
+}
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/internal/rendezvous"
@@ -80,22 +81,27 @@
 	m := &member{Instance: i, hash: rendezvous.Hash(i.ID), cache: newPromptCache(r.cacheTokens[i.Pool])}
 	r.members[i.ID] = m
 	r.pools[i.Pool] = append(r.pools[i.Pool], m)
+	key := keyOf(m.hash)
+	r.byKey[key] = append(r.byKey[key], m)
 	for _, p := range r.peers {
-		m.addPeer(p.loads[i.ID])
+		m.addPeer(p.loads[key])
 	}
 }
 
 func (r *Registry) drop(m *member) {
 	delete(r.members, m.ID)
-	list := r.pools[m.Pool]
-	for at, other := range list {
-		if other == m {
-			r.pools[m.Pool] = append(list[:at:at], list[at+1:]...)
-			break
-		}
+	r.pools[m.Pool] = without(r.pools[m.Pool], m)
+	key := keyOf(m.hash)
+	if r.byKey[key] = without(r.byKey[key], m); len(r.byKey[key]) == 0 {
+		delete(r.byKey, key)
 	}
 }
 
+func without(list []*member, m *member) []*member {
+	at := slices.Index(list, m)
+	return append(list[:at:at], list[at+1:]...)
+}
+
 // Remove takes the removal of an entry over. While the store is unavailable entries lapse although
 // their instances live; such an entry stays usable until LapseGrace after the store's return.
 func (r *Registry) Remove(id string) Change {
