--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -103,7 +103,8 @@
 		"organisation", s.organisation, "status", code, "reason", string(err.Reason), "verdict", err.Verdict.String(),
 		"detail", err.Detail, "attempts", len(s.tried), "tried", s.tried, "last_event", s.lastEvent,
 		"retry_after_ms", err.RetryAfter.Milliseconds(), "waited_ms", s.waited.Milliseconds(),
-		"took_ms", time.Since(s.start).Milliseconds(), "config", s.version())
+		"took_ms", time.Since(s.start).Milliseconds(), "limit_ms", s.limit.Milliseconds(), "limited_by", s.limitedBy,
+		"config", s.version())
 }
 
 // served logs and counts a request that was answered by a backend server.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,6 +32,9 @@
 	fingerprint  uint64
 	// deadline is when the caller or the route gives up; zero is never.
 	deadline time.Time
+	// limit is the time from start to deadline, 0 when there is none. limitedBy is "route" or "caller".
+	limit     time.Duration
+	limitedBy string
 	// pool is the one that runs the request, once admitted.
 	pool string
 	// tried are the instances that had the request, sent the attempts that may have run.
@@ -113,14 +116,14 @@
 	return s.readBody()
 }
 
-// limitTime sets the deadline from the caller's and the route's limit.
+// limitTime sets the deadline from the caller's and the route's limit, whichever is shorter.
 func (s *serving) limitTime() {
-	limit := s.route.Timeout
-	if s.call.TimeLimit > 0 && (limit == 0 || s.call.TimeLimit < limit) {
-		limit = s.call.TimeLimit
+	s.limit, s.limitedBy = s.route.Timeout, "route"
+	if s.call.TimeLimit > 0 && (s.limit == 0 || s.call.TimeLimit < s.limit) {
+		s.limit, s.limitedBy = s.call.TimeLimit, "caller"
 	}
-	if limit > 0 {
-		s.deadline = s.start.Add(limit)
+	if s.limit > 0 {
+		s.deadline = s.start.Add(s.limit)
 	}
 }
 
