--- a/cmd/jacinthfork-gateway/main.go
+++ b/cmd/jacinthfork-gateway/main.go
@@ -20,13 +20,18 @@
 )
 
 func main() {
-	check := false
+	check, advertise := false, ""
 	flaggy.SetName("jacinthfork-gateway")
 	flaggy.SetDescription("a router that reaches backend servers itself; its settings file is named by " + platform.SettingsVariable)
 	flaggy.SetVersion(version)
 	flaggy.Bool(&check, "c", "check", "check the settings file and exit")
+	flaggy.String(&advertise, "a", "peer-advertise", "host:port at which other gateways reach this one, where it differs from the address it listens on")
 	flaggy.Parse()
 	settings, path, err := platform.SettingsFromEnvironment()
+	if err == nil {
+		settings.Gateway.PeerAdvertise = advertise
+		err = settings.Gateway.Validate()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "jacinthfork-gateway:", err)
 		os.Exit(exitSettings)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,7 @@
 		f.OnState = g.storeState
 		f.OnFailure = g.storeFailure
 	}
-	g.peers = peer.New(settings.Node, settings.PeerAddress, g, traffic.NewMeter(env.Counters))
+	g.peers = peer.New(settings.Node, settings.PeerAddress, settings.PeerAdvertise, g, traffic.NewMeter(env.Counters))
 	g.publish()
 	return g, nil
 }
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -56,11 +56,13 @@
 // Exchange is the exchange of one router. It is safe for concurrent use.
 type Exchange struct {
 	peerpb.UnimplementedPeerServer
-	self    string
-	address string
-	host    Host
-	meter   *traffic.Meter
-	server  *grpc.Server
+	self string
+	// address is where this router listens, advertised where others reach it.
+	address    string
+	advertised string
+	host       Host
+	meter      *traffic.Meter
+	server     *grpc.Server
 
 	mu    sync.Mutex
 	peers map[string]*remote
@@ -81,10 +83,10 @@
 	theirs []*peerpb.Position
 }
 
-// New returns an exchange for the router of the given name. address is where it serves peers. meter
-// counts its bytes.
-func New(self, address string, host Host, meter *traffic.Meter) *Exchange {
-	return &Exchange{self: self, address: address, host: host, meter: meter, peers: make(map[string]*remote)}
+// New returns an exchange for the router of the given name. address is where it serves peers, advertised where they
+// reach it; empty is address. meter counts its bytes.
+func New(self, address, advertised string, host Host, meter *traffic.Meter) *Exchange {
+	return &Exchange{self: self, address: address, advertised: advertised, host: host, meter: meter, peers: make(map[string]*remote)}
 }
 
 // Start listens and serves peers in the background.
@@ -99,6 +101,9 @@
 	}
 	e.mu.Lock()
 	e.address = listener.Addr().String()
+	if e.advertised == "" {
+		e.advertised = e.address
+	}
 	e.mu.Unlock()
 	e.server = grpc.NewServer(append(options, grpc.ReadBufferSize(messageBuffer), grpc.WriteBufferSize(messageBuffer))...)
 	peerpb.RegisterPeerServer(e.server, e)
@@ -106,11 +111,11 @@
 	return nil
 }
 
-// Address returns where peers are served.
+// Address returns where peers reach this router, known after Start.
 func (e *Exchange) Address() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.address
+	return e.advertised
 }
 
 // Stop ends serving and closes all connections.
@@ -135,7 +140,7 @@
 }
 
 func (e *Exchange) add(address string) *remote {
-	if address == "" || address == e.address {
+	if address == "" || address == e.advertised {
 		return nil
 	}
 	if p, ok := e.peers[address]; ok {
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -71,7 +71,7 @@
 func startHost(t testing.TB, n int) *fakeHost {
 	t.Helper()
 	h := &fakeHost{heard: make(map[string]int)}
-	h.exchange = New(fmt.Sprintf("node-%d", n), "127.0.0.1:0", h, traffic.NewMeter(kernel.NewCounters()))
+	h.exchange = New(fmt.Sprintf("node-%d", n), "127.0.0.1:0", "", h, traffic.NewMeter(kernel.NewCounters()))
 	if err := h.exchange.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -113,6 +113,19 @@
 	})
 }
 
+// Guards against peers that are told an address at which they cannot reach the router.
+func TestAdvertisedAddressIsTold(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := &fakeHost{heard: make(map[string]int)}
+	h.exchange = New("node-0", "127.0.0.1:0", "192.0.2.7:81", h, traffic.NewMeter(kernel.NewCounters()))
+	is.NoErr(h.exchange.Start())
+	t.Cleanup(h.exchange.Stop)
+	is.Equal(h.exchange.Address(), "192.0.2.7:81")
+	h.exchange.Add("192.0.2.7:81") // its own
+	is.Equal(len(h.exchange.peers), 0)
+}
+
 // Guards against a router that is not heard again after it restarted at its address.
 func TestRestartedRouterIsHeardAgain(t *testing.T) {
 	t.Parallel()
@@ -123,7 +136,7 @@
 	b.exchange.Stop()
 	time.Sleep(2 * shortestPause)
 	again := &fakeHost{heard: make(map[string]int)}
-	again.exchange = New("node-1", address, again, traffic.NewMeter(kernel.NewCounters()))
+	again.exchange = New("node-1", address, "", again, traffic.NewMeter(kernel.NewCounters()))
 	is.New(t).NoErr(again.exchange.Start())
 	t.Cleanup(again.exchange.Stop)
 	eventually(t, func() bool { return again.peers() == 1 })
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"net"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/feed"
@@ -20,6 +22,9 @@
 	ReadyPath      string
 	PeerAddress    string
 	MetricsAddress string
+	// PeerAdvertise is the host:port at which other routers reach PeerAddress where that differs, as behind
+	// address translation. Empty is PeerAddress.
+	PeerAdvertise string
 	// Seeds are addresses at which other routers may be found.
 	Seeds []string
 	// StopTime is the time from the request to stop until the process is killed.
@@ -76,6 +81,11 @@
 	need(s.CallerAddress, "callers' address")
 	need(s.ReadyAddress, "ready address")
 	need(s.PeerAddress, "peers' address")
+	if s.PeerAdvertise != "" {
+		if _, _, err := net.SplitHostPort(s.PeerAdvertise); err != nil {
+			faults = append(faults, fmt.Errorf("advertised peers' address: %w", err))
+		}
+	}
 	if s.RepeatShare < 0 || s.RepeatShare > 1 {
 		faults = append(faults, errors.New("the share of repeats must be from 0 to 1"))
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -29,6 +29,8 @@
 		func() { f.store.ForgetAll(); f.configure() },
 		func() { f.configure(); f.configure() },
 		func() { f.workerLinks[worker].Cut() },
+		func() { f.peerLinks[node].Cut() },
+		func() { f.stallPeers(node, all, direction, lasts) },
 		func() { f.stallWorker(worker, direction, lasts) },
 		func() { f.crashWorker(worker, lasts) },
 		func() { f.misbehaves(worker, behaviours[behaviour], lasts) },
@@ -100,6 +102,19 @@
 	time.Sleep(lasts)
 }
 
+// stallPeers silences what the other gateways tell a gateway, or what it answers.
+func (f *fleet) stallPeers(node int, all bool, d fleettest.Direction, lasts time.Duration) {
+	links := f.peerLinks[node : node+1]
+	if all {
+		links = f.peerLinks
+	}
+	for _, link := range links {
+		link.Stall(d)
+		defer link.Unstall(d)
+	}
+	time.Sleep(lasts)
+}
+
 func (f *fleet) storeFails(fault standin.StoreFault, lasts time.Duration) {
 	f.store.SetFault(fault)
 	time.Sleep(lasts)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,8 +57,10 @@
 	places   []standin.Place
 	nodes    []*fleettest.Process
 	starts   []atomic.Int32
-	// storeLinks are between each gateway and the store, workerLinks between all gateways and a worker.
+	// storeLinks are between each gateway and the store, peerLinks between all other gateways and each one,
+	// workerLinks between all gateways and a worker.
 	storeLinks  []*fleettest.Relay
+	peerLinks   []*fleettest.Relay
 	workers     []*standin.Worker
 	workerLinks []*fleettest.Relay
 	version     atomic.Int32
@@ -82,14 +84,16 @@
 			Peers: fleettest.Address(t, host), Metrics: fleettest.Address(t, host), StoreAddress: link.Address(),
 			Seeds: seeds, StopTime: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 		}
-		seeds = append(seeds, place.Peers)
+		peers := fleettest.NewRelay(t, host, place.Peers)
+		f.peerLinks = append(f.peerLinks, peers)
+		seeds = append(seeds, peers.Address())
 		environment, err := place.WriteSettings(filepath.Join(t.TempDir(), "settings.json"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		f.places = append(f.places, place)
 		f.nodes = append(f.nodes, fleettest.Start(t, fleettest.Spec{
-			Program: "jacinthfork-gateway", Name: place.Name, Env: []string{environment}, ReadyURL: place.ReadyURL(),
+			Program: "jacinthfork-gateway", Name: place.Name, Args: []string{"--peer-advertise", peers.Address()}, Env: []string{environment}, ReadyURL: place.ReadyURL(),
 		}))
 	}
 	return f
@@ -186,9 +190,10 @@
 	}
 }
 
-// soak runs one seed and returns the broken promises.
-func soak(t *testing.T, seed uint64, faults int) []string {
+// soak runs one seed and returns the broken promises. prepare changes the fleet before it is used.
+func soak(t *testing.T, seed uint64, faults int, prepare func(f *fleet)) []string {
 	f := newFleet(t, seed)
+	prepare(f)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var running sync.WaitGroup
@@ -293,7 +298,7 @@
 
 func run(t *testing.T, seed uint64) {
 	t.Parallel()
-	for _, text := range soak(t, seed, *faultsFlag) {
+	for _, text := range soak(t, seed, *faultsFlag, func(*fleet) {}) {
 		t.Errorf("seed %d: %s", seed, text)
 	}
 }
