Keep requests apart while a pool holds more than it has places for

Cause: each router may always have one request in flight at a pool. Change: admission.SetPace keeps grants apart. A gateway sets it when a pool with fewer places than routers holds more than its places, at the full excess so that as many requests start as end.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -42,6 +42,7 @@
 	history       history
 	correction    correction
 	completion    completionRate
+	pace          pace
 	counts        Counts
 }
 
--- a/admission/fair.go
+++ b/admission/fair.go
@@ -107,8 +107,11 @@
 	return c.usage(o.tokens+work, o.requests+1) <= c.share(o) || o.finish < c.virtual
 }
 
-// fits decides capacity, reserve and isolation. An engine with nothing in flight takes any request.
+// fits decides pace, capacity, reserve and isolation. An engine with nothing in flight takes any request.
 func (c *Controller) fits(o *organisation, req *Request, work uint64) fit {
+	if c.untilPace() > 0 {
+		return overCapacity
+	}
 	if c.inFlight == 0 {
 		return fitsNow
 	}
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -101,6 +101,7 @@
 	}
 	c.own += work
 	c.inFlight++
+	c.pace.lastAt = c.now()
 	o.tokens += work
 	o.requests++
 	c.isolated = req.Isolate
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -129,6 +129,7 @@
 	for c.waiting > 0 {
 		w := c.nextWaiter()
 		if w == nil {
+			c.awaitPace()
 			return
 		}
 		if !w.req.Isolate && !c.boundHolds(w.work, w.req.AtMean) {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -92,8 +92,9 @@
 	routers := 1 + a.registry.Peers()
 	for name, p := range a.pools {
 		s := a.registry.Summary(name)
-		capacity := p.capacity(s, routers)
-		p.controller.SetCapacity(uint64(capacity), capacity)
+		requests, pause := p.capacity(s, routers), p.pause(a.registry.Capacity(name), routers)
+		p.controller.SetCapacity(uint64(requests), requests)
+		p.controller.SetPace(pause)
 	}
 }
 
@@ -104,6 +105,20 @@
 	return max(1, least, total-s.Peers)
 }
 
+// pause is the time between two requests of this router to a pool that holds more than it has places for.
+//
+// Each router may always have one request in flight, because what it knows of the others is a moment old. Where
+// there are more routers than places, all of them together then hold more than the pool, and each request waits
+// there longer than its caller's objective. At the full pause they start as many as end.
+func (p *poolAdmission) pause(c pool.Capacity, routers int) time.Duration {
+	total := float64(c.Slots * p.depth)
+	if total == 0 || total >= float64(routers) {
+		return 0
+	}
+	excess := min(max(0, float64(c.Peers)/total-1), 1)
+	return time.Duration(excess * float64(c.Held) * float64(routers) / total)
+}
+
 // admit waits for a place. The error is a *verdict.Error with verdict.NotRun.
 func (a *admissions) admit(ctx context.Context, name string, organisation string, priority int) (*admission.Grant, error) {
 	a.mu.Lock()
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -49,32 +49,78 @@
 	return false
 }
 
-// candidates returns the members that may be asked, the best kind that is not empty: healthy ones,
-// then those that stall or have just refused, then ejected ones.
+// candidates returns the members that may be asked, the best grade that is not empty.
 func (r *Registry) candidates(q *Request, now time.Time) []*member {
-	var healthy, doubtful, rest []*member
+	var byGrade [grades][]*member
 	for _, m := range r.pools[q.Pool] {
-		if m.Leaving || slices.Contains(q.Exclude, m.ID) {
-			continue
+		if !m.Leaving && !slices.Contains(q.Exclude, m.ID) {
+			at := r.grade(m, now)
+			byGrade[at] = append(byGrade[at], m)
 		}
-		switch {
-		case m.health.ejected(now):
-			rest = append(rest, m)
-		case m.health.trial && m.own.Requests > 0:
-			rest = append(rest, m)
-		case m.ejectedByPeers > 0, m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
-			doubtful = append(doubtful, m)
-		default:
-			healthy = append(healthy, m)
+	}
+	for _, list := range byGrade {
+		if len(list) > 0 {
+			return list
 		}
 	}
-	if len(healthy) > 0 {
-		return healthy
+	return nil
+}
+
+// Grades of members, best first.
+const (
+	gradeHealthy = iota
+	// gradeDoubtful are those that stall, have just refused, have lapsed or are ejected by another router.
+	gradeDoubtful
+	// gradeEjected are those that this router has ejected, or waits to try again.
+	gradeEjected
+	grades
+)
+
+func (r *Registry) grade(m *member, now time.Time) int {
+	switch {
+	case m.health.ejected(now), m.health.trial && m.own.Requests > 0:
+		return gradeEjected
+	case m.ejectedByPeers > 0, m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
+		return gradeDoubtful
 	}
-	if len(doubtful) > 0 {
-		return doubtful
+	return gradeHealthy
+}
+
+// Capacity is what the instances of a pool that get requests now can hold. Instances of a lower grade than the
+// best get none, so that their slots are no capacity.
+type Capacity struct {
+	Slots int
+	// Peers is what the other routers have in flight at these instances.
+	Peers int
+	// Held is the mean time that a request takes, 0 before the first one.
+	Held time.Duration
+}
+
+// Capacity returns the capacity of a pool.
+func (r *Registry) Capacity(pool string) Capacity {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	c := Capacity{Held: r.held[pool]}
+	best := grades
+	for _, m := range r.pools[pool] {
+		if m.Leaving {
+			continue
+		}
+		grade := r.grade(m, now)
+		// An instance that refused because it is full has its slots in use.
+		if now.Before(m.health.fullUntil) && m.ejectedByPeers == 0 && grade == gradeDoubtful {
+			grade = gradeHealthy
+		}
+		if grade < best {
+			best, c.Slots, c.Peers = grade, 0, 0
+		}
+		if grade == best {
+			c.Slots += m.Slots
+			c.Peers += m.peer.Requests
+		}
 	}
-	return rest
+	return c
 }
 
 // estimate is what the requests in flight at instances are taken to be now.
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -506,3 +506,26 @@
 	r.drop(second)
 	is.Equal(len(r.byKey), 0)
 }
+
+// Replays a plain service of three workers of which one is ejected here and one by another router. Guards against
+// requests that are admitted for slots which get none: all of them wait at the third worker, longer than their
+// callers' objective.
+func TestCapacityIsWhatGetsRequests(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	for n := range 3 {
+		i := engine(n)
+		i.Slots = 6
+		r.Publish(i)
+	}
+	is.Equal(r.Capacity("llm").Slots, 18)
+	r.SetPeer("p", map[Key]Load{KeyOf("i-00"): {Requests: 5, Ejected: true}, KeyOf("i-01"): {Requests: 2}, KeyOf("i-02"): {Requests: 3}})
+	is.Equal(r.Capacity("llm"), Capacity{Slots: 12, Peers: 5})
+	is.True(r.Choose(&Request{Pool: "llm", Exclude: []string{"i-00", "i-02"}}).Release(Unreachable))
+	is.Equal(r.Capacity("llm"), Capacity{Slots: 6, Peers: 3})
+	r.Choose(&Request{Pool: "llm", Exclude: []string{"i-00", "i-01"}}).Release(Full)
+	is.Equal(r.Capacity("llm").Slots, 6) // full, but not out of use
+	c.advance(longestEjection)
+	r.SetPeer("p", nil)
+	is.Equal(r.Capacity("llm").Slots, 18)
+}
