--- a/admission/pace.go
+++ b/admission/pace.go
@@ -10,8 +10,9 @@
 	waiting bool
 }
 
-// SetPace keeps grants at least the given time apart; 0 is no pause. A router whose part of a pool is less than
-// one request at a time gets its part so, while many that each hold one request would hold more than the pool.
+// SetPace keeps grants at least the given time apart; 0 is no pause. Routers whose share of a pool is below one
+// request would together hold more than the pool if each always had one in flight; a pause gives each its share
+// over time.
 func (c *Controller) SetPace(pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
