Be ready only with all instances of a read

Cause: readiness was checked between two records of one read of the instances, so that a gateway could be ready with the first one only. Change: Ready looks between two reads (feed.Between). TestBetweenSeesWholeReads holds it.

--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -361,6 +361,14 @@
 	return f.freshAt
 }
 
+// Between calls look while no records are being taken over, so that it does not see a part of them. look must not
+// call the follower.
+func (f *Follower) Between(look func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	look()
+}
+
 // failed notes a failed read and returns the pause before the next one.
 func (f *Follower) failed(err error) time.Duration {
 	f.mu.Lock()
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -301,3 +301,30 @@
 		synctest.Wait()
 	})
 }
+
+// slowSink says when it begins to take a record in, and takes a while.
+type slowSink struct {
+	begun chan struct{}
+	taken int
+}
+
+func (s *slowSink) Apply(Record) bool {
+	s.begun <- struct{}{}
+	time.Sleep(10 * time.Millisecond)
+	s.taken++
+	return true
+}
+func (s *slowSink) Returned()                {}
+func (s *slowSink) Complete(map[string]bool) {}
+
+// Guards against a router that is ready with a part of the instances that one read brought.
+func TestBetweenSeesWholeReads(t *testing.T) {
+	is := is.New(t)
+	sink := &slowSink{begun: make(chan struct{}, 2)}
+	f := &Follower{sink: sink, seen: make(map[string]uint64), records: make(map[string]Record)}
+	go f.Merge([]Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}}, 3, time.Now())
+	<-sink.begun
+	taken := 0
+	f.Between(func() { taken = sink.taken })
+	is.Equal(taken, 2)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,7 +117,12 @@
 
 // Ready reports whether this router takes requests.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.table.Load() != nil && g.registry.Known()
+	if g.leaving.Load() || g.table.Load() == nil {
+		return false
+	}
+	known := false
+	g.instances.Between(func() { known = g.registry.Known() })
+	return known
 }
 
 // housekeeping is the pause between two rounds of work that no request triggers.
