Replay the return of refused callers, and correct two doc comments

Cause: no test replayed a surge whose refused callers come back as they are told; two doc comments named other functions. Change: the replay of 31 routers before one worker serves two tests.

--- a/gateway/admit_test.go
+++ b/gateway/admit_test.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/verdict"
 )
 
 const (
@@ -19,6 +19,8 @@
 	workerSlots     = 6
 	workTime        = 55 * time.Millisecond
 	objective       = 300 * time.Millisecond
+	// workerRate is the number of requests a second that the worker can run.
+	workerRate = workerSlots * int(time.Second/workTime)
 )
 
 // queuedWorker runs as many requests at once as it has slots, in the order of their arrival.
@@ -46,81 +48,144 @@
 	time.Sleep(time.Until(end))
 }
 
-// overload replays three times as many requests as one worker can run, at 31 routers that hear from each other
-// every 600 ms in turn, and returns those that were served within the objective and those that were served.
-func overload(seconds int) (inTime, served int64) {
-	const (
-		perSecond = 3 * workerSlots * int(time.Second/workTime)
-		exchange  = 600 * time.Millisecond
-		// settling is the time until the routers have heard of each other and of the load.
-		settling = 2 * time.Second
-	)
-	worker := &queuedWorker{}
-	var registries []*pool.Registry
-	var admitting []*admissions
+// overload is 31 routers before one worker of a plain service. They hear from each other every 600 ms in turn.
+type overload struct {
+	worker     queuedWorker
+	registries []*pool.Registry
+	admitting  []*admissions
+	random     *rand.Rand
+	requests   sync.WaitGroup
+	// nextExchange and nextRefresh are when the next router tells the others and when capacities are set again.
+	nextExchange, nextRefresh time.Time
+	telling                   int
+}
+
+func newOverload() *overload {
+	o := &overload{random: rand.New(rand.NewPCG(3, 4)), nextExchange: time.Now(), nextRefresh: time.Now()}
 	for range overloadRouters {
 		r := pool.NewRegistry(pool.DefaultSettings(), "a")
 		r.Publish(pool.Instance{ID: "w-1", Pool: "plain", Slots: workerSlots, Born: 1, Sequence: 1})
 		a := newAdmissions(r)
 		a.pools["plain"] = newPoolAdmission(&routes.Pool{}, objective)
-		registries, admitting = append(registries, r), append(admitting, a)
+		o.registries, o.admitting = append(o.registries, r), append(o.admitting, a)
 	}
-	var good, all atomic.Int64
-	var requests sync.WaitGroup
-	random := rand.New(rand.NewPCG(3, 4))
-	begin := time.Now()
-	nextExchange, nextRefresh, telling := begin, begin, 0
-	for time.Since(begin) < settling+time.Duration(seconds)*time.Second {
-		for !time.Now().Before(nextExchange) {
-			nextExchange = nextExchange.Add(exchange / overloadRouters)
-			for j, to := range registries {
-				if j != telling {
-					to.SetPeer(fmt.Sprint(telling), registries[telling].Own())
+	return o
+}
+
+// ask sends a request through a router. The error is the router's refusal.
+func (o *overload) ask(router int) error {
+	grant, err := o.admitting[router].admit(context.Background(), "plain", "", 0)
+	if err != nil {
+		return err
+	}
+	defer grant.Done()
+	lease := o.registries[router].Choose(&pool.Request{Pool: "plain"})
+	o.worker.run()
+	lease.Release(pool.Served)
+	return nil
+}
+
+// offer calls request for new requests at the given rate, each at a random router.
+func (o *overload) offer(lasts time.Duration, perSecond int, request func(router int)) {
+	const exchange = 600 * time.Millisecond
+	for end := time.Now().Add(lasts); time.Now().Before(end); {
+		for !time.Now().Before(o.nextExchange) {
+			o.nextExchange = o.nextExchange.Add(exchange / overloadRouters)
+			for to, registry := range o.registries {
+				if to != o.telling {
+					registry.SetPeer(fmt.Sprint(o.telling), o.registries[o.telling].Own())
 				}
 			}
-			telling = (telling + 1) % overloadRouters
+			o.telling = (o.telling + 1) % overloadRouters
 		}
-		if !time.Now().Before(nextRefresh) {
-			nextRefresh = nextRefresh.Add(housekeeping)
-			for _, a := range admitting {
+		if !time.Now().Before(o.nextRefresh) {
+			o.nextRefresh = o.nextRefresh.Add(housekeeping)
+			for _, a := range o.admitting {
 				a.refresh()
 			}
 		}
-		n := random.IntN(overloadRouters)
-		requests.Go(func() {
-			arrived := time.Now()
-			grant, err := admitting[n].admit(context.Background(), "plain", "", 0)
-			if err != nil {
-				return
-			}
-			defer grant.Done()
-			lease := registries[n].Choose(&pool.Request{Pool: "plain"})
-			worker.run()
-			lease.Release(pool.Served)
-			if arrived.Sub(begin) < settling {
-				return
-			}
-			all.Add(1)
-			if time.Since(arrived) <= objective {
-				good.Add(1)
-			}
-		})
-		time.Sleep(time.Duration(random.IntN(2*int(time.Second)/perSecond + 1)))
+		router := o.random.IntN(overloadRouters)
+		o.requests.Go(func() { request(router) })
+		time.Sleep(time.Duration(o.random.IntN(2*int(time.Second)/perSecond + 1)))
 	}
-	requests.Wait()
-	return good.Load(), all.Load()
 }
 
+// settling is the time until the routers have heard of each other and of the load.
+const settling = 2 * time.Second
+
 // Replays a plain service at a third of what it is asked for, before more routers than it has places. Guards against
 // routers that each keep one request there: all together hold so many that most are served too late.
 func TestOverloadedServiceServesInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const seconds = 6
-		inTime, served := overload(seconds)
-		capacity := int64(seconds * workerSlots * int(time.Second/workTime))
+		o := newOverload()
+		o.offer(settling, 3*workerRate, func(router int) { _ = o.ask(router) })
+		var mu sync.Mutex
+		inTime, served := 0, 0
+		o.offer(seconds*time.Second, 3*workerRate, func(router int) {
+			arrived := time.Now()
+			err := o.ask(router)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				served++
+			}
+			if err == nil && time.Since(arrived) <= objective {
+				inTime++
+			}
+		})
+		o.requests.Wait()
+		const capacity = seconds * workerRate
 		t.Logf("%d of %d served in time, the worker can run %d", inTime, served, capacity)
 		if inTime < capacity/2 {
 			t.Errorf("%d requests are served in time, want half of the %d that the worker can run", inTime, capacity)
 		}
 	})
 }
+
+// Replays a surge of two seconds at three times what the service can run, over half of that. Callers that are refused
+// come back when they are told to, to any router. Guards against advice that brings them back too early, so that they
+// are refused again and again, or so late that the worker idles: the surge must be over within the time that its excess
+// takes, and two seconds.
+func TestRefusedCallersReturnWhenThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const surge = 2 * time.Second
+		o := newOverload()
+		o.offer(settling, workerRate/2, func(router int) { _ = o.ask(router) })
+		var mu sync.Mutex
+		refusals, refused := 0, 0
+		var last time.Time
+		routers := rand.New(rand.NewPCG(5, 6))
+		persist := func(router int) {
+			for tries := 0; ; tries++ {
+				err := o.ask(router)
+				mu.Lock()
+				if err == nil {
+					last = time.Now()
+					mu.Unlock()
+					return
+				}
+				refusals++
+				if tries == 0 {
+					refused++
+				}
+				router = routers.IntN(overloadRouters)
+				mu.Unlock()
+				time.Sleep(max(verdict.As(err).RetryAfter, time.Millisecond))
+			}
+		}
+		begin := time.Now()
+		o.offer(surge, 3*workerRate, persist)
+		// Exchange and refresh go on until all are served.
+		excess := surge * (3 - 1) // the worker runs a third of the surge meanwhile
+		o.offer(2*excess+2*time.Second, workerRate/2, func(router int) { _ = o.ask(router) })
+		o.requests.Wait()
+		t.Logf("%d callers refused %d times, the last one served after %s", refused, refusals, last.Sub(begin))
+		if within := surge + 2*excess + 2*time.Second; last.Sub(begin) > within {
+			t.Errorf("the last caller of the surge is served after %s, want %s", last.Sub(begin), within)
+		}
+		if refusals > 3*refused {
+			t.Errorf("%d callers were refused %d times, want at most three times each on average", refused, refusals)
+		}
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -117,7 +117,7 @@
 	return s.relay(ctx, lease, resp)
 }
 
-// freshness is the idle time of a connection that the request may use, 0 for any. A repeat has no
+// maxIdle is the idle time of a connection that the request may use, 0 for any. A repeat has no
 // attempt to lose either.
 func (s *serving) maxIdle() time.Duration {
 	if s.route.Mode == routes.NonIdempotent || s.sent > 0 {
--- a/gateway/pool/health.go
+++ b/gateway/pool/health.go
@@ -92,7 +92,7 @@
 	return false
 }
 
-// leave starts a time away, twice as long as the one before.
+// startEjection starts a time away, twice as long as the one before.
 func (h *health) startEjection(now time.Time) {
 	if h.ejected(now) {
 		return
