--- /dev/null
+++ b/gateway/pool/peers_test.go
@@ -0,0 +1,144 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a fleet in which each router must find the same failing instance, and against one
+// router with broken links that takes all instances away from the others.
+func TestEjectionsAreShared(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	failing := f.routers[0].Choose(prompt(1))
+	failing.Release(Unreachable)
+	f.exchange()
+	for range 20 {
+		l := f.routers[1].Choose(prompt(1))
+		is.True(l.Instance.ID != failing.Instance.ID)
+		l.Release(Served)
+	}
+	f.clock.advance(longestEjection)
+	f.exchange()
+	is.Equal(f.routers[1].Summary("llm").Usable, 12)
+	for n := range 12 {
+		f.routers[0].Choose(prompt(uint64(n))).Release(Unreachable)
+	}
+	f.exchange()
+	healthy := 0
+	for _, m := range f.routers[1].pools["llm"] {
+		if m.ejectedByPeers == 0 {
+			healthy++
+		}
+	}
+	is.Equal(healthy, 12)
+}
+
+// Replays a plain service behind many routers whose news of each other are four service times old.
+// Guards against routers that all avoid the worker that was busy then: the busiest worker would hold
+// far more than the mean.
+func TestStaleNewsDoNotHerd(t *testing.T) {
+	is := is.New(t)
+	const workers, routers, perSecond, seconds = 3, 30, 200, 30
+	const service, exchange = 75 * time.Millisecond, 300 * time.Millisecond
+	random := rand.New(rand.NewPCG(7, 8))
+	c := &clock{at: time.Unix(1_000_000, 0)}
+	var all []*Registry
+	for range routers {
+		r, _ := testRegistry()
+		r.now = c.now
+		for n := range workers {
+			i := engine(n)
+			i.Pool, i.Slots = "plain", 6
+			r.Publish(i)
+		}
+		all = append(all, r)
+	}
+	type running struct {
+		lease *Lease
+		until time.Time
+	}
+	var open []running
+	load := make(map[string]int)
+	var excess float64
+	sent := 0
+	news := c.at
+	for range perSecond * seconds {
+		c.advance(time.Second / perSecond)
+		if c.at.Sub(news) >= exchange {
+			news = c.at
+			for i, from := range all {
+				for j, to := range all {
+					if i != j {
+						to.SetPeer(fmt.Sprint(i), from.Own())
+					}
+				}
+			}
+		}
+		kept := open[:0]
+		for _, o := range open {
+			if c.at.Before(o.until) {
+				kept = append(kept, o)
+				continue
+			}
+			o.lease.Release(Served)
+			load[o.lease.Instance.ID]--
+		}
+		open = kept
+		l := all[random.IntN(routers)].Choose(&Request{Pool: "plain"})
+		excess += float64(load[l.Instance.ID]) - float64(len(open))/workers
+		sent++
+		load[l.Instance.ID]++
+		open = append(open, running{l, c.at.Add(time.Duration(random.ExpFloat64() * float64(service)))})
+	}
+	// Choosing at random has no excess: a request finds the mean. Herding finds more.
+	t.Logf("excess %.2f", excess/float64(sent))
+	is.True(excess/float64(sent) < 0.5)
+}
+
+// Guards against a load bound that fades with the news: an instance at the bound by what another router
+// told gets no prompt, although short requests make that news old.
+func TestBoundDoesNotFade(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	for n := range 4 {
+		r.Publish(engine(n))
+	}
+	home := r.Choose(prompt(1))
+	c.advance(200 * time.Millisecond)
+	home.Release(Served) // requests take 0.2 s
+	r.SetPeer("p", map[Key]Load{KeyOf(home.Instance.ID): {Requests: 12}})
+	c.advance(400 * time.Millisecond)
+	for range 3 {
+		l := r.Choose(prompt(1))
+		is.True(l.Instance.ID != home.Instance.ID) // the mean is 3, the bound 7.7
+		l.Release(Abandoned)
+	}
+}
+
+// Guards against loads of another router that are lost when two instances share a key, and against what
+// remains of them after one of the two is gone.
+func TestInstancesThatShareAKey(t *testing.T) {
+	is := is.New(t)
+	r, _ := testRegistry()
+	r.Publish(engine(0))
+	r.Publish(engine(1))
+	first, second := r.members[engine(0).ID], r.members[engine(1).ID]
+	second.hash = first.hash
+	delete(r.byKey, KeyOf(engine(1).ID))
+	key := keyOf(first.hash)
+	r.byKey[key] = append(r.byKey[key], second)
+
+	r.SetPeer("p", map[Key]Load{key: {Requests: 3}})
+	is.Equal(first.peer.Requests, 3)
+	is.Equal(second.peer.Requests, 3)
+	r.drop(first)
+	r.SetPeer("p", map[Key]Load{key: {Requests: 1}})
+	is.Equal(second.peer.Requests, 1)
+	r.drop(second)
+	is.Equal(len(r.byKey), 0)
+}
