Count the slots of instances in use without a special case

Cause: Capacity graded instances like the choice does and then undid a grade for those that are full. Change: "avoided" and "away" are predicates that the choice and Capacity share; a full instance is only a matter of the choice.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -98,14 +98,16 @@
 	}
 }
 
-// capacity is the number of requests that this router may have in flight at a pool.
+// capacity is the number of requests that this router may have in flight at a pool. The slots of instances that only
+// another router has ejected count, because their time away is short and more requests are refused without them.
 func (p *poolAdmission) capacity(s pool.Summary, routers int) int {
 	total := s.Slots * p.depth
 	least := int(float64(total) / float64(routers) * minimumShare)
 	return max(1, least, total-s.Peers)
 }
 
-// pause is the time between two requests of this router to a pool that holds more than it has places for.
+// pause is the time between two requests of this router to a pool that holds more than it has places for, counted
+// over the instances that get requests now.
 //
 // Each router may always have one request in flight, because what it knows of the others is a moment old. Where
 // there are more routers than places, all of them together then hold more than the pool, and each request waits
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -49,45 +49,39 @@
 	return false
 }
 
-// candidates returns the members that may be asked, the best grade that is not empty.
+// candidates returns the members that may be asked, the best kind that is not empty: healthy ones,
+// then those that are avoided or have just refused, then ejected ones.
 func (r *Registry) candidates(q *Request, now time.Time) []*member {
-	var byGrade [grades][]*member
+	var healthy, doubtful, rest []*member
 	for _, m := range r.pools[q.Pool] {
-		if !m.Leaving && !slices.Contains(q.Exclude, m.ID) {
-			at := r.grade(m, now)
-			byGrade[at] = append(byGrade[at], m)
+		if m.Leaving || slices.Contains(q.Exclude, m.ID) {
+			continue
 		}
-	}
-	for _, list := range byGrade {
-		if len(list) > 0 {
-			return list
+		switch {
+		case m.health.away(now, m.own.Requests):
+			rest = append(rest, m)
+		case r.avoided(m, now), now.Before(m.health.fullUntil):
+			doubtful = append(doubtful, m)
+		default:
+			healthy = append(healthy, m)
 		}
 	}
-	return nil
+	if len(healthy) > 0 {
+		return healthy
+	}
+	if len(doubtful) > 0 {
+		return doubtful
+	}
+	return rest
 }
 
-// Grades of members, best first.
-const (
-	gradeHealthy = iota
-	// gradeDoubtful are those that stall, have just refused, have lapsed or are ejected by another router.
-	gradeDoubtful
-	// gradeEjected are those that this router has ejected, or waits to try again.
-	gradeEjected
-	grades
-)
-
-func (r *Registry) grade(m *member, now time.Time) int {
-	switch {
-	case m.health.ejected(now), m.health.trial && m.own.Requests > 0:
-		return gradeEjected
-	case m.ejectedByPeers > 0, m.stalled(now, r.settings.StallAfter), now.Before(m.health.fullUntil), !m.lapsedAt.IsZero():
-		return gradeDoubtful
-	}
-	return gradeHealthy
+// avoided reports whether an instance stalls, has lapsed or is ejected by another router.
+func (r *Registry) avoided(m *member, now time.Time) bool {
+	return m.ejectedByPeers > 0 || m.stalled(now, r.settings.StallAfter) || !m.lapsedAt.IsZero()
 }
 
-// Capacity is what the instances of a pool that get requests now can hold. Instances of a lower grade than the
-// best get none, so that their slots are no capacity.
+// Capacity is what the instances of a pool that get requests now can hold. Those that are ejected or avoided get
+// none, so that their slots are no capacity.
 type Capacity struct {
 	Slots int
 	// Peers is what the other routers have in flight at these instances.
@@ -102,23 +96,12 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	c := Capacity{Held: r.held[pool]}
-	best := grades
 	for _, m := range r.pools[pool] {
-		if m.Leaving {
+		if m.Leaving || m.health.away(now, m.own.Requests) || r.avoided(m, now) {
 			continue
 		}
-		grade := r.grade(m, now)
-		// An instance that refused because it is full has its slots in use.
-		if now.Before(m.health.fullUntil) && m.ejectedByPeers == 0 && grade == gradeDoubtful {
-			grade = gradeHealthy
-		}
-		if grade < best {
-			best, c.Slots, c.Peers = grade, 0, 0
-		}
-		if grade == best {
-			c.Slots += m.Slots
-			c.Peers += m.peer.Requests
-		}
+		c.Slots += m.Slots
+		c.Peers += m.peer.Requests
 	}
 	return c
 }
--- a/gateway/pool/health.go
+++ b/gateway/pool/health.go
@@ -67,6 +67,12 @@
 // ejected reports whether the instance gets no requests now.
 func (h *health) ejected(now time.Time) bool { return now.Before(h.until) }
 
+// away reports whether the instance is ejected, or waits for the end of the request that tries it again. inFlight
+// is the number of requests that this router has there.
+func (h *health) away(now time.Time, inFlight int) bool {
+	return h.ejected(now) || h.trial && inFlight > 0
+}
+
 // note takes an outcome in and reports whether the instance is to be ejected now. normal is the share of
 // requests that fail in the whole pool.
 func (h *health) note(o Outcome, normal float64, now time.Time) (eject bool) {
