--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Direction is the way of bytes through a Relay.
@@ -28,6 +29,7 @@
 	listener net.Listener
 	pairs    map[*pair]bool
 	gates    [2]chan struct{} // open when closed
+	delay    time.Duration
 }
 
 type pair struct{ client, server net.Conn }
@@ -110,6 +112,13 @@
 	openGate(r.gates[d])
 }
 
+// Delay holds what is passed in either direction back for d; 0 ends it.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
 // openGate closes the channel of a gate that is not open yet.
 func openGate(gate chan struct{}) {
 	select {
@@ -166,7 +175,7 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		<-r.gate(d)
+		r.wait(d)
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
@@ -181,10 +190,13 @@
 	}
 }
 
-func (r *Relay) gate(d Direction) <-chan struct{} {
+// wait holds bytes back while their direction is stalled or delayed.
+func (r *Relay) wait(d Direction) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.gates[d]
+	gate, delay := r.gates[d], r.delay
+	r.mu.Unlock()
+	time.Sleep(delay)
+	<-gate
 }
 
 func (p *pair) reset() {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -31,6 +31,8 @@
 		func() { f.workerLinks[worker].Cut() },
 		func() { f.peerLinks[node].Cut() },
 		func() { f.stallPeers(node, all, direction, lasts) },
+		func() { f.delayLinks(lasts) },
+		f.killAll,
 		func() { f.stallWorker(worker, direction, lasts) },
 		func() { f.crashWorker(worker, lasts) },
 		func() { f.misbehaves(worker, behaviours[behaviour], lasts) },
@@ -102,6 +104,35 @@
 	time.Sleep(lasts)
 }
 
+// delayLinks slows all links between processes.
+func (f *fleet) delayLinks(lasts time.Duration) {
+	delay := lasts / delayShare
+	for _, links := range [][]*fleettest.Relay{f.storeLinks, f.peerLinks, f.workerLinks} {
+		for _, link := range links {
+			link.Delay(delay)
+			defer link.Delay(0)
+		}
+	}
+	time.Sleep(lasts)
+}
+
+// delayShare is the part of a fault's time, one in so many, by which each message is delayed: 2 to 27 ms.
+const delayShare = 100
+
+// killAll ends all gateways at once, so that none can tell another what it knew.
+func (f *fleet) killAll() {
+	f.process.Lock()
+	defer f.process.Unlock()
+	for n, node := range f.nodes {
+		f.starts[n].Add(1)
+		node.Kill()
+	}
+	for n, node := range f.nodes {
+		f.starts[n].Add(1)
+		node.Restart()
+	}
+}
+
 // stallPeers silences what the other gateways tell a gateway, or what it answers.
 func (f *fleet) stallPeers(node int, all bool, d fleettest.Direction, lasts time.Duration) {
 	links := f.peerLinks[node : node+1]
--- a/internal/soak/variants_test.go
+++ b/internal/soak/variants_test.go
@@ -19,19 +19,19 @@
 	body   []byte
 }
 
-// variant is a router that breaks one promise. It stands between callers and a gateway and is asked for the
-// unlucky requests only, so that the fleet still works.
+// variant is a router that breaks one promise. It stands between callers and a gateway and is asked for one request
+// in ten only, so that the fleet still works.
 type variant struct {
 	name string
-	// found is a part of what the soak must say.
-	found string
+	// report is a part of what the soak must say.
+	report string
 	// serve answers a request; pass sends it to r.URL.Host, at first the gateway, and previous is the answer to
 	// an earlier request.
 	serve func(f *fleet, r *http.Request, pass func() answer, previous *answer) answer
 }
 
-// unlucky is the end of the IDs of unlucky requests, one in ten.
-const unlucky = "3"
+// affectedSuffix ends the IDs of the requests that variants answer.
+const affectedSuffix = "3"
 
 var variants = []variant{
 	{"repeats what may have run", "ran 2 times", func(_ *fleet, r *http.Request, pass func() answer, _ *answer) answer {
@@ -94,7 +94,7 @@
 			}
 			before := previous.Load()
 			var a answer
-			if before != nil && strings.HasSuffix(standin.RequestID(r), unlucky) {
+			if before != nil && strings.HasSuffix(standin.RequestID(r), affectedSuffix) {
 				a = v.serve(f, r, pass, before)
 			} else {
 				a = pass()
@@ -138,7 +138,7 @@
 				f.configure()
 				f.interpose(v)
 			})
-			if !strings.Contains(strings.Join(broken, "\n"), v.found) {
+			if !strings.Contains(strings.Join(broken, "\n"), v.report) {
 				t.Errorf("not found; the soak says %q", broken)
 			}
 		})
