Log the prompts that a crashed backend server had not answered

The line 'backend server crashed' gave the number of requests in flight, which are up to ten at each of four gateways and say nothing about the cause. It now has the parts of the prompts whose requests had not been answered: no second event with data and no whole framed response. The crash detector is given these parts.

A connection taken for stale is not the cause.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,6 +139,7 @@
 	reused := conn.Reused
 	begin := time.Now()
 	s.attemptsSent++
+	s.answered = false
 	resp, err := s.g.connections.Do(ctx, conn, s.backendRequest(lease))
 	if err != nil {
 		return s.classifyFailure(ctx, lease, err, reused && time.Since(begin) < staleConnectionWindow)
@@ -228,10 +229,19 @@
 	if stale {
 		return pool.Abandoned, verdict.Wrap(verdict.Unknown, verdict.ReasonConnectionBroken, err)
 	}
-	s.g.crashes.connectionFailed(lease.Instance, s.fingerprint)
+	s.reportFailedConnection(lease)
 	return pool.Broken, verdict.Wrap(verdict.Unknown, verdict.ReasonConnectionBroken, err)
 }
 
+// reportFailedConnection tells the crash detector that the connection of an attempt broke.
+func (s *requestState) reportFailedConnection(lease *pool.Lease) {
+	r := failedRequest{fingerprint: s.fingerprint}
+	if !s.answered {
+		r.unanswered = s.sharedParts()
+	}
+	s.g.crashes.connectionFailed(lease.Instance, r)
+}
+
 // contextError returns the error of a request whose caller disconnected or whose deadline passed.
 func (s *requestState) contextError(ctx context.Context, v verdict.Verdict) *verdict.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,21 +27,28 @@
 // crashDetector tells crashes of backend servers from broken connections: a crashed backend server accepts no
 // new connection right afterwards. It collects the requests whose connections broke.
 type crashDetector struct {
-	onCrash        func(i pool.Instance, fingerprints []uint64)
+	onCrash        func(i pool.Instance, failed []failedRequest)
 	mu             sync.Mutex
-	failedRequests map[string][]uint64
+	failedRequests map[string][]failedRequest
 }
 
-func newCrashDetector(onCrash func(pool.Instance, []uint64)) *crashDetector {
-	return &crashDetector{onCrash: onCrash, failedRequests: make(map[string][]uint64)}
+// failedRequest is a request whose connection broke.
+type failedRequest struct {
+	fingerprint uint64
+	// unanswered are the parts of a prompt that the backend server had not begun to answer, nil otherwise.
+	unanswered []uint64
+}
+
+func newCrashDetector(onCrash func(pool.Instance, []failedRequest)) *crashDetector {
+	return &crashDetector{onCrash: onCrash, failedRequests: make(map[string][]failedRequest)}
 }
 
 // connectionFailed records a request whose connection broke before its response was complete.
-func (d *crashDetector) connectionFailed(i pool.Instance, fingerprint uint64) {
+func (d *crashDetector) connectionFailed(i pool.Instance, r failedRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	first := len(d.failedRequests[i.ID]) == 0
-	d.failedRequests[i.ID] = append(d.failedRequests[i.ID], fingerprint)
+	d.failedRequests[i.ID] = append(d.failedRequests[i.ID], r)
 	if first {
 		time.AfterFunc(crashWindow, func() { d.probe(i) })
 	}
@@ -47,11 +56,11 @@
 
 func (d *crashDetector) probe(i pool.Instance) {
 	d.mu.Lock()
-	fingerprints := d.failedRequests[i.ID]
+	failed := d.failedRequests[i.ID]
 	delete(d.failedRequests, i.ID)
 	d.mu.Unlock()
 	if !reachable(i.Address) {
-		d.onCrash(i, fingerprints)
+		d.onCrash(i, failed)
 	}
 }
 
@@ -67,11 +76,31 @@
 }
 
 // recordCrash records the crash of a backend server that had requests of this router in flight.
-func (g *Gateway) recordCrash(i pool.Instance, fingerprints []uint64) {
+func (g *Gateway) recordCrash(i pool.Instance, failed []failedRequest) {
 	g.connections.CloseIdle(connectionKey(i))
+	fingerprints := make([]uint64, 0, len(failed))
+	var unanswered []string
+	for _, r := range failed {
+		fingerprints = append(fingerprints, r.fingerprint)
+		if len(r.unanswered) > 0 && len(unanswered) < maxLoggedPrompts {
+			unanswered = append(unanswered, formatParts(r.unanswered))
+		}
+	}
 	known := g.suspects.RecordCrashOf(fingerprints)
 	g.metrics.crashes.Add(1)
-	g.log.Warn("backend server crashed", "instance", i.ID, "in_flight", len(fingerprints), "suspects", known)
+	g.log.Warn("backend server crashed", "instance", i.ID, "in_flight", len(fingerprints), "suspects", known, "unanswered_prompts", unanswered)
+}
+
+// maxLoggedPrompts bounds the prompts in one log line.
+const maxLoggedPrompts = 8
+
+// formatParts returns the IDs of parts as in the header of requests.
+func formatParts(parts []uint64) string {
+	text := make([]string, 0, len(parts))
+	for _, id := range parts {
+		text = append(text, strconv.FormatUint(id, 16))
+	}
+	return strings.Join(text, ",")
 }
 
 // probeUnreachable makes the test connections that are due, in the background: to instances that this router keeps and
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -84,13 +84,15 @@
 			return pool.Abandoned, s.contextError(ctx, verdict.Ran)
 		}
 		if !errors.Is(err, io.ErrUnexpectedEOF) {
-			s.g.crashes.connectionFailed(lease.Instance, s.fingerprint)
+			s.reportFailedConnection(lease)
 		}
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 	}
 	if !complete {
+		s.answered = true
 		return s.relayUnbuffered(ctx, resp, body)
 	}
+	s.answered = s.answered || framed(resp.Response)
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	if failed && s.retriesErrorResponse() {
 		resp.Finish()
@@ -154,6 +156,11 @@
 	return pool.Served, nil
 }
 
+// framed reports whether a response has a length or chunks, so that its end differs from a lost connection.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // copyHeader copies the end-to-end header fields of a response.
 func (s *requestState) copyHeader(resp *http.Response) {
 	out := s.writer.Header()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -42,6 +42,8 @@
 	// triedInstances are the instances tried so far. attemptsSent counts the attempts that may have run.
 	triedInstances []string
 	attemptsSent   int
+	// answered is set once the current attempt is known to have been answered without a crash.
+	answered bool
 	// responseStarted is set once part of the response was written to the caller. lastEventID is the ID of
 	// the last event of a stream that the caller has.
 	responseStarted bool
@@ -216,6 +218,18 @@
 	return xxhash.Sum64String(s.call.ID)
 }
 
+// sharedParts returns the parts of the prompt that other requests may share, which are all but the last.
+func (s *requestState) sharedParts() []uint64 {
+	if len(s.call.Prompt) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(s.call.Prompt)-1)
+	for _, p := range s.call.Prompt[:len(s.call.Prompt)-1] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // poolRequest describes the instance that the request needs, excluding those already tried.
 func (s *requestState) poolRequest() *pool.Request {
 	return &pool.Request{
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,10 @@
 	defaultEventGap = 800 * time.Millisecond
 )
 
+// answeredEvents is the number of events with data from which on a stream counts as answered. A backend server that crashes
+// on a request may get as far as the first one.
+const answeredEvents = 2
+
 // errStalled is the error of a stream whose instance sends no data on any of its requests.
 var errStalled = errors.New("the instance stalls")
 
@@ -43,11 +47,12 @@
 	defer in.close()
 	out := http.NewResponseController(s.writer)
 	last := time.Now()
-	idleBytes := 0
+	idleBytes, events := 0, 0
 	s.limitSilence(resp)
 	for {
 		e, err := in.next()
 		if err == io.EOF {
+			s.answered = s.answered || events > 0 && framed(resp.Response)
 			return s.endStream(resp, e.raw)
 		}
 		if err != nil {
@@ -58,6 +63,8 @@
 			lease.RecordProgress()
 			s.limitSilence(resp)
 			idleBytes = 0
+			events++
+			s.answered = s.answered || events >= answeredEvents
 		} else if idleBytes += len(e.raw); idleBytes > maxIdleBytes {
 			return s.streamFailed(ctx, lease, resp, errOnlyComments)
 		}
@@ -139,7 +146,7 @@
 	if errors.Is(err, errStalled) {
 		s.retryReserved = true
 	} else {
-		s.g.crashes.connectionFailed(lease.Instance, s.fingerprint)
+		s.reportFailedConnection(lease)
 	}
 	if s.route.Resumable {
 		s.g.metrics.resumptions.Add(1)
