Block prompt parts that crash each engine which begins to answer them

Cause: crashes were attributed to the fingerprint of a whole request, and no two of these requests are alike. The class of the fault is evidence collected under a key that is finer than its cause; the same holds for the sidecar's table, which knows whole requests and document groups only (left open).

Package poison keeps evidence about the shared parts of prompts. A part is suspected when an engine crashes while a request with it has not been answered, and cleared by any response; a part is blocked after a chain of three crashes, each of a request sent when the one before was known, so that crashes at the same time count once. Crashes have the same identity at all routers, so that parts which were in flight at the same crash explain each other, and a document's first part is not blamed for a later one. Changes are passed on at once and merge in any order. Unframed responses that end before the second event and failures on connections that seemed stale go to the crash detector too, which makes a test connection.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,6 +48,9 @@
 	var last error
 	sent := 0
 	for attempt := 1; attempt <= maxDials && sent < maxAttempts; attempt++ {
+		if err := s.checkParts(); err != nil {
+			return err
+		}
 		lease, place, err := s.acquire(ctx)
 		if lease == nil {
 			if last != nil {
@@ -140,6 +143,7 @@
 	begin := time.Now()
 	s.attemptsSent++
 	s.answered = false
+	s.sentParts = s.g.poison.Begin(s.parts)
 	resp, err := s.g.connections.Do(ctx, conn, s.backendRequest(lease))
 	if err != nil {
 		return s.classifyFailure(ctx, lease, err, reused && time.Since(begin) < staleConnectionWindow)
@@ -227,6 +231,10 @@
 	// The other idle connections to this instance have probably been dropped too.
 	s.g.connections.CloseIdle(connectionKey(lease.Instance))
 	if stale {
+		if len(s.parts) > 0 {
+			// An engine that has the prompt cached crashes just as soon.
+			s.reportFailedConnection(lease)
+		}
 		return pool.Abandoned, verdict.Wrap(verdict.Unknown, verdict.ReasonConnectionBroken, err)
 	}
 	s.reportFailedConnection(lease)
@@ -236,8 +244,8 @@
 // reportFailedConnection tells the crash detector that the connection of an attempt broke.
 func (s *requestState) reportFailedConnection(lease *pool.Lease) {
 	r := failedRequest{fingerprint: s.fingerprint}
-	if !s.answered {
-		r.unanswered = s.sharedParts()
+	if !s.answered && len(s.parts) > 0 {
+		r.unanswered = s.sentParts
 	}
 	s.g.crashes.connectionFailed(lease.Instance, r)
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -8,7 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/verdict"
 )
 
 const (
@@ -35,8 +39,8 @@
 // failedRequest is a request whose connection broke.
 type failedRequest struct {
 	fingerprint uint64
-	// unanswered are the parts of a prompt that the backend server had not begun to answer, nil otherwise.
-	unanswered []uint64
+	// unanswered is set if the backend server had not begun to answer the request's prompt.
+	unanswered *poison.Attempt
 }
 
 func newCrashDetector(onCrash func(pool.Instance, []failedRequest)) *crashDetector {
@@ -79,21 +83,68 @@
 func (g *Gateway) recordCrash(i pool.Instance, failed []failedRequest) {
 	g.connections.CloseIdle(connectionKey(i))
 	fingerprints := make([]uint64, 0, len(failed))
+	var attempts []*poison.Attempt
 	var unanswered []string
 	for _, r := range failed {
 		fingerprints = append(fingerprints, r.fingerprint)
-		if len(r.unanswered) > 0 && len(unanswered) < maxLoggedPrompts {
-			unanswered = append(unanswered, formatParts(r.unanswered))
+		if r.unanswered == nil {
+			continue
+		}
+		attempts = append(attempts, r.unanswered)
+		if len(unanswered) < maxLoggedPrompts {
+			unanswered = append(unanswered, formatParts(r.unanswered.Parts()))
 		}
 	}
 	known := g.suspects.RecordCrashOf(fingerprints)
+	if suspicions := g.poison.RecordCrash(crashID(i), attempts); len(suspicions) > 0 {
+		g.logBlocked(suspicions, i.ID)
+		g.peers.Changed()
+	}
 	g.metrics.crashes.Add(1)
 	g.log.Warn("backend server crashed", "instance", i.ID, "in_flight", len(fingerprints), "suspects", known, "unanswered_prompts", unanswered)
 }
 
+// crashID identifies the crash of one incarnation of an instance at all routers.
+func crashID(i pool.Instance) uint32 { return uint32(xxhash.Sum64String(connectionKey(i))) }
+
 // maxLoggedPrompts bounds the prompts in one log line.
 const maxLoggedPrompts = 8
 
+// logBlocked logs the parts that are blocked from now on, or for longer, because of a crash of an instance or what a router
+// has told.
+func (g *Gateway) logBlocked(suspicions []poison.Suspicion, reportedBy string) {
+	for _, s := range suspicions {
+		if s.Until.IsZero() {
+			continue
+		}
+		g.log.Warn("prompt part blocked", "part", formatParts([]uint64{s.Part}), "crashes", s.Depth,
+			"only_with", formatParts(s.Alternatives), "for_s", int(time.Until(s.Until).Seconds()), "reported_by", reportedBy)
+	}
+}
+
+// checkParts returns an error if the prompt of a request has a part that crashes engines.
+func (s *requestState) checkParts() *verdict.Error {
+	suspicion, blocked := s.g.poison.Blocked(s.parts)
+	if !blocked {
+		return nil
+	}
+	return unavailable(verdict.ReasonCrashRefused, "part "+formatParts([]uint64{suspicion.Part})+" of the prompt crashes engines", time.Until(suspicion.Until))
+}
+
+// recordAnswer records that the instance has begun to answer the request, and is still there.
+func (s *requestState) recordAnswer() {
+	if s.answered {
+		return
+	}
+	s.answered = true
+	unblocked := s.g.poison.RecordResponse(s.parts)
+	if len(unblocked) == 0 {
+		return
+	}
+	s.g.log.Info("prompt parts unblocked", "parts", formatParts(unblocked), "id", s.call.ID)
+	s.g.peers.Changed()
+}
+
 // formatParts returns the IDs of parts as in the header of requests.
 func formatParts(parts []uint64) string {
 	text := make([]string, 0, len(parts))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"jacinthfork.example/jacinthfork/gateway/buffer"
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/peer"
+	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/callerconn"
@@ -63,6 +64,7 @@
 	connections   *backend.Pool
 	buffers       *buffer.Budget
 	suspects      *suspect.Table
+	poison        *poison.Table
 	crashes       *crashDetector
 	admission     *admissionControllers
 	budgets       *retryBudgets
@@ -108,6 +110,7 @@
 		connections: backend.NewPool(),
 		buffers:     buffer.NewBudget(totalBufferBytes),
 		suspects:    suspects,
+		poison:      poison.NewTable(),
 		budgets:     newRetryBudgets(settings),
 		callers:     callerconn.NewTracker(),
 		metrics:     newMetrics(env.Counters),
@@ -120,7 +123,7 @@
 	for _, f := range []*feed.Follower{g.configuration, g.instances} {
 		f.OnAvailabilityChange = g.logStoreState
 		f.OnFailure = g.countStoreFailure
-		f.OnAdvance = func() { g.peers.FeedAdvanced() }
+		f.OnAdvance = func() { g.peers.Changed() }
 		f.SetRank(g.rankBeforeContact())
 		f.StartWait = g.startWait()
 	}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -123,6 +123,7 @@
 		return map[string]any{"idle": idle, "dialled": dialled, "callers": g.callers.Total()}
 	})
 	c.Func("buffered_bytes", func() any { return g.buffers.Used() })
+	c.Func("blocked_prompt_parts", func() any { return g.poison.BlockedParts() })
 	c.Func("peers", func() any { return g.peers.Peers() })
 	c.Func("reserved_places", func() any { return g.ReservedPlaces() })
 	c.Func("peer_rank", func() any { return g.peers.Rank() })
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -85,8 +85,8 @@
 	State(positions []*peerpb.Position, up, want bool) *peerpb.State
 	// NeedsRecords reports whether this router needs records whatever their size.
 	NeedsRecords() bool
-	// MergeState applies a neighbour's state and reports whether a feed advanced.
-	MergeState(node string, state *peerpb.State) (advanced bool)
+	// MergeState applies a neighbour's state and reports whether it holds news that are to be passed on at once.
+	MergeState(node string, state *peerpb.State) (news bool)
 	// Loads returns this router's load by pool.
 	Loads() map[uint32]PoolLoad
 	// SetFleetLoads receives the load of the whole fleet by pool.
@@ -308,8 +308,8 @@
 	return rank
 }
 
-// FeedAdvanced makes the fleet pass on what this router has read from the store.
-func (f *Fleet) FeedAdvanced() {
+// Changed makes the fleet pass on at once what this router has read from the store or learned otherwise.
+func (f *Fleet) Changed() {
 	f.mu.Lock()
 	f.advancedUp, f.advancedDown = true, true
 	f.mu.Unlock()
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -28,7 +28,7 @@
 	source.mu.Lock()
 	source.feed = 7000
 	source.mu.Unlock()
-	source.fleet.FeedAdvanced()
+	source.fleet.Changed()
 	eventually(t, func() bool {
 		return everywhere(all, func(h *fakeHandler) bool { return h.get(func() int { return int(h.feed) }) == 7000 })
 	})
--- /dev/null
+++ b/gateway/poison/exchange_test.go
@@ -0,0 +1,48 @@
+package poison
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+)
+
+// known is what a table knows about a part, without times.
+type known struct {
+	generation, depth uint32
+	crashes           []uint32
+}
+
+func knowledge(t *Table) map[uint64]known {
+	out := make(map[uint64]known)
+	for id, p := range t.parts {
+		out[id] = known{p.generation, p.depth, append([]uint32{}, p.crashes...)}
+	}
+	return out
+}
+
+// Guards against routers that decide differently because messages reached them in another order or twice.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.Uint64Range(1, 4)
+		messages := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *peerpb.SuspectPart {
+			m := &peerpb.SuspectPart{
+				Part: part.Draw(t, "part"), Generation: rapid.Uint32Range(0, 2).Draw(t, "generation"), Depth: rapid.Uint32Range(0, 4).Draw(t, "depth"),
+			}
+			if m.Depth > 0 {
+				m.Crashes = rapid.SliceOfN(rapid.Uint32Range(1, 50), 0, 40).Draw(t, "crashes")
+			}
+			return m
+		}), 0, 12).Draw(t, "messages")
+		order := rapid.Permutation(messages).Draw(t, "order")
+		_, all := newTables(2)
+		all[0].Merge(messages)
+		all[1].Merge(order)
+		all[1].Merge(messages)
+		if a, b := knowledge(all[0]), knowledge(all[1]); !reflect.DeepEqual(a, b) {
+			t.Fatalf("in order: %v, in another order and repeated: %v", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/poison/table.go
@@ -0,0 +1,264 @@
+// Package poison finds parts of prompts that crash the engines which begin to answer them, and blocks the requests
+// that contain one. Requests with such a part may differ in everything else, so that counting the crashes of whole
+// requests, as package suspect does, never refuses any of them. The package does no I/O.
+//
+// # Evidence
+//
+// A part is suspected when an engine crashes while a request with it is in flight and has not been answered yet. A
+// response to any request with the part clears it: a part that crashes engines is never answered, whatever else the
+// prompt holds. Parts that many requests share are cleared within a fraction of a second.
+//
+// The depth of a part is the length of its longest chain of crashes in which each request was sent when the crash
+// before was known. Crashes at the same time, such as those of a failure domain that loses power, add 1 together.
+//
+// Parts that were in flight at the same crash may each be its cause. A part is blamed for a crash alone, unless another one
+// that has been in flight at further crashes too was there as well, at any router: then only requests with both are
+// blocked. So a document's first part is not blamed for a later one: a request with the first part alone goes on to be
+// sent, and its response clears the part.
+//
+// # Load pattern
+//
+// A few percent of the requests of one route contain the part, come at any router and are retried by their callers.
+// The other requests share their organisation and their other parts. Each crash interrupts the requests of a dozen
+// others. Requests with the part are blocked from the third crash of a chain on, at all routers.
+package poison
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// blockDepth is the depth from which on a part is blocked.
+	blockDepth = 3
+	// blockPeriod is how long a part is blocked after its last crash. It doubles with each crash after blockDepth, up
+	// to maxBlockPeriod.
+	blockPeriod    = 5 * time.Minute
+	maxBlockPeriod = time.Hour
+	// maxParts bounds the suspected parts, and maxCrashes the crashes that are remembered of each.
+	maxParts   = 4096
+	maxCrashes = 32
+	// minRepeated is the number of crashes from which on a part may explain those of another one.
+	minRepeated = 2
+)
+
+// Table holds what one router knows about suspected parts. It is safe for concurrent use.
+type Table struct {
+	mu    sync.Mutex
+	now   func() time.Time
+	parts map[uint64]*part
+}
+
+// part is what is known about one part.
+type part struct {
+	// generation is the number of times that the part was cleared. What is known of an earlier one is void.
+	generation uint32
+	// depth is the length of the longest chain of crashes, 0 for a part that was cleared.
+	depth uint32
+	// crashes identify the crashes, in numerical order. Of more than maxCrashes, the lowest are kept.
+	crashes   []uint32
+	crashedAt time.Time
+	// changedAt is when this table last learned something about the part.
+	changedAt time.Time
+}
+
+// Attempt is one attempt to send a request, with what was known of its parts at that time.
+type Attempt struct {
+	parts []uint64
+	marks []mark
+}
+
+// Parts returns the parts of the request.
+func (a *Attempt) Parts() []uint64 { return a.parts }
+
+type mark struct{ generation, depth uint32 }
+
+// Suspicion describes a suspected part, for logs.
+type Suspicion struct {
+	Part  uint64
+	Depth int
+	// Alternatives are the fewest other parts that may have caused one of its crashes instead. A request without one of
+	// them is not blocked.
+	Alternatives []uint64
+	// Until is the end of the time for which the part is blocked, zero if it is not.
+	Until time.Time
+}
+
+// NewTable returns a table without suspects.
+func NewTable() *Table { return &Table{now: time.Now, parts: make(map[uint64]*part)} }
+
+// Begin returns an attempt to send a request with the given parts, which it keeps.
+func (t *Table) Begin(parts []uint64) *Attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := &Attempt{parts: parts, marks: make([]mark, len(parts))}
+	for i, id := range parts {
+		if p := t.parts[id]; p != nil {
+			a.marks[i] = mark{p.generation, p.depth}
+		}
+	}
+	return a
+}
+
+// RecordCrash records that an engine crashed while the given attempts had not been answered, and returns the parts that
+// are suspected for it. crash identifies the crash at all routers.
+func (t *Table) RecordCrash(crash uint32, attempts []*Attempt) []Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.expire(now)
+	var suspected []uint64
+	for _, a := range attempts {
+		for i, id := range a.parts {
+			p := t.parts[id]
+			if p == nil {
+				if len(t.parts) >= maxParts {
+					continue
+				}
+				p = &part{}
+				t.parts[id] = p
+			}
+			depth := uint32(1)
+			if p.generation == a.marks[i].generation {
+				depth += a.marks[i].depth
+			}
+			p.depth = max(p.depth, depth)
+			p.addCrash(crash)
+			p.crashedAt, p.changedAt = now, now
+			if !slices.Contains(suspected, id) {
+				suspected = append(suspected, id)
+			}
+		}
+	}
+	out := make([]Suspicion, 0, len(suspected))
+	for _, id := range suspected {
+		out = append(out, t.suspicion(id))
+	}
+	return out
+}
+
+// addCrash adds a crash and reports whether it was not known.
+func (p *part) addCrash(crash uint32) (added bool) {
+	at, known := slices.BinarySearch(p.crashes, crash)
+	if known || at >= maxCrashes {
+		return false
+	}
+	p.crashes = slices.Insert(p.crashes, at, crash)
+	p.crashes = p.crashes[:min(maxCrashes, len(p.crashes))]
+	return true
+}
+
+// RecordResponse records that an engine answered a request with the given parts. It returns those that were blocked.
+func (t *Table) RecordResponse(parts []uint64) (unblocked []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, id := range parts {
+		p := t.parts[id]
+		if p == nil || p.depth == 0 {
+			continue
+		}
+		if p.depth >= blockDepth {
+			unblocked = append(unblocked, id)
+		}
+		*p = part{generation: p.generation + 1, changedAt: now}
+	}
+	return unblocked
+}
+
+// Blocked returns the suspicion for which a request with the given parts is not to be sent. ok is false if it may be.
+func (t *Table) Blocked(parts []uint64) (s Suspicion, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.parts) == 0 {
+		return Suspicion{}, false
+	}
+	now := t.now()
+	for _, id := range parts {
+		p := t.parts[id]
+		if p != nil && now.Before(p.blockedUntil()) && t.explains(id, parts) {
+			return t.suspicion(id), true
+		}
+	}
+	return Suspicion{}, false
+}
+
+// explains reports whether a request with the given parts is held to cause one of the crashes of a part among them: all
+// other parts that may have caused it are among them too.
+func (t *Table) explains(id uint64, parts []uint64) bool {
+	for _, crash := range t.parts[id].crashes {
+		outside := func(other uint64) bool { return !slices.Contains(parts, other) }
+		if !slices.ContainsFunc(t.alternatives(id, crash), outside) {
+			return true
+		}
+	}
+	return false
+}
+
+// alternatives returns the other parts that may have caused a crash of a part.
+func (t *Table) alternatives(id uint64, crash uint32) []uint64 {
+	var out []uint64
+	for other, p := range t.parts {
+		if other == id || len(p.crashes) < minRepeated {
+			continue
+		}
+		if _, there := slices.BinarySearch(p.crashes, crash); there {
+			out = append(out, other)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// blockedUntil returns the end of the time for which a part is blocked, zero if it is not.
+func (p *part) blockedUntil() time.Time {
+	if p.depth < blockDepth {
+		return time.Time{}
+	}
+	period := maxBlockPeriod
+	if further := p.depth - blockDepth; further < 8 {
+		period = min(maxBlockPeriod, blockPeriod<<further)
+	}
+	return p.crashedAt.Add(period)
+}
+
+// BlockedParts returns the number of parts that are blocked.
+func (t *Table) BlockedParts() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	n := 0
+	for _, p := range t.parts {
+		if now.Before(p.blockedUntil()) {
+			n++
+		}
+	}
+	return n
+}
+
+// suspicion describes a part.
+func (t *Table) suspicion(id uint64) Suspicion {
+	p := t.parts[id]
+	s := Suspicion{Part: id, Depth: int(p.depth), Until: p.blockedUntil()}
+	for n, crash := range p.crashes {
+		if a := t.alternatives(id, crash); n == 0 || len(a) < len(s.Alternatives) {
+			s.Alternatives = a
+		}
+	}
+	return s
+}
+
+// expire forgets parts that were last suspected or cleared long ago. A part that was blocked is remembered for longer, so
+// that one more crash blocks it again.
+func (t *Table) expire(now time.Time) {
+	for id, p := range t.parts {
+		period := blockPeriod
+		if p.depth >= blockDepth {
+			period = 2 * maxBlockPeriod
+		}
+		if now.Sub(p.changedAt) > period {
+			delete(t.parts, id)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/poison/table_test.go
@@ -0,0 +1,233 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	guide  = 1 // a document that many requests share
+	page   = 2 // a part of it that fewer share
+	deadly = 3
+	other  = 4
+)
+
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+// newTables returns tables that share a clock.
+func newTables(n int) (*clock, []*Table) {
+	c := &clock{at: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}
+	out := make([]*Table, n)
+	for i := range out {
+		out[i] = NewTable()
+		out[i].now = c.now
+	}
+	return c, out
+}
+
+func newTable() (*clock, *Table) {
+	c, all := newTables(1)
+	return c, all[0]
+}
+
+var crashes uint32
+
+// crash records a crash of its own at which a request with the given parts was in flight.
+func crash(t *Table, parts ...uint64) []Suspicion {
+	crashes++
+	return t.RecordCrash(crashes, []*Attempt{t.Begin(parts)})
+}
+
+func blocked(t *Table, parts ...uint64) bool {
+	_, ok := t.Blocked(parts)
+	return ok
+}
+
+// exchange merges what each table tells into all others.
+func exchange(all ...*Table) {
+	for _, from := range all {
+		told := from.Export()
+		if len(told) == 0 {
+			continue
+		}
+		for _, to := range all {
+			if from != to {
+				to.Merge(told)
+			}
+		}
+	}
+}
+
+// Guards against requests that crash one engine after the other because no two of them are alike, and against sound requests
+// that are refused for parts that they share with them.
+func TestPartThatCrashesEnginesIsBlocked(t *testing.T) {
+	is := is.New(t)
+	_, table := newTable()
+	for range blockDepth {
+		is.True(!blocked(table, guide, page, deadly))
+		crash(table, guide, page, deadly)
+		table.RecordResponse([]uint64{guide, page}) // sound requests go on
+	}
+	is.True(blocked(table, guide, page, deadly))
+	is.True(blocked(table, other, deadly))
+	is.True(!blocked(table, guide, page))
+	is.True(!blocked(table, guide, other))
+	is.Equal(table.BlockedParts(), 1)
+}
+
+// Guards against a document that is blamed for one of its parts when no request with the document alone has come yet,
+// and against the part that gets away by this.
+func TestFirstPartIsNotBlamedForALaterOne(t *testing.T) {
+	is := is.New(t)
+	_, table := newTable()
+	for range blockDepth {
+		crash(table, guide, deadly)
+	}
+	is.True(blocked(table, guide, deadly))
+	is.True(!blocked(table, guide, page)) // either of both may be the cause
+	is.True(!blocked(table, deadly, other))
+	crash(table, deadly, other)
+	is.True(blocked(table, deadly, page))
+	is.True(!blocked(table, guide, page))
+	table.RecordResponse([]uint64{guide, page})
+	is.True(!blocked(table, guide))
+}
+
+// Guards against sound requests that were in flight beside the cause at another router: both are suspected, and a
+// response clears the sound one everywhere.
+func TestBystandersAreClearedAtAllRouters(t *testing.T) {
+	is := is.New(t)
+	_, all := newTables(3)
+	for range blockDepth {
+		a, b := all[0].Begin([]uint64{guide, deadly}), all[1].Begin([]uint64{guide, page})
+		crashes++
+		all[0].RecordCrash(crashes, []*Attempt{a})
+		all[1].RecordCrash(crashes, []*Attempt{b})
+		exchange(all...)
+	}
+	is.True(!blocked(all[2], guide, page)) // nor does a router that saw only the bystander know better
+	is.True(!blocked(all[1], guide, page))
+	all[2].RecordResponse([]uint64{guide, page})
+	exchange(all...)
+	for _, table := range all {
+		is.True(blocked(table, other, deadly))
+		is.True(!blocked(table, guide, page))
+	}
+}
+
+// Guards against parts that are blocked because many engines crash at once, such as those of a failure domain that loses
+// power, while requests with them are in flight.
+func TestCrashesAtTheSameTimeCountOnce(t *testing.T) {
+	is := is.New(t)
+	_, table := newTable()
+	var attempts []*Attempt
+	for range 10 {
+		attempts = append(attempts, table.Begin([]uint64{guide, page}))
+	}
+	for _, a := range attempts {
+		crashes++
+		table.RecordCrash(crashes, []*Attempt{a})
+	}
+	is.True(!blocked(table, guide, page))
+}
+
+// Guards against evidence that no router has enough of because each crash is seen by another one.
+func TestCrashesSeenByDifferentRoutersAdd(t *testing.T) {
+	is := is.New(t)
+	_, all := newTables(4)
+	for i := range blockDepth {
+		crash(all[i], guide, deadly)
+		exchange(all...)
+	}
+	for _, table := range all {
+		is.True(blocked(table, guide, deadly))
+	}
+}
+
+// Guards against a router that has just started and sends requests with a part that was blocked before.
+func TestBlockedPartsAreToldToNewRouters(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(2)
+	for range blockDepth {
+		crash(all[0], guide, deadly)
+	}
+	c.at = c.at.Add(time.Minute)
+	exchange(all...)
+	is.True(blocked(all[1], guide, deadly))
+	is.True(!blocked(all[1], guide, page))
+	is.Equal(len(all[0].Export()), 2)
+}
+
+// Guards against a chain of crashes that goes on after a response has shown that the part is sound.
+func TestResponseEndsTheChain(t *testing.T) {
+	is := is.New(t)
+	_, table := newTable()
+	crash(table, guide, page)
+	crash(table, guide, page)
+	before := table.Begin([]uint64{guide, page})
+	table.RecordResponse([]uint64{guide, page})
+	crashes++
+	table.RecordCrash(crashes, []*Attempt{before}) // it was sent when two crashes were known
+	is.True(!blocked(table, guide, page))
+	is.Equal(table.parts[page].depth, uint32(1))
+}
+
+// Guards against a part that stays blocked for good after a coincidence, and against one that crashes engines again and again
+// after its time is over.
+func TestBlockEndsAndOneMoreCrashRenewsIt(t *testing.T) {
+	is := is.New(t)
+	c, table := newTable()
+	for range blockDepth {
+		crash(table, guide, deadly)
+	}
+	s, ok := table.Blocked([]uint64{guide, deadly})
+	is.True(ok)
+	is.Equal(s.Until.Sub(c.at), blockPeriod)
+	c.at = c.at.Add(blockPeriod)
+	is.True(!blocked(table, guide, deadly))
+	crash(table, guide, deadly)
+	c.at = c.at.Add(2*blockPeriod - time.Second)
+	is.True(blocked(table, guide, deadly))
+	c.at = c.at.Add(time.Second)
+	is.Equal(table.RecordResponse([]uint64{guide}), []uint64{guide})
+	is.Equal(table.BlockedParts(), 0)
+}
+
+// Guards against a table without bound when each request has parts of its own.
+func TestPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	c, table := newTable()
+	for i := range uint64(maxParts) {
+		crash(table, 10*i, 10*i+1)
+	}
+	is.Equal(len(table.parts), maxParts)
+	is.True(len(table.Export()) <= maxTold)
+	c.at = c.at.Add(blockPeriod + time.Second)
+	crash(table, guide, deadly)
+	is.Equal(len(table.parts), 2)
+
+	for range 2 * maxCrashes {
+		crash(table, guide, deadly)
+	}
+	is.Equal(len(table.parts[deadly].crashes), maxCrashes)
+}
+
+// Guards against a part that is blamed because two others crash engines while requests with it are in flight: neither of
+// them was there at each crash.
+func TestPartIsNotBlamedForSeveralOthers(t *testing.T) {
+	is := is.New(t)
+	_, table := newTable()
+	for i := range 2 * blockDepth {
+		crashes++
+		table.RecordCrash(crashes, []*Attempt{table.Begin([]uint64{guide, page}), table.Begin([]uint64{other + uint64(i%2), deadly + 10*uint64(i%2)})})
+	}
+	is.Equal(table.parts[page].depth, uint32(2*blockDepth))
+	is.True(!blocked(table, guide, page))
+	table.RecordResponse([]uint64{guide, page})
+	is.True(blocked(table, other, deadly))
+	is.True(blocked(table, other+1, deadly+10))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,16 +83,20 @@
 		if ctx.Err() != nil {
 			return pool.Abandoned, s.contextError(ctx, verdict.Ran)
 		}
-		if !errors.Is(err, io.ErrUnexpectedEOF) {
+		if len(s.parts) > 0 || !errors.Is(err, io.ErrUnexpectedEOF) {
 			s.reportFailedConnection(lease)
 		}
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 	}
 	if !complete {
-		s.answered = true
+		s.recordAnswer()
 		return s.relayUnbuffered(ctx, resp, body)
 	}
-	s.answered = s.answered || framed(resp.Response)
+	if framed(resp.Response) {
+		s.recordAnswer()
+	} else if len(s.parts) > 0 {
+		s.reportFailedConnection(lease)
+	}
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	if failed && s.retriesErrorResponse() {
 		resp.Finish()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/requestbody"
@@ -44,6 +45,10 @@
 	attemptsSent   int
 	// answered is set once the current attempt is known to have been answered without a crash.
 	answered bool
+	// parts are the parts of the prompt that other requests may share, which are all but the last. sentParts is what was
+	// known of them when the current attempt was sent.
+	parts     []uint64
+	sentParts *poison.Attempt
 	// responseStarted is set once part of the response was written to the caller. lastEventID is the ID of
 	// the last event of a stream that the caller has.
 	responseStarted bool
@@ -112,6 +117,7 @@
 	}
 	s.call = call
 	s.lastEventID = call.LastEventID
+	s.parts = sharedParts(call.Prompt)
 	owner, ok := s.table.Authorise(s.route, call.APIKey)
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorised, "the key is unknown")
@@ -180,6 +186,9 @@
 	if d := s.g.suspects.Check(suspect.Request{Fingerprint: s.fingerprint}); d.Err != nil {
 		return d.Err
 	}
+	if err := s.checkParts(); err != nil {
+		return err
+	}
 	if err := s.choosePool(); err != nil {
 		return err
 	}
@@ -218,13 +227,13 @@
 	return xxhash.Sum64String(s.call.ID)
 }
 
-// sharedParts returns the parts of the prompt that other requests may share, which are all but the last.
-func (s *requestState) sharedParts() []uint64 {
-	if len(s.call.Prompt) < 2 {
+// sharedParts returns the parts of a prompt that other requests may share.
+func sharedParts(prompt []pool.PromptPart) []uint64 {
+	if len(prompt) < 2 {
 		return nil
 	}
-	out := make([]uint64, 0, len(s.call.Prompt)-1)
-	for _, p := range s.call.Prompt[:len(s.call.Prompt)-1] {
+	out := make([]uint64, 0, len(prompt)-1)
+	for _, p := range prompt[:len(prompt)-1] {
 		out = append(out, p.ID)
 	}
 	return out
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,7 +52,7 @@
 	for {
 		e, err := in.next()
 		if err == io.EOF {
-			s.answered = s.answered || events > 0 && framed(resp.Response)
+			s.endAnswer(lease, resp, events)
 			return s.endStream(resp, e.raw)
 		}
 		if err != nil {
@@ -63,8 +63,9 @@
 			lease.RecordProgress()
 			s.limitSilence(resp)
 			idleBytes = 0
-			events++
-			s.answered = s.answered || events >= answeredEvents
+			if events++; events == answeredEvents {
+				s.recordAnswer()
+			}
 		} else if idleBytes += len(e.raw); idleBytes > maxIdleBytes {
 			return s.streamFailed(ctx, lease, resp, errOnlyComments)
 		}
@@ -127,6 +128,18 @@
 	s.g.metrics.firstByte.observe(time.Since(s.start))
 }
 
+// endAnswer decides at the end of a stream of a few events whether it was answered. One without a length or chunks ends
+// like that of an instance which crashes.
+func (s *requestState) endAnswer(lease *pool.Lease, resp *backend.Response, events int) {
+	switch {
+	case s.answered || len(s.parts) == 0:
+	case !framed(resp.Response):
+		s.reportFailedConnection(lease)
+	case events > 0:
+		s.recordAnswer()
+	}
+}
+
 // endStream writes the bytes after the last event. Returning from the handler makes net/http end the
 // response.
 func (s *requestState) endStream(resp *backend.Response, rest []byte) (pool.Outcome, error) {
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -15,7 +15,7 @@
 
 // State implements peer.Handler.
 func (g *Gateway) State(positions []*peerpb.Position, up, want bool) *peerpb.State {
-	state := &peerpb.State{Suspects: g.suspects.Export(maxSuspectsPerMessage)}
+	state := &peerpb.State{Suspects: g.suspects.Export(maxSuspectsPerMessage), SuspectParts: g.poison.Export()}
 	for _, f := range g.followers() {
 		g.addFeed(state, f, findPosition(positions, f.id), up, want)
 	}
@@ -186,8 +186,11 @@
 }
 
 // MergeState implements peer.Handler.
-func (g *Gateway) MergeState(_ string, state *peerpb.State) (advanced bool) {
+func (g *Gateway) MergeState(node string, state *peerpb.State) (news bool) {
 	g.suspects.Merge(state.GetSuspects())
+	suspicions := g.poison.Merge(state.GetSuspectParts())
+	g.logBlocked(suspicions, node)
+	news = len(suspicions) > 0
 	for _, position := range state.GetPositions() {
 		for _, f := range g.followers() {
 			if uint32(f.id) != position.GetFeed() {
@@ -195,10 +198,10 @@
 			}
 			before := f.follower.FreshAt()
 			mergeFeed(state, position, f.follower, !state.GetUp())
-			advanced = advanced || f.follower.FreshAt().After(before.Add(minAdvance))
+			news = news || f.follower.FreshAt().After(before.Add(minAdvance))
 		}
 	}
-	return advanced
+	return news
 }
 
 // minAdvance is how much a feed must advance to be passed on at once: two peers estimate the age of the same read
