Take a stream that ends inside an event for a broken one

Cause: bytes after the last complete event at the end of a stream were written to the caller and the response counted as whole. A backend server that stops in the middle of an event and ends the response properly, by its length, its last chunk or the end of the connection, made the caller receive part of an event and miss the rest, without an error.

Change: the event reader reports io.ErrUnexpectedEOF for a stream that ends inside an event, and the stream takes the path of a broken connection: it is resumed where the route allows, otherwise the response is aborted, and the crash detector learns of it. No part of an event is written. A stream with neither a length nor chunks that ends before its first event is broken as well, because it looks the same as a crash after the header. One that ends between two events cannot be told from a crash there: the protocol has no final event, and the token count of a request is a maximum.

TestEventFields expected io.EOF for a rest of "id: 9\n"; it now expects io.ErrUnexpectedEOF. A response on a streaming route that is no event stream is now broken unless it ends with an empty line.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -39,8 +39,9 @@
 // close gives the memory of the reader back.
 func (e *eventReader) close() { e.buffer.Close() }
 
-// next returns the next event. At the end of the stream it returns io.EOF and any bytes after the last event as
-// raw. It fails with a *buffer.LimitError if the event is too large.
+// next returns the next event. At the end of the stream it returns any bytes after the last event as raw, with io.EOF if
+// they are blank and io.ErrUnexpectedEOF if the stream ends inside an event. It fails with a *buffer.LimitError if the
+// event is too large.
 func (e *eventReader) next() (event, error) {
 	e.buffer.Reset()
 	var out event
@@ -54,6 +55,9 @@
 			continue
 		}
 		out.raw = e.buffer.Bytes()
+		if err == io.EOF && len(bytes.Trim(out.raw, "\r\n")) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return out, err
 		}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -47,7 +47,7 @@
 	is := is.New(t)
 	long := strings.Repeat("y", 3*eventBufferBytes)
 	events, rest, err := readEvents(strings.NewReader("id: 1\ndata: " + long + "\n\n: keep-alive\n\nid: " + long + "\r\ndata:\r\n\r\nid: 9\n"))
-	is.Equal(err, io.EOF)
+	is.Equal(err, io.ErrUnexpectedEOF)
 	is.Equal(len(events), 3)
 	is.Equal(events[0].id, "1")
 	is.True(events[0].hasData)
@@ -57,11 +57,29 @@
 	is.Equal(string(rest), "id: 9\n")
 }
 
+// Guards against a stream that ends inside an event and is taken for a whole one, and against one that ends between two
+// events and is not.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	const before = "id: 1\ndata: x\n\n"
+	for end, want := range map[string]error{
+		"": io.EOF, "\n": io.EOF, "\r\n": io.EOF, "\r": io.EOF, ": c\n\n": io.EOF,
+		"i": io.ErrUnexpectedEOF, "id: 2\n": io.ErrUnexpectedEOF, "id: 2\ndata: y": io.ErrUnexpectedEOF, "id: 2\ndata: y\n": io.ErrUnexpectedEOF,
+	} {
+		events, _, err := readEvents(strings.NewReader(before + end))
+		is := is.New(t)
+		is.Equal(string(events[0].raw), before)
+		is.Equal(err, want) // at the end given
+	}
+}
+
 // checkEvents verifies that the events and the rest are exactly the input, so that nothing is lost or repeated.
 func checkEvents(t interface{ Fatalf(string, ...any) }, in []byte) {
 	events, rest, err := readEvents(bytes.NewReader(in))
-	if err != io.EOF {
+	switch blank := len(bytes.Trim(rest, "\r\n")) == 0; {
+	case err != io.EOF && err != io.ErrUnexpectedEOF:
 		return
+	case blank != (err == io.EOF):
+		t.Fatalf("the stream ends with %q and the error %v", rest, err)
 	}
 	var all []byte
 	for _, e := range events {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,6 +51,9 @@
 	s.limitSilence(resp)
 	for {
 		e, err := in.next()
+		if err == io.EOF && !s.mayBeEmpty(resp) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			s.endAnswer(lease, resp, events)
 			return s.endStream(resp, e.raw)
@@ -140,7 +143,13 @@
 	}
 }
 
-// endStream writes the bytes after the last event. Returning from the handler makes net/http end the
+// mayBeEmpty reports whether a stream may end now, as far as its events tell: one that is framed by nothing but its
+// connection and has no event looks the same as a crash after the header.
+func (s *requestState) mayBeEmpty(resp *backend.Response) bool {
+	return framed(resp.Response) || s.responseStarted || s.lastEventID != ""
+}
+
+// endStream writes the blank bytes after the last event. Returning from the handler makes net/http end the
 // response.
 func (s *requestState) endStream(resp *backend.Response, rest []byte) (pool.Outcome, error) {
 	resp.Finish()
