Send no requests to instances that announce their departure in responses

Cause: a gateway learned of a departure from the instance's entry alone. On the users' wire a backend server that leaves now says so in all its responses too, and a gateway that has passed one on must not send it a request more than drain-ms later, even if the entry says nothing, or is read late.

Change: ResponseInfo.Leaving, read when the header of any response arrives. The registry keeps it for the incarnation of the instance, beside its entry: it survives entries published without the departure, a lapse and return, and a change of address, and ends with the next incarnation. The instance is then closed as one whose entry says that it leaves: not chosen, not forced, refused by its keeper to others, at once also for requests that would wait. A request that has waited for its place or its connection asks again before it is sent, and takes another instance. When all are leaving, the refusal says when to come back, also after attempts that were refused. One log line and a counter, departures.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,7 +54,7 @@
 		lease, place, err := s.acquire(ctx)
 		if lease == nil {
 			if last != nil {
-				return last
+				return s.exhausted(last)
 			}
 			if err != nil {
 				return err
@@ -94,6 +94,18 @@
 	return last
 }
 
+// exhausted returns the error of a request for which no instance is left after the last one did not serve it. If all
+// instances are leaving, it says when to come back.
+func (s *requestState) exhausted(last error) error {
+	failure, sum := verdict.As(last), s.g.registry.Summary(s.pool)
+	if failure.Verdict != verdict.NotRun || sum.Members > sum.Leaving {
+		return last
+	}
+	out := *failure
+	out.RetryAfter = noInstanceRetryAfter
+	return &out
+}
+
 // recordExceededLimit counts and logs a response that was larger than a limit.
 func (s *requestState) recordExceededLimit(lease *pool.Lease, err error) {
 	var exceeded *buffer.LimitError
@@ -139,6 +151,11 @@
 		}
 		return pool.Unreachable, verdict.Wrap(verdict.NotRun, verdict.ReasonUnreachable, err)
 	}
+	if !lease.Usable() {
+		_ = conn.Close()
+		s.retryReserved = true
+		return pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the instance takes no more requests")
+	}
 	reused := conn.Reused
 	begin := time.Now()
 	s.attemptsSent++
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -29,6 +29,7 @@
 	reservations     *expvar.Map
 	keeperDecisions  *expvar.Map
 	probes           *expvar.Map
+	departures       *expvar.Map
 	documents        *expvar.Map
 	storeFailures    *expvar.Map
 	crashes          *expvar.Int
@@ -52,6 +53,7 @@
 		reservations:     c.Map("reservations"),
 		keeperDecisions:  c.Map("keeper_decisions"),
 		probes:           c.Map("probes"),
+		departures:       c.Map("departures"),
 		documents:        c.Map("documents"),
 		storeFailures:    c.Map("store_failures"),
 		crashes:          c.Int("crashes"),
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -156,6 +156,9 @@
 // reservePlace decides on a reservation of another router at an instance of a plain service. It returns once there is a
 // place, or the time to wait for one is over.
 func (g *Gateway) reservePlace(controller *admission.Controller, q *pool.Reservation, r *peerpb.Reserve) pool.Answer {
+	if g.registry.Closed(q.Instance) {
+		return g.registry.Reserve(q)
+	}
 	h := placeHolder{q.Router, q.Sequence}
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
 	err := g.places.acquire(context.Background(), controller, h, placeRequestOf(r.GetOrganisation(), int(r.GetPriority()), wait, q.TTL))
--- /dev/null
+++ b/gateway/pool/announce_test.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jacinthfork.example/jacinthfork/internal/proptest"
+)
+
+// Guards against an instance that gets requests again after it has announced its departure in a response: because its
+// entry is published again without the departure, lapses and returns, or moves to another address, and because no other
+// instance is left. Its next incarnation is used.
+func TestAnnouncedDepartureOutlastsEntries(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	i := testInstance(0)
+	r.ApplyEntry(i)
+	l := r.Acquire(&Request{Pool: "llm"})
+	is.True(l.RecordLeaving())
+	is.True(!l.RecordLeaving()) // known already
+	l.Release(Served)
+	unused := func() bool { return r.Acquire(&Request{Pool: "llm"}) == nil && r.Summary("llm").Leaving == 1 }
+	is.True(unused())
+
+	i.Sequence++
+	r.ApplyEntry(i)
+	is.True(unused()) // published again
+	is.Equal(r.Remove(i.ID), Removed)
+	i.Sequence++
+	is.Equal(r.ApplyEntry(i), Joined)
+	is.True(unused()) // lapsed and returned
+	i.Sequence, i.Address = i.Sequence+1, "10.0.1.1:80"
+	is.Equal(r.ApplyEntry(i), Restarted)
+	is.True(unused()) // moved
+	c.advance(2 * announcementTTL)
+	r.Sweep(c.now())
+	is.True(unused()) // long ago
+
+	i.StartedAt, i.Sequence = i.StartedAt+1, 1
+	is.Equal(r.ApplyEntry(i), Restarted)
+	is.True(!unused())
+	r.Sweep(c.now())
+	is.Equal(len(r.announcements), 0)
+}
+
+// Guards against a keeper that gives other routers places at an instance that has announced its departure.
+func TestKeeperRefusesPlacesAfterAnnouncedDeparture(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	for _, r := range f.routers {
+		l := r.Acquire(only(3, 12))
+		if l.Keeper != "" {
+			continue
+		}
+		is.True(!r.Closed(KeyOf(l.Instance.ID)))
+		l.RecordLeaving()
+		is.True(r.Closed(KeyOf(l.Instance.ID)))
+		a := r.Reserve(&Reservation{Router: "asks", Sequence: 1, Instance: KeyOf(l.Instance.ID), TTL: time.Second})
+		is.True(!a.Granted && a.Ejected > 0)
+		return
+	}
+	t.Fatal("no router keeps the instance")
+}
+
+// Guards against a request that is sent although its instance has announced its departure while the request waited for
+// its place or its connection, also when the instance's entry was published anew meanwhile.
+func TestWaitingRequestLearnsOfDeparture(t *testing.T) {
+	is := is.New(t)
+	r, _ := testRegistry()
+	i := testInstance(0)
+	r.ApplyEntry(i)
+	first, waiting := r.Acquire(&Request{Pool: "llm"}), r.Acquire(&Request{Pool: "llm"})
+	is.True(waiting.Usable())
+	r.Remove(i.ID)
+	i.Sequence++
+	r.ApplyEntry(i)
+	is.True(waiting.Usable())
+	first.RecordLeaving()
+	is.True(!waiting.Usable())
+}
+
+// Guards against an incarnation that is chosen after it has announced its departure, whatever entries are published and
+// removed, and in whatever order.
+func TestDepartedIncarnationIsNeverChosen(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		r, c := testRegistry()
+		departed := make(map[incarnation]bool)
+		entry := rapid.Custom(func(t *rapid.T) Instance {
+			i := testInstance(rapid.IntRange(0, 2).Draw(t, "instance"))
+			i.StartedAt = rapid.Int64Range(1, 3).Draw(t, "start")
+			i.Sequence = rapid.Int64Range(1, 6).Draw(t, "sequence")
+			i.Leaving = rapid.Bool().Draw(t, "leaving")
+			return i
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) { r.ApplyEntry(entry.Draw(t, "entry")) },
+			"remove":  func(t *rapid.T) { r.Remove(entry.Draw(t, "entry").ID) },
+			"outage":  func(*rapid.T) { r.RecordStoreRecovery() },
+			"sweep": func(t *rapid.T) {
+				c.advance(time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second)
+				r.Sweep(c.now())
+			},
+			"request": func(t *rapid.T) {
+				l := r.Acquire(&Request{Pool: "llm"})
+				if l == nil {
+					return
+				}
+				if departed[l.Instance.incarnation()] || !l.Usable() {
+					t.Fatalf("%s was chosen, started at %d", l.Instance.ID, l.Instance.StartedAt)
+				}
+				if rapid.Bool().Draw(t, "leaves") {
+					departed[l.Instance.incarnation()] = l.RecordLeaving()
+				}
+				l.Release(rapid.SampledFrom([]Outcome{Served, Refused, Broken, Unreachable}).Draw(t, "outcome"))
+			},
+		})
+	})
+}
--- a/gateway/pool/keeper.go
+++ b/gateway/pool/keeper.go
@@ -115,6 +115,14 @@
 	return a
 }
 
+// Closed reports whether an instance gets no new requests.
+func (r *Registry) Closed(instance Key) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := r.byKey[instance]
+	return len(kept) > 0 && r.closed(kept[0])
+}
+
 // Kept returns an instance that this router keeps.
 func (r *Registry) Kept(instance Key) (i Instance, ok bool) {
 	r.mu.Lock()
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -8,6 +8,8 @@
 // member is one instance together with what this router knows about it.
 type member struct {
 	Instance
+	// announced is what this incarnation has said of itself, nil if nothing.
+	announced *announcement
 	// hash is the rendezvous hash of the ID.
 	hash uint64
 	// local is the load in flight from this router.
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -101,6 +101,8 @@
 	// tombstones holds the last publication of each removed instance, so that an earlier publication that
 	// arrives late does not bring the instance back. The last publication itself does if it arrives again.
 	tombstones map[string]tombstone
+	// announcements hold what instances have said of themselves in their responses.
+	announcements map[incarnation]*announcement
 	// replaced holds the ends of the times for which places at instances whose addresses belong to others are refused.
 	replaced map[Key]time.Time
 	// directory names the instances that hold a document, for those documents that are in this router's directory.
@@ -130,6 +132,7 @@
 		byKey:           make(map[Key][]*member),
 		byAddress:       make(map[string][]*member),
 		tombstones:      make(map[string]tombstone),
+		announcements:   make(map[incarnation]*announcement),
 		directory:       newDirectory(),
 		replaced:        make(map[Key]time.Time),
 		cacheTokens:     make(map[string]int),
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -97,6 +97,7 @@
 
 func (r *Registry) add(i Instance) {
 	m := &member{Instance: i, hash: rendezvous.Hash(i.ID), coldUntil: r.now().Add(i.ColdLeft), cache: newPromptCache(r.cacheTokens[i.Pool])}
+	m.announced = r.announcements[i.incarnation()]
 	r.members[i.ID] = m
 	r.pools[i.Pool] = append(r.pools[i.Pool], m)
 	key := keyOf(m.hash)
@@ -185,6 +186,7 @@
 			r.evict(m, now)
 		}
 	}
+	r.sweepAnnouncements(now)
 	for key, until := range r.replaced {
 		if now.After(until) {
 			delete(r.replaced, key)
--- a/gateway/pool/restrict.go
+++ b/gateway/pool/restrict.go
@@ -42,8 +42,11 @@
 	return out
 }
 
-// closed reports whether an instance gets no new requests: it is leaving, or its failure domain is evacuated.
-func (r *Registry) closed(m *member) bool { return m.Leaving || r.evacuated[m.FailureDomain] }
+// closed reports whether an instance gets no new requests: it is leaving, by its entry or its own word, or its failure
+// domain is evacuated.
+func (r *Registry) closed(m *member) bool {
+	return m.Leaving || (m.announced != nil && m.announced.leaving) || r.evacuated[m.FailureDomain]
+}
 
 // cold reports whether an instance is cold and its pool has a rate for that: it bears that many requests a second and
 // crashes well above.
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -53,6 +53,8 @@
 	Signed bool
 	// NotRun is set when the backend server states that it did not run the request.
 	NotRun bool
+	// Leaving is set when the backend server announces its departure.
+	Leaving bool
 	// Misdirected is set when the address belongs to another backend server.
 	Misdirected bool
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -33,6 +33,7 @@
 // relay passes a response on to the caller, or returns an error if it cannot be used.
 func (s *requestState) relay(ctx context.Context, lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
 	reply := s.g.env.Protocol.ParseResponse(resp.Response)
+	s.recordAnnouncements(lease, &reply)
 	switch {
 	case reply.Misdirected:
 		resp.Abort()
@@ -58,6 +59,18 @@
 	return s.relayBuffered(ctx, lease, resp)
 }
 
+// recordAnnouncements records what a backend server says of itself in a response. One that was meant for another instance
+// says nothing about that one.
+func (s *requestState) recordAnnouncements(lease *pool.Lease, reply *ResponseInfo) {
+	if reply.Misdirected {
+		return
+	}
+	if reply.Leaving && lease.RecordLeaving() {
+		s.g.metrics.departures.Add(s.pool, 1)
+		s.g.log.Info("departure announced", "instance", lease.Instance.ID, "id", s.call.ID)
+	}
+}
+
 // drain reads the body of a refusal, so that the connection can be reused, or closes the connection.
 func (s *requestState) drain(resp *backend.Response) {
 	resp.SetReadDeadline(time.Now().Add(refusalTimeout))
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -56,6 +56,18 @@
 // lease is nil when no instance is eligible. The error, a *verdict.Error with verdict.NotRun, says that the instances are
 // full.
 func (s *requestState) acquire(ctx context.Context) (*pool.Lease, *reservation, error) {
+	for {
+		lease, place, err := s.acquireOnce(ctx)
+		if lease == nil || lease.Usable() {
+			return lease, place, err
+		}
+		// The instance takes no more requests since this one began to wait for its place.
+		lease.Release(pool.Abandoned)
+		s.g.reservations.end(place, pool.Abandoned)
+	}
+}
+
+func (s *requestState) acquireOnce(ctx context.Context) (*pool.Lease, *reservation, error) {
 	if s.plain() {
 		return s.acquirePlace(ctx)
 	}
