Leave instances alone for as long as they turn requests away

Cause: the Retry-After of a backend server that turns a request away was ignored. The instance was not preferred for 50 ms and then got requests again, and when no other one was left it got all of them. On the users' wire it wants nothing from the machine for so long: two requests between half a second after the answer and the end of the time are the most.

The registry holds the incarnation off for this router's requests until then: it is not chosen, not forced and gets no test connections of package pool, also if its entry lapses and returns; a request that has waited for a place or a connection asks again before it is sent. Keepers go on giving places to other routers. When all instances of a pool that are not leaving are held off, requests are refused at once, before the queue, with the time until the first is back. One log line and a counter, hold_offs.

--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -15,6 +15,8 @@
 	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -26,10 +28,19 @@
 }
 
 // A request waits for a place, at its own gateway or at another one that keeps the instance, while the instance announces
-// its departure to the gateway. Guards against a request that is sent there once a place is free, and against a place
-// that is never given back.
-func TestWaitingRequestIsNotSentAfterAnnouncedDeparture(t *testing.T) {
-	for router, name := range []string{"keeper", "other gateway"} {
+// its departure to the gateway or turns it away for some time. Guards against a request that is sent there once a place is
+// free, and against a place that is never given back.
+func TestWaitingRequestIsNotSentAfterAnnouncement(t *testing.T) {
+	for name, c := range map[string]struct {
+		// router is 0 for the keeper of the instance.
+		router   int
+		announce func(l *pool.Lease)
+	}{
+		"keeper, departure":        {0, func(l *pool.Lease) { l.RecordLeaving() }},
+		"other gateway, departure": {1, func(l *pool.Lease) { l.RecordLeaving() }},
+		"keeper, hold-off":         {0, func(l *pool.Lease) { l.RecordHoldOff(time.Minute) }},
+		"other gateway, hold-off":  {1, func(l *pool.Lease) { l.RecordHoldOff(time.Minute) }},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				instance := pool.Instance{ID: "w-0", Pool: "plain", Slots: 1, StartedAt: 1, Sequence: 1}
@@ -37,7 +48,7 @@
 				if _, kept := fleet[0].registry.Kept(pool.KeyOf(instance.ID)); !kept {
 					fleet[0], fleet[1] = fleet[1], fleet[0]
 				}
-				g := fleet[router]
+				g := fleet[c.router]
 				var leases []*pool.Lease
 				var held []*reservation
 				for range placeCapacity(instance.Slots) {
@@ -53,13 +64,13 @@
 					done <- lease
 				}()
 				time.Sleep(objective / 10)
-				leases[0].RecordLeaving()
+				c.announce(leases[0])
 				for n := range leases {
 					leases[n].Release(pool.Served)
 					g.reservations.end(held[n], pool.Served)
 				}
 				if lease := <-done; lease != nil {
-					t.Error("the request is sent to an instance that has announced its departure")
+					t.Error("the request is sent to an instance that takes no more")
 				}
 				time.Sleep(time.Second)
 				if n := fleet[0].registry.HoldCount(); n > 0 {
@@ -108,3 +119,30 @@
 	is.Equal(outcome, pool.Abandoned)
 	is.Equal(verdict.As(err).Verdict, verdict.NotRun)
 }
+
+// Guards against a request that waits in the queue of a pool of engines while all of them turn requests away.
+func TestHeldOffPoolRefusesWithoutQueueing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "llm", Weight: 1}}}
+		table, err := routes.New(routes.Spec{Version: 1, Pools: []*routes.Pool{{Name: "llm", Engine: &routes.Engine{}}}, Routes: []*routes.Route{route}})
+		is.NoErr(err)
+		suspects, err := suspect.NewTable("", 1, suspect.DefaultSettings())
+		is.NoErr(err)
+		g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), suspects: suspects, poison: poison.NewTable()}
+		g.admission = newAdmissionControllers(g.registry)
+		g.admission.configure(table)
+		g.registry.ApplyEntry(pool.Instance{ID: "e-0", Pool: "llm", Slots: 1, StartedAt: 1, Sequence: 1})
+		g.admission.refresh()
+		grant, err := g.admission.admit(context.Background(), "llm", "", 0)
+		is.NoErr(err)
+		defer grant.Done()
+		g.registry.Acquire(&pool.Request{Pool: "llm"}).RecordHoldOff(time.Minute)
+
+		s := &requestState{g: g, table: table, route: route, start: time.Now()}
+		failure := verdict.As(s.run(context.Background()))
+		is.Equal(failure.Verdict, verdict.NotRun)
+		is.Equal(failure.RetryAfter, time.Minute)
+		is.Equal(time.Since(s.start), time.Duration(0))
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,7 +59,7 @@
 			if err != nil {
 				return err
 			}
-			return unavailable(verdict.ReasonNoCandidate, "no instance takes work", noInstanceRetryAfter)
+			return s.noInstance()
 		}
 		s.triedInstances = append(s.triedInstances, lease.Instance.ID)
 		begin := time.Now()
@@ -95,17 +95,26 @@
 }
 
 // exhausted returns the error of a request for which no instance is left after the last one did not serve it. If all
-// instances are leaving, it says when to come back.
+// instances are leaving or held off, it says when to come back.
 func (s *requestState) exhausted(last error) error {
 	failure, sum := verdict.As(last), s.g.registry.Summary(s.pool)
-	if failure.Verdict != verdict.NotRun || sum.Members > sum.Leaving {
+	heldOff := s.g.registry.HeldOff(s.pool)
+	if failure.Verdict != verdict.NotRun || (heldOff == 0 && sum.Members > sum.Leaving) {
 		return last
 	}
 	out := *failure
-	out.RetryAfter = noInstanceRetryAfter
+	out.RetryAfter = s.noInstance().RetryAfter
 	return &out
 }
 
+// noInstance returns the error of a request for which there is no instance.
+func (s *requestState) noInstance() *verdict.Error {
+	if heldOff := s.g.registry.HeldOff(s.pool); heldOff > 0 {
+		return unavailable(verdict.ReasonOverCapacity, "all instances turn requests away", heldOff)
+	}
+	return unavailable(verdict.ReasonNoCandidate, "no instance takes work", noInstanceRetryAfter)
+}
+
 // recordExceededLimit counts and logs a response that was larger than a limit.
 func (s *requestState) recordExceededLimit(lease *pool.Lease, err error) {
 	var exceeded *buffer.LimitError
@@ -154,7 +163,7 @@
 	if !lease.Usable() {
 		_ = conn.Close()
 		s.retryReserved = true
-		return pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonLeaving, "the instance takes no more requests")
+		return pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the instance takes no more requests")
 	}
 	reused := conn.Reused
 	begin := time.Now()
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -30,6 +30,7 @@
 	keeperDecisions  *expvar.Map
 	probes           *expvar.Map
 	departures       *expvar.Map
+	holdOffs         *expvar.Map
 	documents        *expvar.Map
 	storeFailures    *expvar.Map
 	crashes          *expvar.Int
@@ -54,6 +55,7 @@
 		keeperDecisions:  c.Map("keeper_decisions"),
 		probes:           c.Map("probes"),
 		departures:       c.Map("departures"),
+		holdOffs:         c.Map("hold_offs"),
 		documents:        c.Map("documents"),
 		storeFailures:    c.Map("store_failures"),
 		crashes:          c.Int("crashes"),
--- a/gateway/pool/announce.go
+++ b/gateway/pool/announce.go
@@ -18,7 +18,14 @@
 // whatever the entry of the instance says afterwards, and also when the entry lapses and returns.
 type announcement struct {
 	leaving bool
-	at      time.Time
+	// heldOffUntil is the end of the time for which the instance wants no requests from this router.
+	heldOffUntil time.Time
+	at           time.Time
+}
+
+// turnsAway reports whether the instance wants no requests from this router now. A nil announcement is allowed.
+func (a *announcement) turnsAway(now time.Time) bool {
+	return a != nil && (a.leaving || now.Before(a.heldOffUntil))
 }
 
 // announcement returns what an incarnation has said of itself, so that more can be added.
@@ -47,14 +54,49 @@
 	return first
 }
 
-// Usable reports whether a request may still be sent to the instance. It may have announced its departure since it was
-// chosen, while the request waited for its place or its connection.
+// RecordHoldOff records that the instance wants no requests from this router for some time, test connections included, and
+// reports whether it is not held off already.
+func (l *Lease) RecordHoldOff(d time.Duration) (first bool) {
+	r := l.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	a := r.announcement(l.Instance, now)
+	first = !now.Before(a.heldOffUntil)
+	if until := now.Add(d); until.After(a.heldOffUntil) {
+		a.heldOffUntil = until
+	}
+	return first
+}
+
+// HeldOff returns the time until the first instance of a pool takes requests from this router again, if all that are not
+// leaving are held off, and 0 otherwise.
+func (r *Registry) HeldOff(pool string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	left := time.Duration(0)
+	for _, m := range r.pools[pool] {
+		if r.closed(m) {
+			continue
+		}
+		if !m.announced.turnsAway(now) {
+			return 0
+		}
+		if own := m.announced.heldOffUntil.Sub(now); left == 0 || own < left {
+			left = own
+		}
+	}
+	return left
+}
+
+// Usable reports whether a request may still be sent to the instance. It may have announced its departure or turned
+// requests away since it was chosen, while the request waited for its place or its connection.
 func (l *Lease) Usable() bool {
 	r := l.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := r.announcements[l.Instance.incarnation()]
-	return !(a != nil && a.leaving) && !r.closed(l.member)
+	return !r.announcements[l.Instance.incarnation()].turnsAway(r.now()) && !r.closed(l.member)
 }
 
 // sweepAnnouncements forgets what instances have said that are gone.
--- a/gateway/pool/announce_test.go
+++ b/gateway/pool/announce_test.go
@@ -82,12 +82,100 @@
 	is.True(!waiting.Usable())
 }
 
-// Guards against an incarnation that is chosen after it has announced its departure, whatever entries are published and
-// removed, and in whatever order.
+// Guards against requests to an instance during the time for which it has turned this router away: because no other one
+// is left, its entry is published again or returns, or a later response asks for less. Its next incarnation is used.
+func TestHeldOffInstanceGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	i, other := testInstance(0), testInstance(1)
+	r.ApplyEntry(i)
+	r.ApplyEntry(other)
+	withoutOther := &Request{Pool: "llm", Exclude: []string{other.ID}}
+	is.True(r.HasOther(withoutOther))
+	l := r.Acquire(withoutOther)
+	is.True(l.RecordHoldOff(2 * time.Second))
+	is.True(!l.RecordHoldOff(time.Second)) // held off already, and for longer
+	is.True(!l.Usable())
+	l.Release(Refused)
+	is.Equal(r.HeldOff("llm"), time.Duration(0)) // the other instance is left
+
+	is.True(!r.HasOther(withoutOther) && !r.HasAlternative(withoutOther))
+	for range 8 {
+		r.Acquire(&Request{Pool: "llm"}).Release(Unreachable)
+		is.True(r.Acquire(withoutOther) == nil)
+		is.Equal(r.Acquire(&Request{Pool: "llm"}).Instance.ID, other.ID) // although it is ejected
+	}
+	i.Sequence++
+	r.ApplyEntry(i)
+	is.True(r.Acquire(withoutOther) == nil) // published again
+	r.Remove(i.ID)
+	i.Sequence++
+	is.Equal(r.ApplyEntry(i), Joined)
+	c.advance(1900 * time.Millisecond)
+	is.True(r.Acquire(withoutOther) == nil) // lapsed and returned
+	c.advance(100 * time.Millisecond)
+	l = r.Acquire(withoutOther)
+	is.True(l.Usable())
+
+	is.True(l.RecordHoldOff(time.Minute))
+	i.StartedAt, i.Sequence = i.StartedAt+1, 1
+	r.ApplyEntry(i)
+	is.True(r.Acquire(withoutOther) != nil)
+}
+
+// Guards against callers of a pool whose instances all turn requests away that are not told when the first one takes
+// requests again. One that is leaving does not count.
+func TestHeldOffPoolReturnsWithItsFirstInstance(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	is.Equal(r.HeldOff("llm"), time.Duration(0))
+	for n := range 3 {
+		r.ApplyEntry(testInstance(n))
+	}
+	r.Acquire(only(0, 3)).RecordHoldOff(5 * time.Second)
+	r.Acquire(only(1, 3)).RecordHoldOff(3 * time.Second)
+	is.Equal(r.HeldOff("llm"), time.Duration(0))
+	l := r.Acquire(only(2, 3))
+	l.RecordHoldOff(time.Second)
+	is.Equal(r.HeldOff("llm"), time.Second)
+	l.RecordLeaving()
+	is.Equal(r.HeldOff("llm"), 3*time.Second)
+	c.advance(3 * time.Second)
+	is.Equal(r.HeldOff("llm"), time.Duration(0))
+	is.Equal(r.Acquire(&Request{Pool: "llm"}).Instance.ID, testInstance(1).ID)
+}
+
+// Guards against test connections to an instance that has turned this router away, and against a keeper that refuses other
+// routers for it.
+func TestHoldOffIsForOneRouter(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	for _, r := range f.routers {
+		l := r.Acquire(only(3, 12))
+		if l.Keeper != "" {
+			continue
+		}
+		l.RecordHoldOff(time.Second)
+		l.Release(Refused)
+		r.Reserve(&Reservation{Router: routerName(0), Sequence: 1 << 40, Instance: KeyOf(l.Instance.ID), TTL: time.Minute, Forced: true})
+		a := r.Reserve(&Reservation{Router: "asks", Sequence: 1, Instance: KeyOf(l.Instance.ID), TTL: time.Second})
+		is.True(a.Granted)
+		r.EndReservation(routerName(0), 1<<40, Unreachable)
+		is.Equal(len(r.DueProbes()), 0)
+		f.clock.advance(time.Second)
+		is.Equal(len(r.DueProbes()), 1)
+		return
+	}
+	t.Fatal("no router keeps the instance")
+}
+
+// Guards against an incarnation that is chosen after it has announced its departure, or while it has turned this router
+// away, whatever entries are published and removed, and in whatever order.
 func TestDepartedIncarnationIsNeverChosen(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
 		r, c := testRegistry()
-		departed := make(map[incarnation]bool)
+		// until is the end of the time for which an incarnation must not be chosen, as far as this test checks it.
+		until := make(map[incarnation]time.Time)
 		entry := rapid.Custom(func(t *rapid.T) Instance {
 			i := testInstance(rapid.IntRange(0, 2).Draw(t, "instance"))
 			i.StartedAt = rapid.Int64Range(1, 3).Draw(t, "start")
@@ -108,11 +196,19 @@
 				if l == nil {
 					return
 				}
-				if departed[l.Instance.incarnation()] || !l.Usable() {
+				if c.at.Before(until[l.Instance.incarnation()]) || !l.Usable() {
 					t.Fatalf("%s was chosen, started at %d", l.Instance.ID, l.Instance.StartedAt)
 				}
 				if rapid.Bool().Draw(t, "leaves") {
-					departed[l.Instance.incarnation()] = l.RecordLeaving()
+					l.RecordLeaving()
+					until[l.Instance.incarnation()] = c.at.Add(announcementTTL)
+				}
+				if rapid.Bool().Draw(t, "holds off") {
+					d := time.Duration(rapid.IntRange(1, 200).Draw(t, "seconds")) * time.Second
+					l.RecordHoldOff(d)
+					if end := c.at.Add(d); end.After(until[l.Instance.incarnation()]) {
+						until[l.Instance.incarnation()] = end
+					}
 				}
 				l.Release(rapid.SampledFrom([]Outcome{Served, Refused, Broken, Unreachable}).Draw(t, "outcome"))
 			},
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -63,7 +63,7 @@
 func (r *Registry) candidates(q *Request, now time.Time) []*member {
 	var healthy, full, degraded, unavailable []*member
 	for _, m := range r.pools[q.Pool] {
-		if r.closed(m) || slices.Contains(q.Exclude, m.ID) || r.coldFull(m, now) || (q.ExcludeCold && r.cold(m, now)) {
+		if r.closed(m) || m.announced.turnsAway(now) || slices.Contains(q.Exclude, m.ID) || r.coldFull(m, now) || (q.ExcludeCold && r.cold(m, now)) {
 			continue
 		}
 		switch {
--- a/gateway/pool/report.go
+++ b/gateway/pool/report.go
@@ -74,14 +74,14 @@
 }
 
 // DueProbes returns the instances that this router keeps, that could not be reached, and to which a test connection is to
-// be made now. RecordProbe must be called for each of them.
+// be made now. There are none to instances that turn this router away. RecordProbe must be called for each of them.
 func (r *Registry) DueProbes() []Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	var due []Instance
 	for _, m := range r.members {
-		if m.keeper == "" && m.health.unreachable && !m.probeRunning && !now.Before(m.probeAt) {
+		if m.keeper == "" && m.health.unreachable && !m.announced.turnsAway(now) && !m.probeRunning && !now.Before(m.probeAt) {
 			m.probeRunning = true
 			due = append(due, m.Instance)
 		}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -55,6 +55,9 @@
 	NotRun bool
 	// Leaving is set when the backend server announces its departure.
 	Leaving bool
+	// RetryAfter is how long the backend server wants no requests from this router, 0 if it does not say. Only a
+	// response to a request that it turned away says so.
+	RetryAfter time.Duration
 	// Misdirected is set when the address belongs to another backend server.
 	Misdirected bool
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,6 +69,10 @@
 		s.g.metrics.departures.Add(s.pool, 1)
 		s.g.log.Info("departure announced", "instance", lease.Instance.ID, "id", s.call.ID)
 	}
+	if reply.RetryAfter > 0 && lease.RecordHoldOff(reply.RetryAfter) {
+		s.g.metrics.holdOffs.Add(s.pool, 1)
+		s.g.log.Info("instance held off", "instance", lease.Instance.ID, "id", s.call.ID, "for_ms", reply.RetryAfter.Milliseconds())
+	}
 }
 
 // drain reads the body of a refusal, so that the connection can be reused, or closes the connection.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -192,6 +192,9 @@
 	if err := s.choosePool(); err != nil {
 		return err
 	}
+	if s.g.registry.HeldOff(s.pool) > 0 {
+		return s.noInstance()
+	}
 	grant, err := s.g.admission.admit(ctx, s.pool, s.organisation, s.priority)
 	s.admissionWait = time.Since(s.start)
 	s.g.metrics.admissionWait.observe(s.admissionWait)
