Shut a caller server down only once all accepted connections are known

Callers saw a request that had been read whole end with its connection at a planned stop, with neither an answer nor a refusal.

Cause: http.Server drops a request that it reads after Shutdown was called, and closes the connection. Drain called Shutdown when the tracker knew no connection in use and no taken-over connection waited. A connection that Accept had just returned was in neither: the server tells the tracker of it a moment later. A gateway that is short of processor time stays there for as long as it does not run, and connections that are taken over from the listener pass through that moment exactly when Drain first looks.

Change: the listener records that the server was told that no more connections come. The server asks for the next connection only after the tracker was told of the one before, so from then on the tracker knows all of them. Drain looks at that first, and then at the connections in use.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -14,12 +14,15 @@
 	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
-// Listener accepts connections of type *tracked.
+// Listener accepts connections of type *tracked, for one http.Server.
 type Listener struct {
 	net.Listener
 	mu sync.Mutex
 	// pending are the connections that were taken over from the listener when it was closed.
 	pending []net.Conn
+	// ended is set once the server was told that no more connections come. It asks for the next connection only after the
+	// tracker knows the one before.
+	ended bool
 }
 
 // Accept implements net.Listener. After CloseAccepting it returns the connections that were waiting then.
@@ -31,6 +34,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.pending) == 0 {
+		l.ended = errors.Is(err, net.ErrClosed)
 		return nil, err
 	}
 	conn, l.pending = l.pending[0], l.pending[1:]
@@ -49,11 +53,11 @@
 	return errors.Join(failure, l.Listener.Close())
 }
 
-// waiting returns the number of connections that Accept has not returned since CloseAccepting.
-func (l *Listener) waiting() int {
+// allAccepted reports whether the tracker knows all connections that will ever be accepted.
+func (l *Listener) allAccepted() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pending)
+	return l.ended
 }
 
 // tracked is a caller's connection that can be closed in the certainty that no data of a request is lost with it. The
@@ -202,7 +206,12 @@
 	accepting := l.CloseAccepting()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
-	for t.closeUnused()+l.waiting() > 0 && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		// The server drops requests that it reads after Shutdown.
+		allKnown := l.allAccepted()
+		if t.closeUnused() == 0 && allKnown {
+			break
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -1,9 +1,13 @@
 package callerconn
 
 import (
+	"bufio"
+	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,7 +89,7 @@
 		is.NoErr(err)
 	}
 	is.NoErr(listener.CloseAccepting())
-	is.Equal(listener.waiting(), callers)
+	is.Equal(len(listener.pending), callers)
 	for range callers {
 		conn, err := listener.Accept()
 		is.NoErr(err)
@@ -94,6 +98,47 @@
 		is.Equal(n, 3)
 		is.NoErr(conn.Close())
 	}
+	is.True(!listener.allAccepted())
 	_, err = listener.Accept()
 	is.True(errors.Is(err, net.ErrClosed))
+	is.True(listener.allAccepted())
+}
+
+// Guards against a request that a planned stop reads and drops, because its connection was accepted just before and the
+// tracker was not told yet: once http.Server.Shutdown is called, the server answers no request that it reads.
+func TestConnectionAcceptedDuringDrainIsServed(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &Listener{Listener: inner}
+	conns := NewTracker()
+	accepted, tell := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				once.Do(func() { close(accepted) })
+				<-tell
+			}
+			conns.Track(conn, state)
+		},
+	}
+	go func() { _ = server.Serve(listener) }()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-accepted
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- Drain(ctx, server, listener, conns) }()
+	time.Sleep(4 * drainCheckInterval)
+	close(tell)
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	is.NoErr(err) // the request is answered
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.NoErr(<-drained)
 }
