Count what is read from a caller's connection under the lock that closes it

Callers saw a request that a gateway had read end with its connection, with neither an answer nor a refusal, at a planned stop or when a connection had been idle for its limit.

Cause: a connection is closed as unused if nothing was read from it since the last response and no data waits in the operating system. A read took the data first and counted it under the lock afterwards; in between the data was in neither place. The connection was then closed, and the read dropped what it had.

Change: for connections of the operating system both happen in one step under the lock, so that data is in one of the two places whenever the lock is free.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"jacinthfork.example/jacinthfork/internal/socket"
@@ -29,7 +31,7 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err == nil {
-		return &tracked{Conn: conn}, nil
+		return newTracked(conn), nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -38,7 +40,7 @@
 		return nil, err
 	}
 	conn, l.pending = l.pending[0], l.pending[1:]
-	return &tracked{Conn: conn}, nil
+	return newTracked(conn), nil
 }
 
 // CloseAccepting closes the listener and keeps the connections that were made before and not accepted yet. Close would
@@ -64,17 +66,53 @@
 // state of http.Server is idle until the whole header of a request has arrived.
 type tracked struct {
 	net.Conn
-	mu sync.Mutex
+	// raw is nil for a connection that is not one of the operating system.
+	raw syscall.RawConn
+	mu  sync.Mutex
 	// reads counts the reads that have returned data. retired is set once the connection was closed as unused.
 	reads   uint64
 	retired bool
 }
 
-// Read implements net.Conn. It returns no data once the connection is retired.
-func (c *tracked) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func newTracked(conn net.Conn) *tracked {
+	c := &tracked{Conn: conn}
+	if own, ok := conn.(syscall.Conn); ok {
+		// Without it reads are those of conn.
+		c.raw, _ = own.SyscallConn()
+	}
+	return c
+}
+
+// Read implements net.Conn. It returns no data once the connection is retired. Data is taken from the operating system
+// and counted under one lock, so that retire sees it in one of both places.
+func (c *tracked) Read(p []byte) (n int, err error) {
+	if c.raw == nil {
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.count(n, err)
+	}
+	failure := c.raw.Read(func(fd uintptr) (done bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.retired {
+			err = net.ErrClosed
+			return true
+		}
+		n, err = c.count(socket.ReadNow(fd, p))
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	if failure == nil {
+		failure = err
+	}
+	if failure == nil || failure == io.EOF {
+		return n, failure
+	}
+	return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failure}
+}
+
+// count counts a read. The caller holds mu.
+func (c *tracked) count(n int, err error) (int, error) {
 	if c.retired {
 		return 0, net.ErrClosed
 	}
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -61,7 +61,7 @@
 	defer caller.Close()
 	accepted, err := listener.Accept()
 	is.NoErr(err)
-	conn := &tracked{Conn: accepted}
+	conn := newTracked(accepted)
 	conns := NewTracker()
 	conns.Track(conn, http.StateIdle)
 	_, err = caller.Write([]byte("GET"))
@@ -74,6 +74,38 @@
 	is.Equal(n, 3)
 }
 
+// Guards against a request whose connection a planned stop closes after it was read: the connection counts as unused
+// while the server has taken data from the operating system and has not come to count it.
+func TestConnectionBeingReadIsNotClosedAsUnused(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &Listener{Listener: inner}
+	defer listener.Close()
+	for range 20 {
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		accepted, err := listener.Accept()
+		is.NoErr(err)
+		conn := accepted.(*tracked)
+		read := make(chan int)
+		go func() {
+			n, _ := conn.Read(make([]byte, 8))
+			read <- n
+		}()
+		conn.mu.Lock()
+		_, err = caller.Write([]byte("GET"))
+		is.NoErr(err)
+		time.Sleep(5 * time.Millisecond) // the data arrives, and the reader runs as far as it can
+		conn.mu.Unlock()
+		retired := conn.retire(0)
+		is.Equal(<-read, 3)
+		is.True(!retired)
+		is.NoErr(caller.Close())
+		is.NoErr(conn.Close())
+	}
+}
+
 // Guards against requests that a planned stop cuts off because their connections were made and not accepted yet.
 func TestConnectionsWaitingToBeAcceptedAreServed(t *testing.T) {
 	is := is.New(t)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -30,6 +31,23 @@
 	return !errors.Is(failure, syscall.EAGAIN), err
 }
 
+// ReadNow reads from a non-blocking descriptor. The error is io.EOF at the end of the data, and syscall.EAGAIN if there is
+// none yet.
+func ReadNow(fd uintptr, p []byte) (int, error) {
+	for {
+		n, err := syscall.Read(int(fd), p)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case err != nil:
+			return 0, err
+		case n == 0 && len(p) > 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
+
 // AcceptPending accepts the connections that the operating system has completed and nobody has accepted yet. Closing
 // the listener would reset them. The connections that it returns with an error can be used.
 func AcceptPending(listener *net.TCPListener) ([]net.Conn, error) {
