Answer the requests that are left when a stop has to end

Callers saw their connection close without an answer when a request was not done at the end of a planned stop.

Cause: Stop returned 0.3 s before the end of the grace period with requests in flight, and the process exited with them. Those whose response had not begun, whether they waited for a place or for the backend server, got nothing.

Change: all requests have a common context. When the drain is not complete in time it is cancelled, so that each request whose response has not begun gets an error response, 502, or 503 if it has not been sent to a backend server; the router waits up to 0.1 s of the margin for that. Responses that have begun are cut off as before, because their rest does not exist.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -276,10 +276,14 @@
 	s.g.crashes.connectionFailed(lease.Instance, r)
 }
 
-// contextError returns the error of a request whose caller disconnected or whose deadline passed.
+// contextError returns the error of a request whose caller disconnected, whose deadline passed or which the router does
+// not finish before it exits.
 func (s *requestState) contextError(ctx context.Context, v verdict.Verdict) *verdict.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.New(v, verdict.ReasonDeadline, "the time is over")
 	}
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return verdict.Wrap(v, verdict.ReasonLeaving, errStopped)
+	}
 	return verdict.New(v, verdict.ReasonCancelled, "the caller left")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,8 +78,11 @@
 	metrics       *metrics
 
 	// started is closed once the router is ready for the first time, or StartHold after its start.
-	started        chan struct{}
-	leaving        atomic.Bool
+	started chan struct{}
+	leaving atomic.Bool
+	// requests is the context of all callers' requests. endRequests cancels it with errStopped.
+	requests       context.Context
+	endRequests    context.CancelCauseFunc
 	callerServer   *http.Server
 	readyServer    *http.Server
 	callerListener *callerconn.Listener
@@ -116,6 +119,7 @@
 		metrics:     newMetrics(env.Counters),
 		started:     make(chan struct{}),
 	}
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.crashes = newCrashDetector(g.recordCrash)
 	g.admission = newAdmissionControllers(g.registry)
 	g.configuration = feed.NewFollower(feed.Configuration, env.Source, &configurationSink{g: g}, settings.ConfigurationPollPolicy)
@@ -202,6 +206,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         g.callers.Track,
+		BaseContext:       func(net.Listener) context.Context { return g.requests },
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	mux := http.NewServeMux()
@@ -303,7 +308,7 @@
 
 // Stop shuts down gracefully: it fails health checks, keeps serving requests and connections that still
 // arrive, closes connections as they become idle, and returns when no request is in flight or GracePeriod is
-// nearly over.
+// nearly over. Requests that are then left get an error response, unless their response has begun.
 func (g *Gateway) Stop() {
 	begin := time.Now()
 	g.leaving.Store(true)
@@ -316,14 +321,28 @@
 	if err != nil {
 		g.log.Warn("stop is not complete", "error", err)
 	}
+	if ctx.Err() != nil {
+		g.endRequests(errStopped)
+		ctx, cancel := context.WithTimeout(context.Background(), answerMargin)
+		defer cancel()
+		// Connections that are left are closed when the process exits.
+		_ = g.callerServer.Shutdown(ctx)
+	}
 	g.log.Info("stopped", "took_ms", time.Since(begin).Milliseconds(), "cut_off", ctx.Err() != nil)
 	g.peers.Stop()
 	g.connections.Close()
 	_ = g.readyServer.Close()
 }
 
-// stopMargin is reserved between the end of Stop and the kill, for logging and process exit.
-const stopMargin = 300 * time.Millisecond
+const (
+	// stopMargin is reserved between the end of Drain and the kill, for the responses to requests that are left, logging
+	// and process exit. answerMargin is the part for the responses.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 100 * time.Millisecond
+)
+
+// errStopped is the cause with which the contexts of requests end that are not done when the router has to exit.
+var errStopped = errors.New("the router stopped")
 
 // Close stops the gateway immediately.
 func (g *Gateway) Close() {
