Serve requests that cross a change of the services

Callers got 404 for a request although its route was in the configuration before and in the one after. They do not repeat a request after 404, so it was lost to them.

Cause: a request keeps the configuration with which its route was matched, but its service was looked up among those of the newest configuration that admission had applied. A request whose header arrived before a configuration that drops its service, and whose body arrived after, was told that the service is unknown; so was one that was matched with a new configuration in the moment before admission applied it.

Change: whether the service has engines is read from the request's own configuration, and a controller that is missing is created for it. The next configuration removes it if it is not needed.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -11,7 +11,6 @@
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/retry"
-	"jacinthfork.example/jacinthfork/verdict"
 )
 
 const (
@@ -115,18 +114,26 @@
 
 // admit waits until the pool's controller admits the request. A request to a plain service needs no grant. The error is a
 // *verdict.Error with verdict.NotRun.
-func (a *admissionControllers) admit(ctx context.Context, name string, organisation string, priority int) (*admission.Grant, error) {
-	a.mu.Lock()
-	controller := a.engines[name]
-	_, known := a.waits[name]
-	a.mu.Unlock()
-	switch {
-	case !known:
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownPool, "the pool is not configured")
-	case controller == nil:
+func (a *admissionControllers) admit(ctx context.Context, p *routes.Pool, organisation string, priority int) (*admission.Grant, error) {
+	if p.Engine == nil {
 		return nil, nil
 	}
-	return controller.Admit(ctx, admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority})
+	return a.controller(p.Name).Admit(ctx, admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority})
+}
+
+// controller returns the controller of a pool of engines. It creates one for a request whose configuration is not
+// applied here yet, or not any more; the next configuration removes it if it is not needed.
+func (a *admissionControllers) controller(name string) *admission.Controller {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.engines[name] == nil {
+		wait, ok := a.waits[name]
+		if !ok {
+			wait = defaultQueueWait
+		}
+		a.engines[name] = newEngineAdmission(wait)
+	}
+	return a.engines[name]
 }
 
 // retryBudgets holds the retry budget of each pool. The fleet may retry a ratio of the requests in a window
--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -134,7 +134,7 @@
 		g.admission.configure(table)
 		g.registry.ApplyEntry(pool.Instance{ID: "e-0", Pool: "llm", Slots: 1, StartedAt: 1, Sequence: 1})
 		g.admission.refresh()
-		grant, err := g.admission.admit(context.Background(), "llm", "", 0)
+		grant, err := g.admission.admit(context.Background(), table.Pools["llm"], "", 0)
 		is.NoErr(err)
 		defer grant.Done()
 		g.registry.Acquire(&pool.Request{Pool: "llm"}).RecordHoldOff(time.Minute)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -195,7 +195,7 @@
 	if s.g.registry.HeldOff(s.pool) > 0 {
 		return s.noInstance()
 	}
-	grant, err := s.g.admission.admit(ctx, s.pool, s.organisation, s.priority)
+	grant, err := s.g.admission.admit(ctx, s.table.Pools[s.pool], s.organisation, s.priority)
 	s.admissionWait = time.Since(s.start)
 	s.g.metrics.admissionWait.observe(s.admissionWait)
 	if err != nil {
