End the wait for a keeper in time although its link opens late

Callers got no answer until their deadline, or none at all without one, while a keeper was silent.

Cause: the wait for a link to a keeper and the wait for its answer share a timer. If it fired during the first wait, and the keeper had opened a link from its side meanwhile, the question was sent on that link and the wait for the answer had no limit left but the request's own: the timer had fired already. A keeper that then did not answer, such as one that froze after its restart, held the request until its deadline.

Change: without a link in time there is no question.

--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -163,6 +165,30 @@
 	is.True(!ok)
 }
 
+// Guards against a request that waits for a silent keeper until its own deadline: the link to the keeper opens, from the
+// other side, while the time to wait for one runs out.
+func TestReservationEndsThoughALinkOpensLate(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	silent, err := net.Listen("tcp", loopback) // connections are made, and nobody answers on them
+	is.NoErr(err)
+	t.Cleanup(func() { _ = silent.Close() })
+	a := start(t, 0, loopback)
+	a.fleet.merge([]*peerpb.Member{{Node: "node-001", Address: silent.Addr().String(), Incarnation: 1, Status: peerpb.Status_ALIVE}})
+	linkCtx, closeLink := context.WithCancel(t.Context())
+	defer closeLink()
+	time.AfterFunc(reserveTimeout/2, func() {
+		a.fleet.mu.Lock()
+		defer a.fleet.mu.Unlock()
+		a.fleet.links["node-001"] = []*link{{node: "node-001", out: make(chan *peerpb.Message, linkQueue), ctx: linkCtx, close: closeLink}}
+	})
+	deadline, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, ok := a.fleet.Reserve(deadline, "node-001", &peerpb.Reserve{Sequence: a.fleet.NextSequence()})
+	is.True(!ok)
+	is.NoErr(deadline.Err())
+}
+
 // Guards against a router that leaves and is still asked for places, or still has routers below it.
 func TestLeavingRouterIsNotAlive(t *testing.T) {
 	t.Parallel()
--- a/gateway/peer/reserve.go
+++ b/gateway/peer/reserve.go
@@ -91,8 +91,11 @@
 	select {
 	case <-d.done:
 	case <-ctx.Done():
+		return nil
 	case <-timeout:
+		// A link that opens now, from the other side, is too late: no time is left to wait for an answer.
 		f.avoid(node)
+		return nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
