Read the keeper of a place under the lock that changes it

Cause: the name of the router that keeps an instance was read without the lock under which a change of the fleet replaces it. A request that asks for a place in that moment could read a name that is neither router's: half of a string is replaced at a time. A loss in service has not been traced to this.

Change: the name is read under the lock.

Test: TestKeepersChangeWhileRequestsAskThem, before: 'WARNING: DATA RACE', moveToKeepers against askForPlace, in 3 of 3 runs under the race detector; with the change 5 of 5 pass.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -85,7 +85,7 @@
 	m := r.message(false)
 	m.WaitMs = uint32(wait.Milliseconds())
 	m.Organisation, m.Priority = organisationHash(s.organisation), uint32(max(0, s.priority))
-	reserved, ok := s.g.keepers.Reserve(ctx, r.keeper.Name, m)
+	reserved, ok := s.g.keepers.Reserve(ctx, s.g.reservations.keeperOf(r), m)
 	if !ok && ctx.Err() != nil {
 		lease.Withdraw()
 		s.g.reservations.end(r, pool.Abandoned)
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -296,3 +296,30 @@
 		g.registry.SetFleetLoad(total)
 	}
 }
+
+// Guards against a request that reads the keeper of its place while a change of the fleet replaces it: the name may then
+// be that of neither router.
+func TestKeepersChangeWhileRequestsAskThem(t *testing.T) {
+	workers := []pool.Instance{{ID: "w-0", Pool: "plain", Slots: 64}, {ID: "w-1", Pool: "plain", Slots: 64}}
+	g := newPlainFleet(4, workers)[0]
+	all := []pool.Router{{Name: "r-000"}, {Name: "r-001"}, {Name: "r-002"}, {Name: "r-003"}}
+	var requests sync.WaitGroup
+	for range 8 {
+		requests.Go(func() {
+			for range 50 {
+				_ = g.sendPlain("", func(string) {})
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { requests.Wait(); close(done) }()
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		g.registry.SetFleet("r-000", all[:2+n%3])
+		g.reservations.moveToKeepers()
+	}
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -42,8 +42,9 @@
 type reservation struct {
 	sequence uint64
 	instance pool.Key
-	keeper   pool.Router
-	until    time.Time
+	// keeper changes with the fleet. It is guarded by the lock of reservations.
+	keeper pool.Router
+	until  time.Time
 	// local is set for a place at an instance of a plain service that this router keeps.
 	local bool
 }
@@ -160,6 +161,13 @@
 	return out
 }
 
+// keeperOf returns the name of the router that keeps the reservation's instance.
+func (r *reservations) keeperOf(res *reservation) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return res.keeper.Name
+}
+
 func (r *reservations) forget(res *reservation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -180,7 +188,7 @@
 		m.Ids = append(m.Ids, p.ID)
 		m.Tokens = append(m.Tokens, uint32(p.Tokens))
 	}
-	reserved, ok := r.fleet.Reserve(ctx, res.keeper.Name, m)
+	reserved, ok := r.fleet.Reserve(ctx, r.keeperOf(res), m)
 	if !ok {
 		return pool.Answer{}, false
 	}
@@ -189,7 +197,7 @@
 
 // force tells the keeper that the place is taken.
 func (r *reservations) force(res *reservation) {
-	r.fleet.Tell(res.keeper.Name, &peerpb.Message{Reserve: res.message(true)})
+	r.fleet.Tell(r.keeperOf(res), &peerpb.Message{Reserve: res.message(true)})
 }
 
 // end gives the place back and tells the keeper the outcome of the request. A nil reservation is allowed.
