Append no events to an error response that has broken off

Callers of resumable streams could get an answer that is no worker's: the begin of a large error response of one instance followed by the events of another.

Cause: a request whose response had begun was sent to another instance if its route allows streams to go on there, also when the response that had begun was not a stream of events.

Change: once a response that is not a stream of events has begun, nothing follows it.

Test: TestEventsAreNotAppendedToABrokenErrorResponse, before: 'not true: !strings.Contains(got.Body, "data:")' in 3 of 3 runs; with the change 5 of 5 pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -131,7 +131,7 @@
 	if ctx.Err() != nil || retry.Classify(failure, s.route.Retryable()) == retry.Never {
 		return false
 	}
-	if s.responseStarted && !s.route.Resumable {
+	if s.responseStarted && (s.plainStarted || !s.route.Resumable) {
 		return false
 	}
 	if failure.Verdict != verdict.NotRun && s.attemptsSent >= s.route.MaxAttempts {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -155,7 +155,7 @@
 		s.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	s.writer.WriteHeader(resp.StatusCode)
-	s.responseStarted = true
+	s.responseStarted, s.plainStarted = true, true
 	rest := int64(maxResponseBytes - begin.Len())
 	_, err := s.writer.Write(begin.Bytes())
 	begin.Close()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,6 +53,8 @@
 	// the last event of a stream that the caller has.
 	responseStarted bool
 	lastEventID     string
+	// plainStarted is set as well if the response is not a stream of events, so that nothing can follow it.
+	plainStarted bool
 	// budget is the retry budget of the pool. retryReserved is set when the next retry was already withdrawn
 	// from it.
 	budget        *poolBudget
