Survive the signal for changed settings at a start

Callers found a gateway gone that had just been started: the signal for changed settings ends a process that does not handle it, and the gateway handled it only once its settings were read and its parts were built.

Change: the program ignores the signal from its begin until it handles it. A change in between is found by the check at intervals.

--- a/cmd/jacinthfork-gateway/main.go
+++ b/cmd/jacinthfork-gateway/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -21,6 +23,8 @@
 )
 
 func main() {
+	// Until platform.Run handles it, the signal for changed settings would end the program.
+	signal.Ignore(syscall.SIGHUP)
 	check, advertise := false, ""
 	flaggy.SetName("jacinthfork-gateway")
 	flaggy.SetDescription("a router that reaches backend servers itself; its settings file is named by " + platform.SettingsVariable)
