Answer and log a request whose serving panics

Callers of a request that met a fault of the gateway saw their connection close without an answer, and nothing in the log said so.

Cause: a panic was left to net/http, which closes the connection, and reports it to an error log whose level is below the one that is written. No such panic is known; without the log line none could have been told from other losses.

Change: a panic is logged with its stack, and the request gets 502, because it may have run, unless its response has begun. A lease that the request holds stays counted.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -77,6 +77,7 @@
 // one that is told to come back.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	s := &requestState{g: g, writer: w, request: r, start: time.Now(), target: r.RequestURI}
+	defer s.recoverPanic()
 	select {
 	case <-g.started:
 	case <-r.Context().Done():
