Take no requests late in a stop that can be cut off at its end

Cause: a response whose header was written before SIGTERM says nothing of the close. When it ended during the drain, the connection was kept until the next check, up to 25 ms later, and the caller's next request was served like any other. A request that arrives while the response is under way was served as well.

Change: during a drain a connection is closed as soon as the server would wait for a further request on it, under the lock that also sees data which has arrived. What is read later than 0.4 s after the drain delay is refused with 503 and a Retry-After of 50 ms, because the rest of the grace period may be too short for it. Another gateway serves it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,8 @@
 	// started is closed once the router is ready for the first time, or StartHold after its start.
 	started chan struct{}
 	leaving atomic.Bool
+	// refusing is set when it is too late in a stop for a request that has just been read.
+	refusing atomic.Bool
 	// requests is the context of all callers' requests. endRequests cancels it with errStopped.
 	requests       context.Context
 	endRequests    context.CancelCauseFunc
@@ -317,6 +319,8 @@
 	time.Sleep(min(g.settings.DrainDelay, g.settings.GracePeriod/2))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.settings.GracePeriod-stopMargin))
 	defer cancel()
+	refusal := time.AfterFunc(lateArrival, func() { g.refusing.Store(true) })
+	defer refusal.Stop()
 	err := callerconn.Drain(ctx, g.callerServer, g.callerListener, g.callers)
 	if err != nil {
 		g.log.Warn("stop is not complete", "error", err)
@@ -334,6 +338,10 @@
 	_ = g.readyServer.Close()
 }
 
+// lateArrival is how long after the drain delay requests are still served that were sent on connections made before. Later
+// ones could be cut off when the process is killed.
+const lateArrival = 400 * time.Millisecond
+
 const (
 	// stopMargin is reserved between the end of Drain and the kill, for the responses to requests that are left, logging
 	// and process exit. answerMargin is the part for the responses.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,6 +83,11 @@
 	case <-r.Context().Done():
 	}
 	s.table = g.table.Load()
+	if g.refusing.Load() {
+		w.Header().Set("Connection", "close")
+		s.refuseLate()
+		return
+	}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -101,6 +106,16 @@
 	}
 }
 
+// stopRetryAfter is the Retry-After value of a router that stops. The caller reaches another one.
+const stopRetryAfter = 50 * time.Millisecond
+
+// refuseLate refuses a request that was read too late in a stop.
+func (s *requestState) refuseLate() {
+	// Without a valid header the response names no request.
+	s.call, _ = s.g.env.Protocol.ParseRequest(s.request)
+	s.reject(unavailable(verdict.ReasonLeaving, "the router stops", stopRetryAfter))
+}
+
 // accept validates and authorises the request and reads its body.
 func (s *requestState) accept() *verdict.Error {
 	if s.table == nil {
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -74,6 +74,10 @@
 	reads   uint64
 	waiting bool
 	retired bool
+	// closing is set while the server shuts down: the connection is closed, like an unused one, as soon as a read would wait
+	// for the first data after idleReads.
+	closing   bool
+	idleReads uint64
 }
 
 func newTracked(conn net.Conn) *tracked {
@@ -104,6 +108,10 @@
 		}
 		n, err = c.count(socket.ReadNow(fd, p))
 		c.waiting = errors.Is(err, syscall.EAGAIN)
+		if c.waiting && c.closing && c.reads == c.idleReads {
+			c.retired, err = true, net.ErrClosed
+			return true
+		}
 		return !c.waiting
 	})
 	c.setWaiting(false)
@@ -134,9 +142,12 @@
 	return n, err
 }
 
-func (c *tracked) readCount() uint64 {
+// idle notes that a response has ended, and returns the number of reads until then. The server reads next to wait for
+// another request.
+func (c *tracked) idle(closing bool) (reads uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closing, c.idleReads = closing, c.reads
 	return c.reads
 }
 
@@ -163,6 +174,8 @@
 	mu          sync.Mutex
 	conns       map[net.Conn]connState
 	activeCount int
+	// draining is set once no connection is kept after its response.
+	draining bool
 }
 
 type connState struct {
@@ -191,7 +204,7 @@
 	}
 	next := connState{state: state, since: time.Now()}
 	if own, ok := conn.(*tracked); ok && state == http.StateIdle {
-		next.reads = own.readCount()
+		next.reads = own.idle(c.draining)
 	}
 	c.conns[conn] = next
 }
@@ -229,6 +242,14 @@
 	return left
 }
 
+// startDrain makes connections be closed after their response, also if its header did not say so. The next check would
+// come too late for a caller that sends its next request at once.
+func (c *Tracker) startDrain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
+
 // newConnGrace is how long a connection without data is kept while a router shuts down: the request may be on its way.
 const newConnGrace = 500 * time.Millisecond
 
@@ -254,6 +275,7 @@
 // over from the listener does not end it.
 func Drain(ctx context.Context, server *http.Server, l *Listener, t *Tracker) error {
 	accepting := l.CloseAccepting()
+	t.startDrain()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
