Make the test of reservations independent of machine speed

With the processor shared with busy loops, the previous test fails in 23 of 600 runs at its first two questions. Traced, 22 of them ended by the timer, 41 to 130 ms after the question: the answer of a sound keeper took longer than reserveTimeout (40 ms) on the busy processor. In one the link was closed while the question was in flight, after a start of the fleet that took 2.5 s. Both are "no answer in time", after which a router decides alone. No other branch returned nil.

The wait for an answer is now a field of Fleet, which the test sets to testTimeout where the keeper answers, so that one question must be answered without a repeat. An exchange is repeated only if the open links have changed meanwhile. Where the keeper is mute, the wait is reserveTimeout as before; the test also checks that the pause lasts at least reserveBackoff, and that a message sent after the second question arrives while the question does not.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -125,8 +125,10 @@
 	meter      *traffic.Meter
 	server     *grpc.Server
 	startedAt  time.Time
-	wake       chan struct{}
-	notifyMu   sync.Mutex
+	// answerTimeout is reserveTimeout, unless a test sets another one.
+	answerTimeout time.Duration
+	wake          chan struct{}
+	notifyMu      sync.Mutex
 
 	mu sync.Mutex
 	// runCtx ends with Run, and endRun ends Run.
@@ -186,7 +188,7 @@
 // which others reach it, and defaults to address. meter counts its traffic.
 func New(node, address, advertised string, handler Handler, meter *traffic.Meter) *Fleet {
 	return &Fleet{
-		node: node, address: address, advertised: advertised, handler: handler, meter: meter, startedAt: time.Now(), wake: make(chan struct{}, 1),
+		node: node, address: address, advertised: advertised, handler: handler, meter: meter, startedAt: time.Now(), answerTimeout: reserveTimeout, wake: make(chan struct{}, 1),
 		runCtx: context.Background(), endRun: func() {}, links: make(map[string][]*link), dials: make(map[string]*dialState), reached: make(map[string]bool), children: make(map[string]*child),
 		avoidUntil: make(map[string]time.Time), pending: make(map[uint64]chan *peerpb.Message),
 	}
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,6 +129,25 @@
 	is.Equal(len(h.fleet.seeds), 0)
 }
 
+// openLinks returns the open links to a router.
+func (f *Fleet) openLinks(node string) []*link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.links[node]), func(l *link) bool { return l.ctx.Err() != nil })
+}
+
+// withSteadyLinks runs an exchange with a router, and runs it again if the open links to that router have changed
+// meanwhile: what is in flight on a link that is closed may be lost, and a new link ends the pause after a question
+// without an answer.
+func withSteadyLinks(t testing.TB, f *Fleet, node string, exchange func()) {
+	t.Helper()
+	eventually(t, func() bool {
+		before := f.openLinks(node)
+		exchange()
+		return len(before) > 0 && slices.Equal(before, f.openLinks(node))
+	})
+}
+
 // Guards against a request that waits for a keeper that does not answer, at each attempt, and against a place that a
 // keeper never hears of or never gets back.
 func TestReservations(t *testing.T) {
@@ -136,31 +156,81 @@
 	all := startFleet(t, 3)
 	a, b := all[0], all[1]
 	held := func() int { return b.get(func() int { return len(b.held) }) }
-	r := &peerpb.Reserve{Sequence: a.fleet.NextSequence(), Instance: 9}
-	answer, ok := a.fleet.Reserve(t.Context(), b.fleet.node, r)
+	prepare := func(mute bool) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		clear(b.held)
+		b.mute, b.outcome = mute, peerpb.Outcome_SERVED
+	}
+	reserve := func(sequence uint64) (*peerpb.Reserved, bool) {
+		return a.fleet.Reserve(t.Context(), b.fleet.node, &peerpb.Reserve{Sequence: sequence, Instance: 9})
+	}
+	// release also waits until b has received all earlier messages, or the link has been closed.
+	release := func(sequence uint64) {
+		l := a.fleet.openLinks(b.fleet.node)
+		a.fleet.Tell(b.fleet.node, &peerpb.Message{Released: sequence, Outcome: peerpb.Outcome_UNREACHABLE})
+		eventually(t, func() bool {
+			received := b.get(func() int { return int(b.outcome) }) == int(peerpb.Outcome_UNREACHABLE)
+			return received || !slices.Equal(l, a.fleet.openLinks(b.fleet.node))
+		})
+	}
+	pending := func() int {
+		a.fleet.mu.Lock()
+		defer a.fleet.mu.Unlock()
+		return len(a.fleet.pending)
+	}
+
+	// The wait for a keeper that answers must not end on a slow machine.
+	a.fleet.answerTimeout = testTimeout
+	var answer *peerpb.Reserved
+	var ok bool
+	var taken int
+	withSteadyLinks(t, a.fleet, b.fleet.node, func() {
+		prepare(false)
+		sequence := a.fleet.NextSequence()
+		answer, ok = reserve(sequence)
+		taken = held()
+		release(sequence)
+	})
 	is.True(ok)
 	is.True(answer.GetGranted())
 	is.Equal(answer.GetInstances(), []uint32{9})
-	is.Equal(held(), 1)
-	a.fleet.Tell(b.fleet.node, &peerpb.Message{Released: r.GetSequence(), Outcome: peerpb.Outcome_UNREACHABLE})
-	eventually(t, func() bool { return held() == 0 })
-	is.Equal(b.get(func() int { return int(b.outcome) }), int(peerpb.Outcome_UNREACHABLE))
+	is.Equal(taken, 1)
+	is.Equal(held(), 0)
 
-	located, ok := a.fleet.Locate(t.Context(), b.fleet.node, &peerpb.Locate{Sequence: a.fleet.NextSequence(), Document: 7, Instance: 9})
+	var located *peerpb.Located
+	withSteadyLinks(t, a.fleet, b.fleet.node, func() {
+		located, ok = a.fleet.Locate(t.Context(), b.fleet.node, &peerpb.Locate{Sequence: a.fleet.NextSequence(), Document: 7, Instance: 9})
+	})
 	is.True(ok)
 	is.Equal(located.GetInstances(), []uint32{7, 9})
+	is.Equal(pending(), 0)
 
-	b.mu.Lock()
-	b.mute = true
-	b.mu.Unlock()
-	_, ok = a.fleet.Reserve(t.Context(), b.fleet.node, &peerpb.Reserve{Sequence: a.fleet.NextSequence()})
-	is.True(!ok)
-	is.Equal(held(), 1) // the place may be taken although no answer came
-	before := a.get(func() int { return len(a.fleet.pending) })
-	_, ok = a.fleet.Reserve(t.Context(), b.fleet.node, &peerpb.Reserve{Sequence: a.fleet.NextSequence()})
-	is.True(!ok)
-	is.Equal(held(), 1) // it is not asked again for a while
-	is.Equal(before, 0) // and nothing is left behind
+	a.fleet.answerTimeout = reserveTimeout
+	var first, second bool
+	var left int
+	var pause time.Duration
+	withSteadyLinks(t, a.fleet, b.fleet.node, func() {
+		prepare(true)
+		a.fleet.mu.Lock()
+		delete(a.fleet.avoidUntil, b.fleet.node)
+		a.fleet.mu.Unlock()
+		asked := time.Now()
+		_, first = reserve(a.fleet.NextSequence())
+		left = pending()
+		a.fleet.mu.Lock()
+		pause = a.fleet.avoidUntil[b.fleet.node].Sub(asked)
+		// The pause must not end before the next question on a slow machine.
+		a.fleet.avoidUntil[b.fleet.node] = asked.Add(time.Hour)
+		a.fleet.mu.Unlock()
+		_, second = reserve(a.fleet.NextSequence())
+		release(a.fleet.NextSequence())
+	})
+	is.True(!first)
+	is.True(!second)
+	is.Equal(held(), 1) // the place may be taken although no answer came, and the keeper is not asked again for a while
+	is.True(pause >= reserveTimeout+reserveBackoff)
+	is.Equal(left, 0) // nothing is left behind
 	_, ok = a.fleet.Reserve(t.Context(), "node-unknown", &peerpb.Reserve{})
 	is.True(!ok)
 }
--- a/gateway/peer/reserve.go
+++ b/gateway/peer/reserve.go
@@ -23,14 +23,14 @@
 // caller then decides alone; the place may be taken, or waited for, all the same.
 func (f *Fleet) Reserve(ctx context.Context, node string, r *peerpb.Reserve) (answer *peerpb.Reserved, ok bool) {
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
-	m := f.ask(ctx, node, r.GetSequence(), &peerpb.Message{Reserve: r}, reserveTimeout+wait)
+	m := f.ask(ctx, node, r.GetSequence(), &peerpb.Message{Reserve: r}, f.answerTimeout+wait)
 	return m.GetReserved(), m.GetReserved() != nil
 }
 
 // Locate asks a router for the instances that may hold a document of its directory. ok is false if it did not answer in
 // time.
 func (f *Fleet) Locate(ctx context.Context, node string, l *peerpb.Locate) (answer *peerpb.Located, ok bool) {
-	m := f.ask(ctx, node, l.GetSequence(), &peerpb.Message{Locate: l}, reserveTimeout)
+	m := f.ask(ctx, node, l.GetSequence(), &peerpb.Message{Locate: l}, f.answerTimeout)
 	return m.GetLocated(), m.GetLocated() != nil
 }
 
