Give each fleet of the soak a loopback address of its own

All fleets listened on 127.0.0.1, on ports that FreeAddress counts from 10000 up in each test binary. Of two soaks at the same time, one failed to start: "listen tcp 127.0.0.1:10001: bind: address already in use" (seen once, in the first two that ran side by side).

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,7 +36,6 @@
 	plainWorkers  = 3
 	engineWorkers = 4
 	callerCount   = 12
-	host          = "127.0.0.1"
 	// withdrawalBound is the time after which no request may reach a worker whose entry was removed, in the
 	// absence of faults: the platform allows two seconds, and one more is for a slow test machine.
 	withdrawalBound = 3 * time.Second
@@ -51,8 +50,10 @@
 // fleet is the system under test. The gateways are processes; workers, store and callers run in the test
 // process.
 type fleet struct {
-	t       *testing.T
-	rng     *rand.Rand
+	t   *testing.T
+	rng *rand.Rand
+	// host is the IP address of the gateways and links.
+	host    string
 	checker *Checker
 	store   *standin.Store
 	configs []standin.RouterConfig
@@ -72,7 +73,7 @@
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), checker: NewChecker(), store: standin.NewStore(), incarnations: make([]atomic.Int32, gatewayCount)}
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), host: fleettest.LoopbackIP(t), checker: NewChecker(), store: standin.NewStore(), incarnations: make([]atomic.Int32, gatewayCount)}
 	t.Cleanup(f.store.Close)
 	f.configure()
 	for n := range plainWorkers + engineWorkers {
@@ -80,14 +81,14 @@
 	}
 	var seeds []string
 	for n := range gatewayCount {
-		link := fleettest.NewRelay(t, host, f.store.Address())
+		link := fleettest.NewRelay(t, f.host, f.store.Address())
 		f.storeLinks = append(f.storeLinks, link)
 		config := standin.RouterConfig{
-			Name: fmt.Sprintf("node-%d", n), CallerAddress: fleettest.FreeAddress(t, host), ReadyAddress: fleettest.FreeAddress(t, host),
-			PeerAddress: fleettest.FreeAddress(t, host), MetricsAddress: fleettest.FreeAddress(t, host), StoreAddress: link.Address(),
+			Name: fmt.Sprintf("node-%d", n), CallerAddress: fleettest.FreeAddress(t, f.host), ReadyAddress: fleettest.FreeAddress(t, f.host),
+			PeerAddress: fleettest.FreeAddress(t, f.host), MetricsAddress: fleettest.FreeAddress(t, f.host), StoreAddress: link.Address(),
 			Seeds: seeds, GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 		}
-		peers := fleettest.NewRelay(t, host, config.PeerAddress)
+		peers := fleettest.NewRelay(t, f.host, config.PeerAddress)
 		f.peerLinks = append(f.peerLinks, peers)
 		seeds = append(seeds, peers.Address())
 		environment, err := config.WriteSettings(filepath.Join(t.TempDir(), "settings.json"))
@@ -125,7 +126,7 @@
 	w := standin.NewWorker(fmt.Sprintf("w-%d-%d", n, len(f.workers)), pool, "zone-a")
 	f.t.Cleanup(w.Crash)
 	setHealthy(w)
-	link := fleettest.NewRelay(f.t, host, w.Address())
+	link := fleettest.NewRelay(f.t, f.host, w.Address())
 	f.workers = append(f.workers, w)
 	f.workerLinks = append(f.workerLinks, link)
 	f.store.Publish(w, "ready", link.Address())
