Run gateways as processes while the configuration changes

The soak changed the configuration only by adding routes, its callers took no notice of a connection that closed without a response, and no two process faults overlapped.

TestChangesLeaveNoRequestUnanswered runs three gateways with callers that keep their connections, send some requests in two parts and use a connection until the gateway closes it. Configurations follow each other singly and in quick succession: idle timeout, timeouts of routes, another service, weights, routes and keys added and removed, and a service that no route needs is dropped. Each gateway has its own series of SIGHUP, SIGTERM with restart, SIGKILL and SIGSTOP with SIGCONT. All backend servers are sound. Each request that was sent whole must get a complete response, except for a kill of its gateway, a close by a planned stop that crosses it within 200 ms and is not passed on, and a stream that has begun and reaches its caller's deadline. The checks of answers, executions and refusals are those of TestSoak.

Locks of process faults are per gateway now, in TestSoak too, so that faults of different gateways overlap. Stand-ins: a configuration has an idle timeout, keys and weights, and a response counts as signed only by the signature for its own request.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -48,40 +48,53 @@
 	{MismatchedAfter: true, MismatchedAfterDelay: 20 * time.Millisecond}, {Status: 500}, {BreakAfter: 5}, {Delay: 400 * time.Millisecond},
 }
 
-// restart ends a gateway with end, kills it if it still runs and starts it again. It holds processMu, so that
-// faults that end a gateway do not overlap.
-func (f *fleet) restart(node int, end func(p *fleettest.Process)) {
-	f.processMu.Lock()
-	defer f.processMu.Unlock()
+// processEnd is the end of a gateway process by SIGTERM or SIGKILL, from the signal until the process was gone.
+type processEnd struct {
+	node     int
+	signal   syscall.Signal
+	at, gone time.Time
+}
+
+// endProcess sends a gateway SIGTERM or SIGKILL and kills it if it still runs at the end of its grace period.
+func (f *fleet) endProcess(node int, signal syscall.Signal) {
 	f.incarnations[node].Add(1)
-	end(f.nodes[node])
-	f.nodes[node].Kill()
+	end := processEnd{node: node, signal: signal, at: time.Now()}
+	f.nodes[node].Signal(signal)
+	if _, err := f.nodes[node].Wait(f.configs[node].GracePeriod); err != nil {
+		f.t.Errorf("%s did not stop in time: %v", f.configs[node].Name, err)
+		f.nodes[node].Kill()
+	}
+	end.gone = time.Now()
+	f.endsMu.Lock()
+	defer f.endsMu.Unlock()
+	f.ends = append(f.ends, end)
+}
+
+// restart ends the process of a gateway and starts it again.
+func (f *fleet) restart(node int, signal syscall.Signal) {
+	f.nodeMu[node].Lock()
+	defer f.nodeMu[node].Unlock()
+	f.endProcess(node, signal)
 	f.incarnations[node].Add(1)
 	f.nodes[node].Restart()
 }
 
-func (f *fleet) killNode(node int) { f.restart(node, func(*fleettest.Process) {}) }
+func (f *fleet) killNode(node int) { f.restart(node, syscall.SIGKILL) }
 
-func (f *fleet) stopNode(node int) {
-	f.restart(node, func(p *fleettest.Process) {
-		p.Signal(stopSignal)
-		if _, err := p.Wait(f.configs[node].GracePeriod); err != nil {
-			f.t.Errorf("%s did not stop in time: %v", f.configs[node].Name, err)
-		}
-	})
-}
+// stopNode stops a gateway as the platform does.
+func (f *fleet) stopNode(node int) { f.restart(node, syscall.SIGTERM) }
 
 func (f *fleet) pauseNode(node int, duration time.Duration) {
-	f.processMu.Lock()
-	defer f.processMu.Unlock()
+	f.nodeMu[node].Lock()
+	defer f.nodeMu[node].Unlock()
 	f.nodes[node].Pause()
 	time.Sleep(duration)
 	f.nodes[node].Resume()
 }
 
 func (f *fleet) sendHangup(node int) {
-	f.processMu.Lock()
-	defer f.processMu.Unlock()
+	f.nodeMu[node].Lock()
+	defer f.nodeMu[node].Unlock()
 	f.nodes[node].Signal(syscall.SIGHUP)
 }
 
@@ -123,11 +136,10 @@
 
 // killAll kills all gateways before it restarts any, so that none can recover state from a peer.
 func (f *fleet) killAll() {
-	f.processMu.Lock()
-	defer f.processMu.Unlock()
-	for n, node := range f.nodes {
-		f.incarnations[n].Add(1)
-		node.Kill()
+	for n := range f.nodes {
+		f.nodeMu[n].Lock()
+		defer f.nodeMu[n].Unlock()
+		f.endProcess(n, syscall.SIGKILL)
 	}
 	for n, node := range f.nodes {
 		f.incarnations[n].Add(1)
@@ -162,8 +174,8 @@
 
 // crashWorker crashes a worker and withdraws its entry from the store, then restarts and publishes it again.
 func (f *fleet) crashWorker(worker int, duration time.Duration) {
-	f.processMu.Lock()
-	defer f.processMu.Unlock()
+	f.workerMu.Lock()
+	defer f.workerMu.Unlock()
 	w := f.workers[worker]
 	w.Crash()
 	f.store.Withdraw(w)
@@ -180,8 +192,8 @@
 
 // drainWorker publishes a worker as draining, then restarts it and publishes it as ready.
 func (f *fleet) drainWorker(worker int, duration time.Duration) {
-	f.processMu.Lock()
-	defer f.processMu.Unlock()
+	f.workerMu.Lock()
+	defer f.workerMu.Unlock()
 	w := f.workers[worker]
 	address := f.workerLinks[worker].Address()
 	f.store.Publish(w, "draining", address)
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -1,7 +1,7 @@
 // Package soak runs the gateways of a fleet as separate processes against stand-ins of the platform, injects
 // faults from outside the processes and checks invariants on what callers and backend servers observe.
 //
-//	go test ./internal/soak -run TestSoak -soak.seed=7 -soak.count=50 -soak.faults=12
+//	go test ./internal/soak -run 'TestSoak|TestChanges' -soak.seed=7 -soak.count=50 -soak.faults=12
 //
 // A seed determines the sequence of faults and of requests, but not their timing relative to each other.
 // Seeds that have failed stay in regressions, with the cause.
@@ -62,6 +62,13 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// Violation reports a violated invariant that the caller has found.
+func (c *Checker) Violation(text string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violatef("%s", text)
+}
+
 // RecordRequest records a request. It must be called before the request is sent.
 func (c *Checker) RecordRequest(r Request) {
 	c.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -20,7 +22,7 @@
 var (
 	seedFlag   = flag.Uint64("soak.seed", 1, "first seed")
 	countFlag  = flag.Int("soak.count", 1, "number of seeds")
-	faultsFlag = flag.Int("soak.faults", 8, "number of faults per seed")
+	faultsFlag = flag.Int("soak.faults", 8, "number of faults per seed, or per gateway where the configuration changes")
 )
 
 func TestMain(m *testing.M) { fleettest.Main(m) }
@@ -68,8 +70,12 @@
 	workerLinks []*fleettest.Relay
 	version     atomic.Int32
 	requests    atomic.Int64
-	// processMu serialises faults that signal, end or restart a gateway or worker.
-	processMu sync.Mutex
+	// nodeMu[n] serialises faults that signal, end or restart gateway n, and workerMu those that restart a worker.
+	nodeMu   [gatewayCount]sync.Mutex
+	workerMu sync.Mutex
+	// ends are the ends of gateway processes.
+	endsMu sync.Mutex
+	ends   []processEnd
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -115,7 +121,7 @@
 	for n := 1; n <= version; n++ {
 		routes = append(routes, standin.Route{Prefix: fmt.Sprintf("/v%d/", n), Mode: "idempotent", Pool: "plain", Timeout: time.Second})
 	}
-	f.store.Configure(version, routes)
+	f.store.Configure(standin.Configuration{Version: version, Routes: routes})
 }
 
 func (f *fleet) addWorker(n int) {
@@ -123,7 +129,12 @@
 	if n >= plainWorkers {
 		pool = "engine"
 	}
-	w := standin.NewWorker(fmt.Sprintf("w-%d-%d", n, len(f.workers)), pool, "zone-a")
+	f.addWorkerTo(pool)
+}
+
+func (f *fleet) addWorkerTo(pool string) {
+	n := len(f.workers)
+	w := standin.NewWorker(fmt.Sprintf("w-%d-%d", n, n), pool, "zone-a")
 	f.t.Cleanup(w.Crash)
 	setHealthy(w)
 	link := fleettest.NewRelay(f.t, f.host, w.Address())
@@ -134,12 +145,16 @@
 
 func setHealthy(w *standin.Worker) { setBehaviour(w, standin.Behaviour{}) }
 
-// setBehaviour makes a worker respond to each request with the body expected for it and the given fault.
+// setBehaviour makes a worker respond to each request with the body expected for it and the given fault. A number at the
+// end of the path is the delay in milliseconds.
 func setBehaviour(w *standin.Worker, fault standin.Behaviour) {
 	w.SetBehaviourFunc(func(r *http.Request) standin.Behaviour {
 		b := fault
 		b.Body = Answer(standin.RequestID(r))
-		if w.Pool == "engine" {
+		if delay, err := strconv.Atoi(path.Base(r.URL.Path)); err == nil {
+			b.Delay = time.Duration(delay) * time.Millisecond
+		}
+		if strings.HasPrefix(w.Pool, "engine") {
 			b.Events, b.EventGap = streamEvents, 10*time.Millisecond
 		}
 		return b
@@ -310,6 +325,3 @@
 		t.Errorf("seed %d: %s", seed, text)
 	}
 }
-
-// stopSignal is the signal with which the platform stops a process.
-const stopSignal = syscall.SIGTERM
