Cut off no sound stream for this router's own pause

Callers of resumable streams saw them move to another instance, and end if that one refused, although their instance had sent events all the while: a router that is short of processor time, such as while it reads a large configuration, or that was paused, had not read them.

Cause: an instance counts as stalled when no request of this router there has made progress for a time. Progress is noted when an event is read, so the time without processor counts against the instance.

Change: a stream is not taken for stalled while data of it waits in the operating system.

Test: TestOwnPauseIsNotTakenForAStall, before: 'FAIL: data_unread'; 3 of 3 pass under the race detector. A loss in service has not been traced to this. That a stream is cut off when the other instance refuses it stays open (TestStalledStreamIsKeptWhenTheOtherInstanceRefuses).

--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
 // Request is a request to a backend server. Body is held in memory, so that it can be sent again.
@@ -89,6 +91,13 @@
 	_ = r.conn.Close()
 }
 
+// Unread reports whether data of the body has arrived that was not read from the connection yet. It may be called while
+// the body is read.
+func (r *Response) Unread() bool {
+	readable, err := socket.Readable(r.conn.Conn)
+	return err == nil && readable
+}
+
 // SetReadDeadline sets the deadline for reading the body. Zero removes it.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -208,7 +208,8 @@
 			return
 		case <-ticker.C:
 		}
-		if !lease.Stalled(limit) {
+		// With data unread, it is this router that was silent.
+		if !lease.Stalled(limit) || resp.Unread() {
 			continue
 		}
 		if s.g.registry.HasAlternative(request) && s.budget.Withdraw(time.Now()) {
