Keep suspecting prompt parts of requests that end with an error response

Callers of a fleet in which some backend servers answer a share of the requests with 500 saw crash after crash of requests with one part, as before that part could be blocked.

Cause: any complete framed response cleared the parts of its request. A faulty backend server answers 500, one whose deadline has passed answers 504, and one that does not accept a request answers 4xx, all without running the engine. Such a response to a request with a part that crashes engines ended the chain of its crashes.

Change: only a successful response clears the parts of a prompt.

Evidence: TestErrorResponsesDoNotClearAPartThatCrashesEngines. Without the change:

--- FAIL: TestErrorResponsesDoNotClearAPartThatCrashesEngines/client_error (10.07s) poison_test.go:134: 20 requests with the part crashed 20 engines and none was refused --- FAIL: TestErrorResponsesDoNotClearAPartThatCrashesEngines/server_error (10.09s) poison_test.go:134: 20 requests with the part crashed 20 engines and none was refused

With it the test passes, and so does TestPromptPartThatCrashesEnginesIsBlocked.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -105,14 +105,21 @@
 		}
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 	}
+	// An error response may come from a backend server that has not run its engine.
+	succeeded := resp.StatusCode < http.StatusMultipleChoices
 	if !complete {
-		s.recordAnswer()
+		if succeeded {
+			s.recordAnswer()
+		}
 		return s.relayUnbuffered(ctx, resp, body)
 	}
-	if framed(resp.Response) {
+	switch {
+	case !framed(resp.Response):
+		if len(s.parts) > 0 {
+			s.reportFailedConnection(lease)
+		}
+	case succeeded:
 		s.recordAnswer()
-	} else if len(s.parts) > 0 {
-		s.reportFailedConnection(lease)
 	}
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	if failed && s.retriesErrorResponse() {
