End the block of a prompt part in time at all routers

A part stayed blocked for longer than its period, and for good where messages take about as long as the pause between them.

Cause: blocked parts are told in every message with the age of their last crash. The receiver took the later of its own time and the told one, which is later by the time that the message took. Two neighbours that told each other the same crash so postponed the end of the block with each message.

Change: the time of the last crash is taken from a message only if the message adds a crash or depth.

Evidence: TestBlockEndsDespiteDelayedMessages. Without the change:

--- FAIL: TestBlockEndsDespiteDelayedMessages (0.00s) exchange_test.go: not true: !blocked(all[0], guide)

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -87,14 +87,16 @@
 	if m.GetDepth() > p.depth {
 		p.depth, deeper, changed = m.GetDepth(), true, true
 	}
-	if at := now.Add(-min(2*maxBlockPeriod, time.Duration(m.GetAgeMs())*time.Millisecond)); at.After(p.crashedAt) {
-		p.crashedAt = at
-	}
 	for _, crash := range m.GetCrashes() {
 		changed = p.addCrash(crash) || changed
 	}
-	if changed {
-		p.changedAt = now
+	if !changed {
+		// The age of a crash that is known is longer by the time that the message took.
+		return deeper
+	}
+	p.changedAt = now
+	if at := now.Add(-min(2*maxBlockPeriod, time.Duration(m.GetAgeMs())*time.Millisecond)); at.After(p.crashedAt) {
+		p.crashedAt = at
 	}
 	return deeper
 }
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -3,7 +3,9 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
@@ -46,3 +48,23 @@
 		}
 	})
 }
+
+// Guards against blocks that never end because each message, which takes a while, makes the last crash later.
+func TestBlockEndsDespiteDelayedMessages(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(2)
+	for range blockDepth {
+		crash(all[0], guide)
+	}
+	for begin := c.at; c.at.Sub(begin) < blockPeriod; {
+		for i := range all {
+			told := all[i].Export()
+			c.at = c.at.Add(100 * time.Millisecond)
+			all[1-i].Merge(told)
+		}
+		c.at = c.at.Add(300 * time.Millisecond)
+	}
+	is.True(!blocked(all[0], guide))
+	c.at = c.at.Add(time.Second)
+	is.True(!blocked(all[1], guide))
+}
