Tell routers of a clearance that they have missed

A router that was frozen or cut off for a few seconds while a sound part was cleared refused all requests with that part for minutes. And the crashes that a router reported under an older generation of a part counted nowhere.

Cause: a clearance is told for newsPeriod only. A router that missed it goes on to tell the part as blocked, and the others ignored that without an answer. It sends no request with the part that could clear it. The same holds for a router that has forgotten a generation: its evidence is void elsewhere, and it never learns why.

Change: who is told an older generation tells its own again.

Evidence: TestRouterThatMissedAClearanceIsTold and TestEvidenceOfAnOlderGenerationBringsTheNewerOne. Without the change:

--- FAIL: TestRouterThatMissedAClearanceIsTold (0.00s) exchange_test.go:67: not true: !blocked(all[1], guide, page) --- FAIL: TestEvidenceOfAnOlderGenerationBringsTheNewerOne (0.00s) exchange_test.go:82: not true: blocked(all[0], deadly)

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -76,6 +76,8 @@
 		p = &part{generation: m.GetGeneration(), changedAt: now}
 		t.parts[m.GetPart()] = p
 	case m.GetGeneration() < p.generation:
+		// The other router has missed the clearance.
+		p.changedAt = now
 		return false
 	case m.GetGeneration() > p.generation:
 		*p = part{generation: m.GetGeneration(), changedAt: now}
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -49,6 +49,40 @@
 	})
 }
 
+// Guards against a sound part that a router refuses for minutes because it missed the one time that the clearing response
+// was told, for example while it was frozen or cut off: it sends no request with the part that could clear it.
+func TestRouterThatMissedAClearanceIsTold(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(2)
+	for range blockDepth {
+		crash(all[0], guide)
+	}
+	exchange(all...)
+	is.True(blocked(all[1], guide, page))
+	all[0].RecordResponse([]uint64{guide})
+	c.at = c.at.Add(newsPeriod + time.Second)
+	for range 2 {
+		exchange(all...)
+	}
+	is.True(!blocked(all[1], guide, page))
+}
+
+// Guards against evidence that is lost because a router has forgotten, or never heard, that a part was cleared before.
+func TestEvidenceOfAnOlderGenerationBringsTheNewerOne(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(2)
+	crash(all[0], deadly)
+	all[0].RecordResponse([]uint64{deadly})
+	c.at = c.at.Add(newsPeriod + time.Second)
+	for range blockDepth + 1 {
+		crash(all[1], deadly)
+		exchange(all...)
+		exchange(all...)
+	}
+	is.True(blocked(all[0], deadly))
+	is.True(blocked(all[1], deadly))
+}
+
 // Guards against blocks that never end because each message, which takes a while, makes the last crash later.
 func TestBlockEndsDespiteDelayedMessages(t *testing.T) {
 	is := is.New(t)
