Tell clearances of blocked prompt parts before new suspects

A sound part that was blocked and then cleared by a response at one router stayed blocked at the others while many parts were suspected, for example after the loss of a failure domain.

Cause: a message holds maxTold parts, those of the greatest depth first. A cleared part has depth 0 and came last, so that its clearance was not told within newsPeriod when as many others were suspected, once each.

Change: a cleared part is told with the precedence of the depth from which it was cleared.

Evidence: TestClearancesFitBesideManySuspects. Without the change:

--- FAIL: TestClearancesFitBesideManySuspects (0.00s) exchange_test.go:100: not true: !blocked(all[1], guide, page)

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -33,7 +33,7 @@
 	}
 	slices.SortFunc(told, func(a, b uint64) int {
 		p, q := t.parts[a], t.parts[b]
-		return cmp.Or(cmp.Compare(q.depth, p.depth), q.changedAt.Compare(p.changedAt), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(max(q.depth, q.clearedDepth), max(p.depth, p.clearedDepth)), q.changedAt.Compare(p.changedAt), cmp.Compare(a, b))
 	})
 	out := make([]*peerpb.SuspectPart, 0, min(maxTold, len(told)))
 	for _, id := range told[:min(maxTold, len(told))] {
@@ -80,7 +80,7 @@
 		p.changedAt = now
 		return false
 	case m.GetGeneration() > p.generation:
-		*p = part{generation: m.GetGeneration(), changedAt: now}
+		*p = part{generation: m.GetGeneration(), clearedDepth: max(p.depth, p.clearedDepth), changedAt: now}
 	}
 	if m.GetDepth() == 0 {
 		return false
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -83,6 +83,23 @@
 	is.True(blocked(all[1], deadly))
 }
 
+// Guards against sound parts that stay blocked where they are not answered because more suspected parts than a message holds
+// displace the news of their clearance.
+func TestClearancesFitBesideManySuspects(t *testing.T) {
+	is := is.New(t)
+	_, all := newTables(2)
+	for range blockDepth {
+		crash(all[0], guide)
+	}
+	exchange(all...)
+	for i := range uint64(2 * maxTold) {
+		crash(all[0], 1000+i)
+	}
+	all[0].RecordResponse([]uint64{guide})
+	exchange(all...)
+	is.True(!blocked(all[1], guide, page))
+}
+
 // Guards against blocks that never end because each message, which takes a while, makes the last crash later.
 func TestBlockEndsDespiteDelayedMessages(t *testing.T) {
 	is := is.New(t)
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -56,6 +56,8 @@
 	generation uint32
 	// depth is the length of the longest chain of crashes, 0 for a part that was cleared.
 	depth uint32
+	// clearedDepth is the depth from which the part was cleared last.
+	clearedDepth uint32
 	// crashes identify the crashes, in numerical order. Of more than maxCrashes, the lowest are kept.
 	crashes   []uint32
 	crashedAt time.Time
@@ -162,7 +164,7 @@
 		if p.depth >= blockDepth {
 			unblocked = append(unblocked, id)
 		}
-		*p = part{generation: p.generation + 1, changedAt: now}
+		*p = part{generation: p.generation + 1, clearedDepth: p.depth, changedAt: now}
 	}
 	return unblocked
 }
