Try blocked prompt parts again, one request at a time

A sound part could be blocked after an outage in which all engines crashed again and again, for up to an hour at all routers: all requests with it are refused, so none of them is answered, and only a response clears a part.

Cause: the evidence that clears a part is a by-product of requests which the block prevents. Requests in flight elsewhere, which clear a part that is blocked by coincidence, do not exist when no engine answers.

Change: 10 s after the last crash of a blocked part one router of the fleet sends one request with it; further ones follow at intervals that grow by a factor of 4. A response clears the part at all routers. A part that does crash engines gets three such requests in the first three and a half minutes at most, if one router tries it.

Evidence: TestBlockedPartIsServedAgainOnceEnginesAnswerIt, TestPartIsTriedAgainAfterAnOutage, TestTrialsOfAPartThatCrashesEnginesAreFew and TestTrialNeedsAllBlockedParts.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -128,9 +128,23 @@
 	if !blocked {
 		return nil
 	}
+	if s.attemptsSent == 0 && (s.trial || s.tryParts(suspicion.Part)) {
+		return nil
+	}
 	return unavailable(verdict.ReasonCrashRefused, "part "+formatParts([]uint64{suspicion.Part})+" of the prompt crashes engines", time.Until(suspicion.Until))
 }
 
+// tryParts reports whether the request is sent although the given part of its prompt is blocked. One router of the fleet
+// tries each part.
+func (s *requestState) tryParts(part uint64) bool {
+	if s.g.registry.DirectoryOf(part) != "" || !s.g.poison.Try(s.parts) {
+		return false
+	}
+	s.trial = true
+	s.g.log.Info("blocked prompt part tried", "part", formatParts([]uint64{part}), "id", s.call.ID)
+	return true
+}
+
 // recordAnswer records that the instance has begun to answer the request, and is still there.
 func (s *requestState) recordAnswer() {
 	if s.answered {
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -20,7 +20,8 @@
 //
 // A few percent of the requests of one route contain the part, come at any router and are retried by their callers.
 // The other requests share their organisation and their other parts. Each crash interrupts the requests of a dozen
-// others. Requests with the part are blocked from the third crash of a chain on, at all routers.
+// others. Requests with the part are blocked from the third crash of a chain on, at all routers. One request with a blocked
+// part is sent from time to time, at growing intervals.
 package poison
 
 import (
@@ -36,6 +37,10 @@
 	// to maxBlockPeriod.
 	blockPeriod    = 5 * time.Minute
 	maxBlockPeriod = time.Hour
+	// trialPeriod is the time after the last crash of a blocked part after which one request with it is sent. It grows by
+	// trialGrowth with each trial.
+	trialPeriod = 10 * time.Second
+	trialGrowth = 4
 	// maxParts bounds the suspected parts, and maxCrashes the crashes that are remembered of each.
 	maxParts   = 4096
 	maxCrashes = 32
@@ -63,6 +68,9 @@
 	crashedAt time.Time
 	// changedAt is when this table last learned something about the part.
 	changedAt time.Time
+	// trials is the number of requests that this router has sent while the part was blocked, triedAt the time of the last.
+	trials  int
+	triedAt time.Time
 }
 
 // Attempt is one attempt to send a request, with what was known of its parts at that time.
@@ -186,6 +194,43 @@
 	return Suspicion{}, false
 }
 
+// Try reports whether a blocked request is to be sent nevertheless, to find out whether its parts are sound: while all
+// requests with a part are refused, no response can clear it. One router should try each part.
+func (t *Table) Try(parts []uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var tried []*part
+	for _, id := range parts {
+		p := t.parts[id]
+		if p == nil || !now.Before(p.blockedUntil()) || !t.explains(id, parts) {
+			continue
+		}
+		if now.Before(p.nextTrial()) {
+			return false
+		}
+		tried = append(tried, p)
+	}
+	for _, p := range tried {
+		p.trials++
+		p.triedAt = now
+	}
+	return true
+}
+
+// nextTrial returns the time from which on one request with a blocked part may be sent.
+func (p *part) nextTrial() time.Time {
+	pause := trialPeriod
+	for n := 0; n < p.trials && pause < maxBlockPeriod; n++ {
+		pause *= trialGrowth
+	}
+	from := p.crashedAt
+	if p.triedAt.After(from) {
+		from = p.triedAt
+	}
+	return from.Add(min(pause, maxBlockPeriod))
+}
+
 // explains reports whether a request with the given parts is held to cause one of the crashes of a part among them: all
 // other parts that may have caused it are among them too.
 func (t *Table) explains(id uint64, parts []uint64) bool {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,8 @@
 	// known of them when the current attempt was sent.
 	parts     []uint64
 	sentParts *poison.Attempt
+	// trial is set if the request is sent to find out whether a blocked part is sound.
+	trial bool
 	// responseStarted is set once part of the response was written to the caller. lastEventID is the ID of
 	// the last event of a stream that the caller has.
 	responseStarted bool
