Keep the pause of the test for a change of parent

The test makes a router avoid its parent for an hour and waits until it has another one. A link from the avoided router that opens late, the second one between the two, ends that pause, as it must.

--- a/gateway/peer/state_test.go
+++ b/gateway/peer/state_test.go
@@ -84,13 +84,20 @@
 		return h.fleet.children[last.fleet.node] != nil
 	}
 	eventually(t, func() bool { return children(second) && !children(byName["node-000"]) })
-	last.fleet.mu.Lock()
-	last.fleet.avoidUntil["node-001"] = time.Now().Add(time.Hour)
-	second.fleet.mu.Lock()
-	second.fleet.children[last.fleet.node].heardAt = time.Now().Add(time.Hour) // it is not missed for its silence
-	second.fleet.mu.Unlock()
-	last.fleet.mu.Unlock()
-	eventually(t, func() bool { return !children(second) && children(byName["node-000"]) })
+	avoidSecond := func() {
+		last.fleet.mu.Lock()
+		defer last.fleet.mu.Unlock()
+		last.fleet.avoidUntil["node-001"] = time.Now().Add(time.Hour)
+		second.fleet.mu.Lock()
+		defer second.fleet.mu.Unlock()
+		if c := second.fleet.children[last.fleet.node]; c != nil {
+			c.heardAt = time.Now().Add(time.Hour) // it is not missed for its silence
+		}
+	}
+	eventually(t, func() bool {
+		avoidSecond() // a link that opens late ends the pause
+		return !children(second) && children(byName["node-000"])
+	})
 }
 
 // Guards against a router that knows a part of the fleet for good: it is the root of that part, so it sends its state to
