Send the records to a router that starts once

Cause: TestStartupDoesNotBroadcastEntries failed now and then because a router that starts was sent all records up to three times, 48 KB each. A trace of the messages on its links shows three ways:

- It took each router that it found as its parent until it had found its place in the tree: node-3, node-1 and node-0 within 3 ms.
Each answered the state at position 0 with a copy. - The parent sent two copies within 1 ms: one with news for all routers below, one as the answer to the router's state.
Both were made from the same positions, because nothing kept two states from being made at once. - By the code: a state that was sent before the records arrived put the known positions back, so that the next state repeated the records.
This holds for records of any size that are asked for every half second.

Change: a router takes no parent, and does not take itself for the root, before another one has told it the membership, which the first link does at once; after unknownPeersTimeout it takes one all the same. States sent down are numbered and the number of the last one received is sent up: until it covers the last records, the positions after them count instead of the stated ones. A router that has received records and not adopted them is sent them again as before, and so is one whose link has broken. One that acknowledges nothing, because it is of an older version, waits for neighbourTimeout. States to one router are made one at a time.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -22,8 +22,10 @@
 	// stop ends the router as a kill would.
 	stop func()
 	mu   sync.Mutex
-	// feed is the newest number known, as the position of feed 1.
-	feed           uint64
+	// feed is the newest number known, as the position of feed 1. A router below that is behind is sent one record.
+	feed uint64
+	// onState is called while a state is made. It may be nil.
+	onState        func()
 	wants          int
 	wantsAnswered  int
 	needsRecords   bool
@@ -38,6 +40,9 @@
 }
 
 func (h *fakeHandler) State(positions []*peerpb.Position, up, want bool) *peerpb.State {
+	if h.onState != nil {
+		h.onState()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if want {
@@ -46,7 +51,11 @@
 	if !up && wantsRecords(positions) {
 		h.wantsAnswered++
 	}
-	return &peerpb.State{Positions: []*peerpb.Position{{Feed: 1, Next: h.feed, Base: h.feed, Followed: 20, AgeMs: 300, Want: want}, {Feed: 2, Next: 500, Base: 500, AgeMs: 200, Want: want}}}
+	var records []*peerpb.Record
+	if !up && len(positions) > 0 && positions[0].GetNext() < h.feed {
+		records = append(records, &peerpb.Record{Feed: 1, Offset: h.feed - 1})
+	}
+	return &peerpb.State{Records: records, Positions: []*peerpb.Position{{Feed: 1, Next: h.feed, Base: h.feed, Followed: 20, AgeMs: 300, Want: want}, {Feed: 2, Next: 500, Base: 500, AgeMs: 200, Want: want}}}
 }
 
 func (h *fakeHandler) MergeState(_ string, s *peerpb.State) bool {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -67,7 +67,8 @@
 	// soloInterval is how often a router without a parent tries an address that is not known as alive, to find the
 	// fleet that it belongs to.
 	soloInterval = time.Second
-	// unknownPeersTimeout is how long after its start a router without contact waits before it counts as alone.
+	// unknownPeersTimeout is how long after its start a router that was not told the membership waits before it counts as
+	// alone, or takes a parent among those that it has found.
 	unknownPeersTimeout = 400 * time.Millisecond
 	// reserveTimeout bounds the wait for the answer of a keeper. The round-trip time is a few milliseconds.
 	reserveTimeout = 40 * time.Millisecond
@@ -146,6 +147,9 @@
 	heardParentAt   time.Time
 	parentPositions []*peerpb.Position
 	nextUpAt        time.Time
+	// parentSequence is the sequence number of the parent's last state that was merged, and stateSequence that of the
+	// last state sent down.
+	parentSequence, stateSequence uint64
 	// askedForRecordsAt is when the parent was last asked for records of any size.
 	askedForRecordsAt time.Time
 	// sentUp and sentDown are the loads told last in each direction, in requests.
@@ -154,8 +158,8 @@
 	nextSoloAt           time.Time
 	children             map[string]*child
 	totals               map[uint32]PoolLoad
-	// contacted is set once any other router was reached.
-	contacted bool
+	// contacted is set once any other router was reached, and informed once one has told the membership.
+	contacted, informed bool
 	// news are membership changes to pass on. advancedUp and advancedDown are set when a feed has advanced since the
 	// last state in that direction.
 	news         []*peerpb.Member
@@ -173,6 +177,13 @@
 	sentAt    time.Time
 	loads     map[uint32]PoolLoad
 	positions []*peerpb.Position
+	// recordsSequence and recordsSentAt are those of the last state with records, and expected are the positions after it.
+	recordsSequence uint64
+	recordsSentAt   time.Time
+	expected        []*peerpb.Position
+	// sending is held while a state is made and queued, because two made at once would hold the same records. It is
+	// locked before the fleet's lock.
+	sending sync.Mutex
 }
 
 // dialState is the state of the attempts to reach one address.
@@ -288,7 +299,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.parent == "" {
-		if !f.contacted && time.Since(f.startedAt) < unknownPeersTimeout {
+		if f.awaitsMembers(time.Now()) {
 			return -1
 		}
 		return 0
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -76,7 +76,11 @@
 	}
 	before := f.parent
 	f.parent = ""
-	for _, c := range parentCandidates(alive, rank) {
+	candidates := parentCandidates(alive, rank)
+	if f.awaitsMembers(now) {
+		candidates = nil
+	}
+	for _, c := range candidates {
 		if f.usable(c, before, now) {
 			f.parent = c.GetNode()
 			break
@@ -88,10 +92,16 @@
 	if l := f.linkTo(before); l != nil {
 		l.send(&peerpb.Message{Detached: true})
 	}
-	f.heardParentAt, f.nextUpAt, f.parentPositions = now, now, nil
+	f.heardParentAt, f.nextUpAt, f.parentPositions, f.parentSequence = now, now, nil, 0
 	return true
 }
 
+// awaitsMembers reports whether this router has just started and does not know its place in the tree yet. If it took one
+// parent after another as it found them, each would send it all records. The caller holds mu.
+func (f *Fleet) awaitsMembers(now time.Time) bool {
+	return !f.informed && now.Sub(f.startedAt) < unknownPeersTimeout
+}
+
 // usable reports whether a router can be the parent, and starts to connect to it. The parent in use is given up when
 // it has been silent for too long. The caller holds mu.
 func (f *Fleet) usable(c *peerpb.Member, parent string, now time.Time) bool {
@@ -199,12 +209,12 @@
 // sendUp sends this router's state to its parent.
 func (f *Fleet) sendUp(parent string, own map[uint32]PoolLoad, news []*peerpb.Member, now time.Time) {
 	f.mu.Lock()
-	positions := f.parentPositions
+	positions, received := f.parentPositions, f.parentSequence
 	want := now.Sub(f.askedForRecordsAt) >= recordsInterval
 	f.mu.Unlock()
 	want = want && f.handler.NeedsRecords()
 	state := f.handler.State(positions, true, want)
-	state.Up = true
+	state.Up, state.Received = true, received
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if want {
@@ -224,10 +234,13 @@
 func (f *Fleet) sendDown(node string, news []*peerpb.Member, now time.Time) {
 	f.mu.Lock()
 	c := f.children[node]
+	f.mu.Unlock()
 	if c == nil {
-		f.mu.Unlock()
 		return
 	}
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	f.mu.Lock()
 	c.sentAt = now
 	positions := c.positions
 	f.mu.Unlock()
@@ -236,9 +249,14 @@
 	defer f.mu.Unlock()
 	state.Loads = encodeLoads(f.totals)
 	state.MembersDigest = f.members.digest()
+	f.stateSequence++
+	state.Sequence = f.stateSequence
 	if l := f.linkTo(node); l != nil {
 		l.send(&peerpb.Message{State: state, Members: news})
 		c.positions = expectedPositions(state.GetPositions())
+		if len(state.GetRecords()) > 0 {
+			c.recordsSequence, c.recordsSentAt, c.expected = state.Sequence, now, c.positions
+		}
 	}
 }
 
@@ -256,10 +274,36 @@
 	return out
 }
 
+// positionsAfter returns the positions that a router below this one will have once it has received all that was sent to
+// it: those in its state may be older than records that are on their way. A router of a version that acknowledges nothing
+// is taken to have received them after neighbourTimeout.
+func (c *child) positionsAfter(s *peerpb.State, now time.Time) []*peerpb.Position {
+	stated := s.GetPositions()
+	if s.GetReceived() >= c.recordsSequence || now.Sub(c.recordsSentAt) >= neighbourTimeout {
+		return stated
+	}
+	out := slices.Clone(stated)
+	for i, p := range stated {
+		for _, e := range c.expected {
+			if e.GetFeed() == p.GetFeed() && e.GetNext() > p.GetNext() {
+				out[i] = &peerpb.Position{Feed: p.GetFeed(), Next: e.GetNext(), Want: p.GetWant()}
+			}
+		}
+	}
+	return out
+}
+
 // receive handles one message.
 func (f *Fleet) receive(l *link, m *peerpb.Message) {
 	if list := m.GetMembers(); len(list) > 0 {
 		f.merge(list)
+		if m.GetState() == nil {
+			// The whole membership is sent alone, changes with a state.
+			f.mu.Lock()
+			f.informed = true
+			f.mu.Unlock()
+			f.wakeUp()
+		}
 	}
 	if s := m.GetState(); s != nil {
 		f.receiveState(l, s)
@@ -301,7 +345,7 @@
 			c = &child{}
 			f.children[l.node] = c
 		}
-		c.heardAt, c.loads, c.positions = now, decodeLoads(s.GetLoads()), s.GetPositions()
+		c.heardAt, c.loads, c.positions = now, decodeLoads(s.GetLoads()), c.positionsAfter(s, now)
 		// A request for records is not repeated with the next state, so it is answered in any case.
 		answer = now.Sub(c.sentAt) >= f.interval()/2 || wantsRecords(s.GetPositions())
 	case fromParent:
@@ -316,11 +360,15 @@
 	if fromParent {
 		f.handler.SetFleetLoads(totals)
 	}
-	if f.handler.MergeState(l.node, s) {
-		f.mu.Lock()
-		f.advancedDown = true
-		f.advancedUp = f.advancedUp || !fromParent
-		f.mu.Unlock()
+	news := f.handler.MergeState(l.node, s)
+	f.mu.Lock()
+	if !s.GetUp() && l.node == f.parent {
+		f.parentSequence = s.GetSequence()
+	}
+	f.advancedDown = f.advancedDown || news
+	f.advancedUp = f.advancedUp || (news && !fromParent)
+	f.mu.Unlock()
+	if news {
 		f.wakeUp()
 	}
 	if answer {
--- a/gateway/peer/state_test.go
+++ b/gateway/peer/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -143,3 +144,133 @@
 	is.Equal(len(l.out), 1)
 	is.Equal(h.wantsAnswered, 1)
 }
+
+// newIsolated returns a router that runs nothing on its own, and a link to node-1 whose other end does not exist.
+func newIsolated(t *testing.T, node string) (*fakeHandler, *link) {
+	t.Helper()
+	h := &fakeHandler{held: make(map[string]bool)}
+	h.fleet = New(node, loopback, "", h, traffic.NewMeter(kernel.NewCounters()))
+	if err := h.fleet.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.fleet.Stop)
+	return h, &link{node: "node-1", out: make(chan *peerpb.Message, linkQueue), ctx: t.Context(), close: func() {}}
+}
+
+// sentStates returns the states that wait to be sent on a link, and removes all messages.
+func sentStates(l *link) (states []*peerpb.State) {
+	for len(l.out) > 0 {
+		if s := (<-l.out).GetState(); s != nil {
+			states = append(states, s)
+		}
+	}
+	return states
+}
+
+// Guards against a router that takes as its parent each router that it finds, until it has found its place in the tree:
+// each of them sends it all records.
+func TestTakesNoParentBeforeMembershipIsKnown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const unreachable = "127.0.0.1:1"
+	found := &peerpb.Member{Node: "node-1", Address: unreachable}
+	h, l := newIsolated(t, "node-2")
+	f := h.fleet
+	f.startedAt = time.Now().Add(time.Hour) // the wait for the membership is not over
+	is.True(f.addLink(l, found))
+	f.tick(time.Now())
+	is.Equal(len(sentStates(l)), 0)
+	is.Equal(f.Rank(), -1) // it does not take itself for the root either
+	f.receive(l, &peerpb.Message{Members: []*peerpb.Member{found, {Node: "node-0", Address: unreachable}}})
+	f.tick(time.Now())
+	is.Equal(f.parent, "node-0")
+	is.Equal(len(sentStates(l)), 0)
+
+	h, l = newIsolated(t, "node-2")
+	is.True(h.fleet.addLink(l, found))
+	h.fleet.tick(h.fleet.startedAt.Add(unknownPeersTimeout)) // nobody has told the membership
+	is.Equal(h.fleet.parent, "node-1")
+	is.Equal(len(sentStates(l)), 1)
+}
+
+// Guards against records that are sent again because the receiver has sent its state before they arrived, and against
+// records that are not sent again to a router that has received but not adopted them, or whose link has broken.
+func TestRecordsOnTheirWayAreNotRepeated(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h, l := newIsolated(t, "node-0")
+	f := h.fleet
+	f.links["node-1"] = []*link{l}
+	h.feed = 7
+	answer := func(received uint64) *peerpb.State {
+		// A request for records is answered whenever it comes.
+		f.receiveState(l, &peerpb.State{Up: true, Received: received, Positions: []*peerpb.Position{{Feed: 1, Want: true}}, MembersDigest: f.members.digest()})
+		states := sentStates(l)
+		is.Equal(len(states), 1)
+		return states[0]
+	}
+	first := answer(0)
+	is.Equal(len(first.GetRecords()), 1)
+	is.Equal(len(answer(0).GetRecords()), 0)
+	is.Equal(len(answer(first.GetSequence()-1).GetRecords()), 0)
+	is.Equal(len(answer(first.GetSequence()).GetRecords()), 1)
+
+	is.Equal(len(answer(0).GetRecords()), 0)
+	f.children["node-1"].recordsSentAt = time.Now().Add(-neighbourTimeout)
+	is.Equal(len(answer(0).GetRecords()), 1) // a version that acknowledges nothing
+
+	is.Equal(len(answer(0).GetRecords()), 0)
+	f.removeLink(l)
+	f.links["node-1"] = []*link{l}
+	is.Equal(len(answer(0).GetRecords()), 1)
+}
+
+// Guards against two states with the same records that are made at once: one with news for all routers below, and the
+// answer to the receiver's state.
+func TestStatesMadeAtOnceDoNotRepeatRecords(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h, l := newIsolated(t, "node-0")
+	f := h.fleet
+	f.links["node-1"] = []*link{l}
+	f.children["node-1"] = &child{positions: []*peerpb.Position{{Feed: 1}}}
+	h.feed = 7
+	const overlap = 100 * time.Millisecond
+	h.onState = func() { time.Sleep(overlap) }
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() { f.sendDown("node-1", nil, time.Now()) })
+	}
+	both.Wait()
+	records := 0
+	for _, s := range sentStates(l) {
+		records += len(s.GetRecords())
+	}
+	is.Equal(records, 1)
+}
+
+// Guards against a router that does not tell its parent which states have arrived, and against one that tells a new
+// parent what it has received from another.
+func TestStatesOfTheParentAreAcknowledged(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h, l := newIsolated(t, "node-2")
+	f := h.fleet
+	f.informed = true
+	is.True(f.addLink(l, &peerpb.Member{Node: "node-1", Address: "127.0.0.1:1"}))
+	f.tick(time.Now())
+	is.Equal(f.parent, "node-1")
+	received := func(parent string) uint64 {
+		sentStates(l)
+		f.sendUp(parent, nil, nil, time.Now())
+		return sentStates(l)[0].GetReceived()
+	}
+	is.Equal(received("node-1"), uint64(0))
+	f.receiveState(l, &peerpb.State{Sequence: 9, Positions: []*peerpb.Position{{Feed: 1}}})
+	is.Equal(received("node-1"), uint64(9))
+	other := &link{node: "node-0", out: make(chan *peerpb.Message, linkQueue), ctx: t.Context(), close: func() {}}
+	is.True(f.addLink(other, &peerpb.Member{Node: "node-0", Address: "127.0.0.1:2"}))
+	f.tick(time.Now())
+	is.Equal(f.parent, "node-0")
+	is.Equal(sentStates(other)[0].GetReceived(), uint64(0))
+}
