Tell new routers of the parts that are suspected but not blocked yet

Cause: a part that is not blocked yet is told for newsPeriod. A router that starts later does not know of it, and its crashes begin a chain of their own instead of continuing the one that the others know.

Change: parts that are suspected of more than one crash are told in every message, as blocked ones are.

Evidence: TestSuspectedPartsAreToldToNewRouters. Without the change:

--- FAIL: TestSuspectedPartsAreToldToNewRouters (0.00s) exchange_test.go: not true: blocked(all[0], deadly)

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -15,8 +15,8 @@
 	maxTold = 24
 )
 
-// Export returns the parts for a message to another router: those that are blocked, in every message, and those of which
-// this table has learned something within newsPeriod.
+// Export returns the parts for a message to another router: those that are suspected of more than one crash, in every
+// message, and those of which this table has learned something within newsPeriod.
 func (t *Table) Export() []*peerpb.SuspectPart {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -27,7 +27,7 @@
 	t.expire(now)
 	var told []uint64
 	for id, p := range t.parts {
-		if p.depth >= blockDepth || now.Sub(p.changedAt) <= newsPeriod {
+		if p.depth >= minRepeated || now.Sub(p.changedAt) <= newsPeriod {
 			told = append(told, id)
 		}
 	}
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -119,3 +119,18 @@
 	c.at = c.at.Add(time.Second)
 	is.True(!blocked(all[1], guide))
 }
+
+// Guards against a chain of crashes that does not go on at a router which has started since the last one.
+func TestSuspectedPartsAreToldToNewRouters(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(2)
+	for range blockDepth - 1 {
+		crash(all[0], deadly)
+	}
+	c.at = c.at.Add(newsPeriod + time.Second)
+	exchange(all...)
+	crash(all[1], deadly)
+	exchange(all...)
+	is.True(blocked(all[0], deadly))
+	is.True(blocked(all[1], deadly))
+}
