Name the alternatives of a blocked prompt part from the whole message

Operators read that a part is blocked in all requests although it is only blocked together with another one: the log line of a router that was told was made before the rest of the message was merged.

Test: TestMergeNamesAlternativesOfTheSameMessage fails without the change. No decision depends on it.

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -57,12 +57,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	var out []Suspicion
+	var deeper []uint64
 	for _, m := range told {
 		if t.merge(m, now) {
-			out = append(out, t.suspicion(m.GetPart()))
+			deeper = append(deeper, m.GetPart())
 		}
 	}
+	// All parts of the message may explain each other.
+	out := make([]Suspicion, 0, len(deeper))
+	for _, id := range deeper {
+		out = append(out, t.suspicion(id))
+	}
 	return out
 }
 
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -134,3 +134,18 @@
 	is.True(blocked(all[0], deadly))
 	is.True(blocked(all[1], deadly))
 }
+
+// Guards against a log line that says that a part alone is blocked, because the parts that may be the cause instead come later
+// in the same message.
+func TestMergeNamesAlternativesOfTheSameMessage(t *testing.T) {
+	is := is.New(t)
+	_, all := newTables(2)
+	for range blockDepth {
+		crash(all[0], guide, deadly)
+	}
+	suspicions := all[1].Merge(all[0].Export())
+	is.Equal(len(suspicions), 2)
+	for _, s := range suspicions {
+		is.Equal(s.Alternatives, []uint64{guide + deadly - s.Part})
+	}
+}
