--- /dev/null
+++ b/gateway/promptparts.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"jacinthfork.example/jacinthfork/gateway/poison"
+	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/verdict"
+)
+
+// sharedParts returns the parts of a prompt that other requests may share.
+func sharedParts(prompt []pool.PromptPart) []uint64 {
+	if len(prompt) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(prompt)-1)
+	for _, p := range prompt[:len(prompt)-1] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
+// logBlocked logs the parts that are blocked from now on, or for longer, because of a crash of an instance or what a router
+// has told.
+func (g *Gateway) logBlocked(suspicions []poison.Suspicion, reportedBy string) {
+	for _, s := range suspicions {
+		if s.Until.IsZero() {
+			continue
+		}
+		g.log.Warn("prompt part blocked", "part", formatParts([]uint64{s.Part}), "crashes", s.Depth,
+			"only_with", formatParts(s.Alternatives), "for_s", int(time.Until(s.Until).Seconds()), "reported_by", reportedBy)
+	}
+}
+
+// checkParts returns an error if the prompt of a request has a part that crashes engines.
+func (s *requestState) checkParts() *verdict.Error {
+	suspicion, blocked := s.g.poison.Blocked(s.parts)
+	if !blocked {
+		return nil
+	}
+	if s.attemptsSent == 0 && (s.trial || s.tryParts(suspicion.Part)) {
+		return nil
+	}
+	return unavailable(verdict.ReasonCrashRefused, "part "+formatParts([]uint64{suspicion.Part})+" of the prompt crashes engines", time.Until(suspicion.Until))
+}
+
+// tryParts reports whether the request is sent although the given part of its prompt is blocked. One router of the fleet
+// tries each part.
+func (s *requestState) tryParts(part uint64) bool {
+	if s.g.registry.DirectoryOf(part) != "" || !s.g.poison.Try(s.parts) {
+		return false
+	}
+	s.trial = true
+	s.g.log.Info("blocked prompt part tried", "part", formatParts([]uint64{part}), "id", s.call.ID)
+	return true
+}
+
+// recordAnswer records that the instance has begun to answer the request, and is still there.
+func (s *requestState) recordAnswer() {
+	if s.answered {
+		return
+	}
+	s.answered = true
+	unblocked := s.g.poison.RecordResponse(s.parts)
+	if len(unblocked) == 0 {
+		return
+	}
+	s.g.log.Info("prompt parts unblocked", "parts", formatParts(unblocked), "id", s.call.ID)
+	s.g.peers.Changed()
+}
+
+// formatParts returns the IDs of parts as in the header of requests.
+func formatParts(parts []uint64) string {
+	text := make([]string, 0, len(parts))
+	for _, id := range parts {
+		text = append(text, strconv.FormatUint(id, 16))
+	}
+	return strings.Join(text, ",")
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -250,18 +250,6 @@
 	return xxhash.Sum64String(s.call.ID)
 }
 
-// sharedParts returns the parts of a prompt that other requests may share.
-func sharedParts(prompt []pool.PromptPart) []uint64 {
-	if len(prompt) < 2 {
-		return nil
-	}
-	out := make([]uint64, 0, len(prompt)-1)
-	for _, p := range prompt[:len(prompt)-1] {
-		out = append(out, p.ID)
-	}
-	return out
-}
-
 // poolRequest describes the instance that the request needs, excluding those already tried.
 func (s *requestState) poolRequest() *pool.Request {
 	return &pool.Request{
