Give each listener of a test that is opened again a loopback address of its own

The port was from the range of outgoing connections, and another process's connection on 127.0.0.1 had been given it while the worker was down.

Package loopback gives an address in 127.0.0.0/8 for each listener. Connections to it are made from 127.0.0.1, so that nothing else takes its ports; its test checks that. Stand-in workers and the routers in the tests of package peer use it, and fleettest.LoopbackIP is a call of it.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/internal/loopback"
 	"jacinthfork.example/jacinthfork/kernel"
 	"jacinthfork.example/jacinthfork/traffic"
 )
@@ -144,7 +146,8 @@
 	return h
 }
 
-const loopback = "127.0.0.1:0"
+// listenAddress returns an address on which a router can listen, also again after it has stopped.
+func listenAddress() string { return net.JoinHostPort(loopback.NewIP(), "0") }
 
 // startFleet starts n routers, each of which knows one other router and a stale address, and waits until all know all.
 func startFleet(t testing.TB, n int) []*fakeHandler {
@@ -156,7 +159,7 @@
 		if i > 0 {
 			seeds = append(seeds, all[(i-1)/2].fleet.Address())
 		}
-		all = append(all, start(t, name, loopback, seeds...))
+		all = append(all, start(t, name, listenAddress(), seeds...))
 	}
 	eventually(t, func() bool { return everywhere(all, func(h *fakeHandler) bool { return h.alive() == n }) })
 	return all
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -54,14 +54,14 @@
 // answers, and nobody else knows that address.
 func TestLateSeedJoinsTheFleet(t *testing.T) {
 	t.Parallel()
-	placeholder, err := net.Listen("tcp", loopback)
+	placeholder, err := net.Listen("tcp", listenAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
 	address := placeholder.Addr().String()
 	_ = placeholder.Close()
-	b := start(t, 2, loopback, address)
-	c := start(t, 1, loopback, b.fleet.Address())
+	b := start(t, 2, listenAddress(), address)
+	c := start(t, 1, listenAddress(), b.fleet.Address())
 	eventually(t, func() bool { return b.get(func() int { return len(b.parent) }) > 0 })
 	a := start(t, 0, address)
 	eventually(t, func() bool {
@@ -120,7 +120,7 @@
 	t.Parallel()
 	is := is.New(t)
 	h := &fakeHandler{held: make(map[string]bool)}
-	h.fleet = New("node-0", loopback, "192.0.2.7:81", h, traffic.NewMeter(kernel.NewCounters()))
+	h.fleet = New("node-0", listenAddress(), "192.0.2.7:81", h, traffic.NewMeter(kernel.NewCounters()))
 	is.NoErr(h.fleet.Start())
 	t.Cleanup(h.fleet.Stop)
 	is.Equal(h.fleet.Address(), "192.0.2.7:81")
@@ -240,10 +240,10 @@
 func TestReservationEndsThoughALinkOpensLate(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	silent, err := net.Listen("tcp", loopback) // connections are made, and nobody answers on them
+	silent, err := net.Listen("tcp", listenAddress()) // connections are made, and nobody answers on them
 	is.NoErr(err)
 	t.Cleanup(func() { _ = silent.Close() })
-	a := start(t, 0, loopback)
+	a := start(t, 0, listenAddress())
 	a.fleet.merge([]*peerpb.Member{{Node: "node-001", Address: silent.Addr().String(), Incarnation: 1, Status: peerpb.Status_ALIVE}})
 	linkCtx, closeLink := context.WithCancel(t.Context())
 	defer closeLink()
--- a/gateway/peer/state_test.go
+++ b/gateway/peer/state_test.go
@@ -55,7 +55,7 @@
 	t.Parallel()
 	is := is.New(t)
 	h := &fakeHandler{held: make(map[string]bool)}
-	h.fleet = New("node-0", loopback, "", h, traffic.NewMeter(kernel.NewCounters()))
+	h.fleet = New("node-0", listenAddress(), "", h, traffic.NewMeter(kernel.NewCounters()))
 	is.NoErr(h.fleet.Start())
 	t.Cleanup(h.fleet.Stop)
 	l := &link{node: "node-1", out: make(chan *peerpb.Message, linkQueue), ctx: t.Context(), close: func() {}}
@@ -129,7 +129,7 @@
 	t.Parallel()
 	is := is.New(t)
 	h := &fakeHandler{held: make(map[string]bool)}
-	h.fleet = New("node-0", loopback, "", h, traffic.NewMeter(kernel.NewCounters()))
+	h.fleet = New("node-0", listenAddress(), "", h, traffic.NewMeter(kernel.NewCounters()))
 	is.NoErr(h.fleet.Start())
 	t.Cleanup(h.fleet.Stop)
 	l := &link{node: "node-1", out: make(chan *peerpb.Message, linkQueue), ctx: t.Context(), close: func() {}}
@@ -149,7 +149,7 @@
 func newIsolated(t *testing.T, node string) (*fakeHandler, *link) {
 	t.Helper()
 	h := &fakeHandler{held: make(map[string]bool)}
-	h.fleet = New(node, loopback, "", h, traffic.NewMeter(kernel.NewCounters()))
+	h.fleet = New(node, listenAddress(), "", h, traffic.NewMeter(kernel.NewCounters()))
 	if err := h.fleet.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleettest/address.go
+++ b/internal/fleettest/address.go
@@ -1,27 +1,18 @@
 package fleettest
 
 import (
-	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
-)
-
-var lastHost atomic.Uint32
 
-// octetValues is the number of values used for each octet of an address.
-const octetValues = 250
+	"jacinthfork.example/jacinthfork/internal/loopback"
+)
 
-// LoopbackIP returns an IP address in 127.0.0.0/8 that differs from those of earlier calls in this test
-// binary, until the octets wrap around. The address depends on the process id, so that concurrent test
-// binaries rarely share one.
+// LoopbackIP returns a loopback address of its own for the listeners of one process of a fleet, see package loopback.
 func LoopbackIP(t testing.TB) string {
 	t.Helper()
-	n := int(lastHost.Add(1))
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid%octetValues, (pid/octetValues+n/octetValues)%octetValues, 1+n%octetValues)
+	return loopback.NewIP()
 }
 
 // The allocated ports lie below the ephemeral range, from which the system takes the ports of outgoing
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,25 @@
+package loopback
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a listener that cannot be opened again on its port, because an outgoing connection was given that port
+// in between.
+func TestOutgoingConnectionsTakeNoPortOfTheAddress(t *testing.T) {
+	is := is.New(t)
+	ip := NewIP()
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	local, _, err := net.SplitHostPort(conn.LocalAddr().String())
+	is.NoErr(err)
+	is.True(local != ip)
+	is.True(NewIP() != ip)
+}
