Join the parts of a fleet again after a cut between them

Loads, keepers and the reading of the store are divided in the same way.

Cause: each part has declared the routers of the other one lost. The root of a part tries their addresses, and does reach them, but a link says nothing of the membership if the router at its other end is known with the same incarnation, and the hello, of the same version, is older than the loss. So nobody refuted it. Two routers that were on one side of the tree exchanged their members because their digests differ; between two trees nothing is exchanged.

The membership is now sent on a link to any router that is not known as alive, and a router that finds itself lost in one answers with its own.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -386,16 +386,21 @@
 	f.mu.Unlock()
 	f.merge([]*peerpb.Member{hello})
 	f.mu.Lock()
-	if known == nil || known.GetIncarnation() != hello.GetIncarnation() {
-		// A router that has just started may know nobody else.
-		l.sentMembersAt = time.Now()
-		l.send(&peerpb.Message{Members: f.members.all()})
+	if known == nil || known.GetIncarnation() != hello.GetIncarnation() || known.GetStatus() != peerpb.Status_ALIVE {
+		// A router that has just started may know nobody else, and one that was declared lost has to refute that.
+		f.sendMembers(l)
 	}
 	f.mu.Unlock()
 	f.wakeUp()
 	return true
 }
 
+// sendMembers sends the whole membership. The caller holds mu.
+func (f *Fleet) sendMembers(l *link) {
+	l.sentMembersAt = time.Now()
+	l.send(&peerpb.Message{Members: f.members.all()})
+}
+
 func (f *Fleet) removeLink(l *link) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -470,8 +475,8 @@
 	}
 }
 
-// merge applies descriptions of routers and passes on what is new.
-func (f *Fleet) merge(list []*peerpb.Member) {
+// merge applies descriptions of routers and passes on what is new. refuted is set if one said that this router is lost.
+func (f *Fleet) merge(list []*peerpb.Member) (refuted bool) {
 	now := time.Now()
 	type change struct {
 		node  string
@@ -487,6 +492,7 @@
 			continue
 		}
 		changed = true
+		refuted = refuted || in.GetNode() == f.node
 		f.news = append(f.news, news)
 		wasAlive := before != nil && before.GetStatus() == peerpb.Status_ALIVE
 		if isAlive := in.GetStatus() == peerpb.Status_ALIVE; in.GetNode() != f.node && before != nil && wasAlive != isAlive {
@@ -500,11 +506,12 @@
 	}
 	f.mu.Unlock()
 	if !changed {
-		return
+		return false
 	}
 	for _, c := range changes {
 		f.handler.PeerStateChanged(c.node, c.alive)
 	}
 	f.notifyMembers()
 	f.wakeUp()
+	return refuted
 }
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -139,8 +139,7 @@
 		case l == nil:
 			f.connect(m.GetNode(), m.GetAddress(), now)
 		case now.Sub(l.sentMembersAt) >= neighbourTimeout:
-			l.sentMembersAt = now
-			l.send(&peerpb.Message{Members: f.members.all()})
+			f.sendMembers(l)
 		}
 	}
 }
@@ -296,11 +295,15 @@
 // receive handles one message.
 func (f *Fleet) receive(l *link, m *peerpb.Message) {
 	if list := m.GetMembers(); len(list) > 0 {
-		f.merge(list)
+		refuted := f.merge(list)
 		if m.GetState() == nil {
 			// The whole membership is sent alone, changes with a state.
 			f.mu.Lock()
 			f.informed = true
+			if refuted {
+				// The tree of the sender may be another one.
+				f.sendMembers(l)
+			}
 			f.mu.Unlock()
 			f.wakeUp()
 		}
@@ -353,8 +356,7 @@
 	}
 	totals := f.totals
 	if s.GetMembersDigest() != f.members.digest() && now.Sub(l.sentMembersAt) >= membersInterval {
-		l.sentMembersAt = now
-		l.send(&peerpb.Message{Members: f.members.all()})
+		f.sendMembers(l)
 	}
 	f.mu.Unlock()
 	if fromParent {
