Look for the rest of the fleet only where an attempt may start

The root of a part of the fleet tries one address a second of those that it does not know as alive. During a cut each of them fails and waits for up to 4 s, so most turns after the cut fell on an address that was not due, and were lost. The address is now drawn from those that are due.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -448,6 +448,12 @@
 	return d
 }
 
+// due reports whether an attempt to reach an address may start now. The caller holds mu.
+func (f *Fleet) due(address string, now time.Time) bool {
+	d := f.dials[address]
+	return d == nil || !d.running && !now.Before(d.nextAt)
+}
+
 // dialled records the result of an attempt to reach a router.
 func (f *Fleet) dialled(d *dialState, node, address string, err error) {
 	f.mu.Lock()
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -161,15 +161,11 @@
 	for _, m := range f.members.alive {
 		known[m.GetAddress()] = true
 	}
-	var unknown []string
-	for _, address := range f.seeds {
-		if !known[address] {
-			unknown = append(unknown, address)
-		}
-	}
+	addresses := slices.Clone(f.seeds)
 	for _, m := range f.members.lost() {
-		unknown = append(unknown, m.GetAddress())
+		addresses = append(addresses, m.GetAddress())
 	}
+	unknown := slices.DeleteFunc(addresses, func(address string) bool { return known[address] || !f.due(address, now) })
 	if len(unknown) > 0 {
 		f.connect("", unknown[rand.IntN(len(unknown))], now)
 	}
