Share what a cold instance bears between parts of a fleet without contact

A part cannot know what the other one does, but it knows how many routers it has lost. It now grants the share of those that are alive.

TestColdInstanceGetsWhatItBears has a case with two parts, which failed before. Packages gateway, gateway/pool and gateway/peer pass.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -37,6 +37,7 @@
 	mute           bool
 	outcome        peerpb.Outcome
 	aliveRouters   int
+	lostRouters    int
 	parent         string
 	parentsChanged int
 }
@@ -108,10 +109,10 @@
 	return &peerpb.Located{Sequence: l.GetSequence(), Instances: []uint32{uint32(l.GetDocument()), l.GetInstance()}}
 }
 
-func (h *fakeHandler) MembersChanged(alive []*peerpb.Member) {
+func (h *fakeHandler) MembersChanged(alive []*peerpb.Member, lost int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.aliveRouters = len(alive)
+	h.aliveRouters, h.lostRouters = len(alive), lost
 }
 
 func (h *fakeHandler) PeerStateChanged(string, bool) {}
--- a/gateway/peer/members.go
+++ b/gateway/peer/members.go
@@ -81,13 +81,15 @@
 	return m.merge(&peerpb.Member{Node: node, Address: known.GetAddress(), Incarnation: known.GetIncarnation(), Version: known.GetVersion(), Status: peerpb.Status_LOST}, now)
 }
 
-// expire forgets routers that have been lost or gone for long.
-func (m *members) expire(now time.Time) {
+// expire forgets routers that have been lost or gone for long, and reports whether there were any.
+func (m *members) expire(now time.Time) (forgotten bool) {
 	for node, e := range m.entries {
 		if e.GetStatus() != peerpb.Status_ALIVE && now.Sub(e.changedAt) > forgetAfter {
 			delete(m.entries, node)
+			forgotten = true
 		}
 	}
+	return forgotten
 }
 
 func (m *members) rebuild() {
--- a/gateway/peer/partition_test.go
+++ b/gateway/peer/partition_test.go
@@ -38,7 +38,11 @@
 		}
 	}
 	all := append(parts[0], parts[1]...)
-	eventually(t, func() bool { return everywhere(all, func(h *fakeHandler) bool { return h.alive() == routers }) })
+	eventually(t, func() bool {
+		return everywhere(all, func(h *fakeHandler) bool {
+			return h.alive() == routers && h.get(func() int { return h.lostRouters }) == 0
+		})
+	})
 	roots := 0
 	for _, h := range all {
 		if h.fleet.Rank() == 0 {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -99,8 +99,8 @@
 	Release(node string, sequence uint64, outcome peerpb.Outcome)
 	// Locate answers a question about a document of this router's directory.
 	Locate(l *peerpb.Locate) *peerpb.Located
-	// MembersChanged is called with the routers that are alive after each change.
-	MembersChanged(alive []*peerpb.Member)
+	// MembersChanged is called after each change with the routers that are alive and the number of those that are lost.
+	MembersChanged(alive []*peerpb.Member, lost int)
 	// PeerStateChanged is called when a router is lost or alive again, and ParentChanged with the new parent, ""
 	// at the root.
 	PeerStateChanged(node string, alive bool)
@@ -361,7 +361,10 @@
 func (f *Fleet) notifyMembers() {
 	f.notifyMu.Lock()
 	defer f.notifyMu.Unlock()
-	f.handler.MembersChanged(f.alive())
+	f.mu.Lock()
+	alive, lost := f.members.alive, len(f.members.lost())
+	f.mu.Unlock()
+	f.handler.MembersChanged(alive, lost)
 }
 
 // AnnounceLeave tells the others that this router is shutting down.
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -12,7 +12,7 @@
 func (f *Fleet) tick(now time.Time) {
 	own := f.handler.Loads()
 	f.mu.Lock()
-	f.members.expire(now)
+	forgotten := f.members.expire(now)
 	for node, c := range f.children {
 		if now.Sub(c.heardAt) > neighbourTimeout {
 			delete(f.children, node)
@@ -40,6 +40,9 @@
 	if changed {
 		f.handler.ParentChanged(parent)
 	}
+	if forgotten {
+		f.notifyMembers()
+	}
 	f.mu.Lock()
 	if parent == "" {
 		f.totals = f.sumLoads(own)
--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -49,6 +49,13 @@
 	r.incarnations = incarnations
 }
 
+// SetLost sets the number of routers that cannot be reached, which may have stopped or be cut off from this one.
+func (r *Registry) SetLost(routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = routers
+}
+
 type rankedRouter struct {
 	name string
 	hash uint64
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -96,6 +96,8 @@
 	self         string
 	routers      []rankedRouter
 	incarnations map[string]uint64
+	// lost is the number of routers that cannot be reached and may be a part of the fleet without contact to this one.
+	lost int
 	// fleetLoad is the load of all routers, by PoolHash.
 	fleetLoad map[uint32]PoolLoad
 	// tombstones holds the last publication of each removed instance, so that an earlier publication that
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -72,6 +72,18 @@
 	return f
 }
 
+// split cuts the fleet into two parts, each of which has declared the routers of the other one lost.
+func (f *fleet) split() {
+	var parts [2][]Router
+	for n, router := range fleetMembers(len(f.routers)) {
+		parts[n%2] = append(parts[n%2], router)
+	}
+	for n, r := range f.routers {
+		r.SetFleet(routerName(n), parts[n%2])
+		r.SetLost(len(parts[1-n%2]))
+	}
+}
+
 func routerName(n int) string { return fmt.Sprintf("r-%03d", n) }
 
 func fleetMembers(routers int) []Router {
--- a/gateway/pool/restrict.go
+++ b/gateway/pool/restrict.go
@@ -64,7 +64,14 @@
 		return now.Before(m.deniedUntil)
 	}
 	m.coldStarts = slices.DeleteFunc(m.coldStarts, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
-	return len(m.coldStarts) >= max(1, int(r.coldRates[m.Pool]))
+	return len(m.coldStarts) >= r.coldLimit(m.Pool)
+}
+
+// coldLimit returns the number of requests within coldWindow that this router grants at a cold instance which it keeps.
+// A part of the fleet without contact to the rest, which has keepers of its own, grants its share.
+func (r *Registry) coldLimit(pool string) int {
+	alive := float64(max(1, len(r.routers)))
+	return max(1, int(r.coldRates[pool]*alive/(alive+float64(r.lost))))
 }
 
 // recordColdStart counts a request to a cold instance that this router keeps.
--- a/gateway/pool/restrict_test.go
+++ b/gateway/pool/restrict_test.go
@@ -13,9 +13,12 @@
 
 // An engine restarts in a large fleet under load and is cold: it bears few requests a second, summed over all routers,
 // and crashes well above. It looks idle, and is the first of the rendezvous order for many documents. Guards against
-// routers that each send it a few requests, also those whose question its keeper does not answer.
+// routers that each send it a few requests, also those whose question its keeper does not answer, and against two parts
+// of a fleet without contact that each send as many as the instance bears.
 func TestColdInstanceGetsWhatItBears(t *testing.T) {
-	for name, silent := range map[string]bool{"keepers answer": false, "a third of the keepers is silent": true} {
+	for name, c := range map[string]struct{ silent, parts bool }{
+		"keepers answer": {}, "a third of the keepers is silent": {silent: true}, "two parts": {parts: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			const routers, engines, perSecond, seconds = 30, 6, 300, 4
@@ -29,9 +32,12 @@
 			for _, r := range f.routers {
 				r.SetColdRates(map[string]float64{"llm": coldRate})
 			}
-			for n := 0; silent && n < routers; n += 3 {
+			for n := 0; c.silent && n < routers; n += 3 {
 				f.silent[n] = true
 			}
+			if c.parts {
+				f.split()
+			}
 			random := rand.New(rand.NewPCG(5, 6))
 			var open []*held
 			var starts []time.Time
@@ -58,7 +64,7 @@
 				}
 				is.True(n <= coldRate) // requests to the cold instance in one second
 			}
-			is.True(len(starts) > 0 || silent)
+			is.True(len(starts) > 0 || c.silent)
 			f.clock.advance(seconds * time.Second)
 			is.True(!f.routers[0].cold(f.routers[0].members[testInstance(0).ID], f.clock.at))
 		})
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -42,12 +42,13 @@
 }
 
 // MembersChanged implements peer.Handler.
-func (g *Gateway) MembersChanged(alive []*peerpb.Member) {
+func (g *Gateway) MembersChanged(alive []*peerpb.Member, lost int) {
 	routers := make([]pool.Router, 0, len(alive))
 	for _, m := range alive {
 		routers = append(routers, pool.Router{Name: m.GetNode(), Incarnation: m.GetIncarnation()})
 	}
 	g.registry.SetFleet(g.settings.Node, routers)
+	g.registry.SetLost(lost)
 	g.reservations.moveToKeepers()
 	if !g.settings.FirstStart && startedTogether(g.settings.Node, routers) {
 		for _, f := range g.followers() {
