Bound the messages on their way between simulated gateways

Cause: TestKeepersChangeWhileRequestsAskThem changes the keepers without a pause until all requests are done. Each change tells the old and the new keeper of each open reservation, and the simulated link starts a goroutine for each message, without a bound. When these are made faster than they run, they queue for the lock of a keeper's registry. A request that asks the keeper waits behind all of them, its reservation is moved meanwhile, and so the loop neither ends nor slows down. Dumps at 2 GB, two runs with 8 processors: 92,000 and 88,000 goroutines, all but some tens of them in simulatedLink.Tell, and one request that waited for the lock in Registry.Reserve. Routers are not affected: package peer queues 512 messages a link, closes a link that is slower, and handles the messages of a link in turn.

Change: a simulated gateway has 512 messages on their way at most; Tell waits for room.

--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -20,6 +20,9 @@
 	linkDelay = 2 * time.Millisecond
 	// answerTimeout is how long a simulated router waits for an answer that does not come.
 	answerTimeout = 40 * time.Millisecond
+	// maxUndelivered bounds the messages of one simulated router that are not handled yet, as package peer bounds those of
+	// a link.
+	maxUndelivered = 512
 )
 
 // simulatedLink connects the gateways of a simulated fleet in the virtual time of a test.
@@ -28,9 +31,11 @@
 	node  string
 	// unanswered is the share of questions that are not answered in time.
 	unanswered float64
-	mu         sync.Mutex
-	random     *rand.Rand
-	sequence   uint64
+	// undelivered holds an element for each message of Tell that is not handled yet.
+	undelivered chan struct{}
+	mu          sync.Mutex
+	random      *rand.Rand
+	sequence    uint64
 }
 
 func (l *simulatedLink) lost() bool {
@@ -67,8 +72,11 @@
 	return nil, false
 }
 
+// Tell waits while maxUndelivered messages are not handled yet.
 func (l *simulatedLink) Tell(node string, m *peerpb.Message) {
+	l.undelivered <- struct{}{}
 	time.AfterFunc(linkDelay, func() {
+		defer func() { <-l.undelivered }()
 		if r := m.GetReserve(); r != nil {
 			l.fleet[node].Reserve(l.node, r, nil)
 		}
@@ -95,7 +103,9 @@
 	var out []*Gateway
 	for _, name := range names {
 		g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), places: newPlaces(), metrics: newMetrics(kernel.NewCounters())}
-		g.keepers = &simulatedLink{fleet: fleet, node: name.Name, random: rand.New(rand.NewPCG(61, uint64(len(out))))}
+		g.keepers = &simulatedLink{
+			fleet: fleet, node: name.Name, random: rand.New(rand.NewPCG(61, uint64(len(out)))), undelivered: make(chan struct{}, maxUndelivered),
+		}
 		g.reservations = newReservations(g.registry, g.keepers, g.places)
 		g.admission = newAdmissionControllers(g.registry)
 		g.admission.configure(table)
