End the rest after failed reads when a peer is ahead

The root of the tree, front-derby-1, had restarted while the store was silent. Its reads failed, and as its peers kept its feed up to date it slept for three seconds (the log shows the first failure only; the sleep follows from the code and the times). In this time leicester-1 read versions 10 and 12 in one response, at 28.39 s. Together they are larger than what is passed on unasked, so that the root heard of the position only, which should make it read at once; but it slept. Nottingham, below the root, had them at 29.58 s by its own read, and the root had never had them when it restarted again at 37 s.

The rest is now part of the decision whether a read is due, and ends when a peer is known to be ahead.

--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -86,7 +86,8 @@
 	// refuses as well.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
-	// freshRetryDelay is the delay while peers keep the feed up to date.
+	// freshRetryDelay is the delay while peers keep the feed up to date. It ends when a peer has records that it does not
+	// pass on.
 	freshRetryDelay = 3 * time.Second
 	// crowdRetryDelay is the least delay after a failed read of a router beyond maxStaggerRank; up to twice as much is
 	// added at random. During an outage a hundred routers then make some fifty calls a second instead of two hundred,
@@ -158,6 +159,8 @@
 	freshFrom source
 	lastErr   error
 	failures  int
+	// restUntil is when the feed is read again after failures while peers keep it up to date.
+	restUntil time.Time
 }
 
 // NewFollower returns a follower that has read nothing yet.
@@ -226,6 +229,8 @@
 		return true
 	case f.freshAt.IsZero():
 		return f.rank == 0 || f.startWaitOver || now.Sub(f.startedAt) >= f.StartWait
+	case now.Before(f.restUntil):
+		return false
 	case f.rank <= 0 && f.pollPolicy.Wait > 0:
 		return true
 	}
@@ -480,7 +485,7 @@
 	fn()
 }
 
-// recordFailure records a failed read and returns the delay before the next one.
+// recordFailure records a failed read and returns the least delay before the next one.
 func (f *Follower) recordFailure(err error) time.Duration {
 	f.mu.Lock()
 	first := f.lastErr == nil
@@ -491,7 +496,7 @@
 		delay = crowdRetryDelay + time.Duration(rand.Int64N(2*int64(crowdRetryDelay)))
 	}
 	if f.pollPolicy.MaxAge > 0 && !f.freshAt.IsZero() && f.now().Sub(f.freshAt) < outageThreshold && f.failures > 1 {
-		delay = freshRetryDelay
+		f.restUntil = f.now().Add(freshRetryDelay)
 	}
 	f.mu.Unlock()
 	if f.OnFailure != nil {
@@ -509,6 +514,7 @@
 	recovered := f.lastErr != nil
 	f.lastErr = nil
 	f.failures = 0
+	f.restUntil = time.Time{}
 	f.mu.Unlock()
 	if f.OnAdvance != nil {
 		f.OnAdvance()
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -593,3 +593,37 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a router that neither hears of a change from its peers, because the records are too large to be passed on
+// unasked, nor reads it from the store, because it rests after failed reads while peers keep its feed up to date.
+func TestRestEndsWhenAPeerIsAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		source, sink := &fakeSource{}, newSink()
+		source.put("config", "0")
+		f := NewFollower(Configuration, source, sink, testPollPolicy)
+		f.SetRank(1)
+		f.EndStartWait()
+		go f.Run(ctx)
+		synctest.Wait()
+		source.fail(errors.New("down"))
+		const beat = 50 * time.Millisecond
+		// It goes on reading until two reads in a row have failed.
+		time.Sleep(testPollPolicy.MaxAge + readStagger + maxRetryDelay)
+		before := source.readCount()
+		is.True(before > 2)
+		for range freshRetryDelay / beat / 2 {
+			time.Sleep(beat)
+			f.ApplyDelta(Delta{Base: 1, Next: 1, FreshAt: time.Now()})
+		}
+		is.Equal(source.readCount(), before) // it rests
+		source.put("config", "1")
+		source.fail(nil)
+		f.RecordPeerPosition(2)
+		time.Sleep(maxRetryDelay + agePollInterval)
+		is.Equal(sink.get("config"), "1")
+		cancel()
+		synctest.Wait()
+	})
+}
