Let the root of the tree ask the routers below it for large records

A router that the store does not serve asks its parent for records that are too large to be passed on unasked. The root has no parent: it went on with the old configuration until the store served it again, and refused requests on new routes with 404 although all routers below it had them.

A router whose reads of the store fail, and that sees that one below it has records that it has not sent, asks it for them, at most each recordsInterval, and is answered at once.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -31,6 +31,7 @@
 	wants          int
 	wantsAnswered  int
 	needsRecords   bool
+	behind         bool
 	load           uint32
 	total, ejected uint32
 	held           map[string]bool
@@ -51,7 +52,7 @@
 	if want {
 		h.wants++
 	}
-	if !up && wantsRecords(positions) {
+	if wantsRecords(positions) {
 		h.wantsAnswered++
 	}
 	var records []*peerpb.Record
@@ -61,13 +62,13 @@
 	return &peerpb.State{Records: records, Positions: []*peerpb.Position{{Feed: 1, Next: h.feed, Base: h.feed, Followed: 20, AgeMs: 300, Want: want}, {Feed: 2, Next: 500, Base: 500, AgeMs: 200, Want: want}}}
 }
 
-func (h *fakeHandler) MergeState(_ string, s *peerpb.State) bool {
+func (h *fakeHandler) MergeState(_ string, s *peerpb.State) (news, behind bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := s.GetPositions()[0].GetNext()
 	advanced := next > h.feed
 	h.feed = max(h.feed, next)
-	return advanced
+	return advanced, h.behind
 }
 
 func (h *fakeHandler) NeedsRecords() bool {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -86,8 +86,9 @@
 	State(positions []*peerpb.Position, up, want bool) *peerpb.State
 	// NeedsRecords reports whether this router needs records whatever their size.
 	NeedsRecords() bool
-	// MergeState applies a neighbour's state and reports whether it holds news that are to be passed on at once.
-	MergeState(node string, state *peerpb.State) (news bool)
+	// MergeState applies a neighbour's state and reports whether it holds news that are to be passed on at once. behind is
+	// set if the neighbour has records that it has not sent and that this router needs whatever their size.
+	MergeState(node string, state *peerpb.State) (news, behind bool)
 	// Loads returns this router's load by pool.
 	Loads() map[uint32]PoolLoad
 	// SetFleetLoads receives the load of the whole fleet by pool.
@@ -150,7 +151,7 @@
 	// parentSequence is the sequence number of the parent's last state that was merged, and stateSequence that of the
 	// last state sent down.
 	parentSequence, stateSequence uint64
-	// askedForRecordsAt is when the parent was last asked for records of any size.
+	// askedForRecordsAt is when a neighbour was last asked for records of any size.
 	askedForRecordsAt time.Time
 	// sentUp and sentDown are the loads told last in each direction, in requests.
 	sentUp, sentDown     uint32
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -56,7 +56,7 @@
 		f.sendUp(parent, own, news, now)
 	}
 	for _, node := range down {
-		f.sendDown(node, news, now)
+		f.sendDown(node, news, false, now)
 	}
 }
 
@@ -207,7 +207,15 @@
 // sendUp sends this router's state to its parent.
 func (f *Fleet) sendUp(parent string, own map[uint32]PoolLoad, news []*peerpb.Member, now time.Time) {
 	f.mu.Lock()
-	positions, received := f.parentPositions, f.parentSequence
+	positions := f.parentPositions
+	f.mu.Unlock()
+	f.sendUpFrom(positions, parent, own, news, now)
+}
+
+// sendUpFrom sends this router's state to its parent at the given positions.
+func (f *Fleet) sendUpFrom(positions []*peerpb.Position, parent string, own map[uint32]PoolLoad, news []*peerpb.Member, now time.Time) {
+	f.mu.Lock()
+	received := f.parentSequence
 	want := now.Sub(f.askedForRecordsAt) >= recordsInterval
 	f.mu.Unlock()
 	want = want && f.handler.NeedsRecords()
@@ -228,8 +236,8 @@
 	}
 }
 
-// sendDown sends the state of the fleet to a router below this one.
-func (f *Fleet) sendDown(node string, news []*peerpb.Member, now time.Time) {
+// sendDown sends the state of the fleet to a router below this one. If want is set, it asks for records of any size.
+func (f *Fleet) sendDown(node string, news []*peerpb.Member, want bool, now time.Time) {
 	f.mu.Lock()
 	c := f.children[node]
 	f.mu.Unlock()
@@ -242,7 +250,7 @@
 	c.sentAt = now
 	positions := c.positions
 	f.mu.Unlock()
-	state := f.handler.State(positions, false, false)
+	state := f.handler.State(positions, false, want)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state.Loads = encodeLoads(f.totals)
@@ -351,7 +359,7 @@
 		// A request for records is not repeated with the next state, so it is answered in any case.
 		answer = now.Sub(c.sentAt) >= f.interval()/2 || wantsRecords(s.GetPositions())
 	case fromParent:
-		f.heardParentAt, f.totals, f.parentPositions = now, decodeLoads(s.GetLoads()), s.GetPositions()
+		f.heardParentAt, f.totals, f.parentPositions = now, decodeLoads(s.GetLoads()), withoutRequests(s.GetPositions())
 	}
 	totals := f.totals
 	if s.GetMembersDigest() != f.members.digest() && now.Sub(l.sentMembersAt) >= membersInterval {
@@ -361,8 +369,13 @@
 	if fromParent {
 		f.handler.SetFleetLoads(totals)
 	}
-	news := f.handler.MergeState(l.node, s)
+	news, behind := f.handler.MergeState(l.node, s)
 	f.mu.Lock()
+	// The parent is asked with the next state that is due for it.
+	want := behind && s.GetUp() && now.Sub(f.askedForRecordsAt) >= recordsInterval
+	if want {
+		f.askedForRecordsAt = now
+	}
 	if !s.GetUp() && l.node == f.parent {
 		f.parentSequence = s.GetSequence()
 	}
@@ -372,9 +385,24 @@
 	if news {
 		f.wakeUp()
 	}
-	if answer {
-		f.sendDown(l.node, nil, now)
+	if answer || want {
+		f.sendDown(l.node, nil, want, now)
 	}
+	if fromParent && wantsRecords(s.GetPositions()) {
+		f.sendUpFrom(s.GetPositions(), l.node, f.handler.Loads(), nil, now)
+	}
+}
+
+// withoutRequests returns the positions without the requests for records in them, which are answered once.
+func withoutRequests(positions []*peerpb.Position) []*peerpb.Position {
+	if !wantsRecords(positions) {
+		return positions
+	}
+	out := make([]*peerpb.Position, 0, len(positions))
+	for _, p := range positions {
+		out = append(out, &peerpb.Position{Feed: p.GetFeed(), Base: p.GetBase(), Followed: p.GetFollowed(), Next: p.GetNext(), AgeMs: p.GetAgeMs()})
+	}
+	return out
 }
 
 // wantsRecords reports whether the sender of the positions asks for records of any size.
--- a/gateway/peer/state_test.go
+++ b/gateway/peer/state_test.go
@@ -145,6 +145,53 @@
 	is.Equal(h.wantsAnswered, 1)
 }
 
+// Guards against the root of the tree, which has no parent to ask, that never gets large records while the store does not
+// serve it, and against one that asks a router below it so often that they fill its link.
+func TestRouterBelowIsAskedForLargeRecords(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h, l := newIsolated(t, "node-0")
+	f := h.fleet
+	f.links["node-1"] = []*link{l}
+	f.children["node-1"] = &child{sentAt: time.Now().Add(time.Hour)}
+	state := &peerpb.State{Up: true, Positions: []*peerpb.Position{{Feed: 1, Next: 9, AgeMs: -1}}, MembersDigest: f.members.digest()}
+	f.receiveState(l, state)
+	is.Equal(len(sentStates(l)), 0)
+	h.behind = true
+	f.children["node-1"].sentAt = time.Now().Add(time.Hour) // a state was sent just before
+	f.receiveState(l, state)
+	sent := sentStates(l)
+	is.Equal(len(sent), 1)
+	is.True(wantsRecords(sent[0].GetPositions()))
+	f.receiveState(l, state)
+	for _, s := range sentStates(l) {
+		is.True(!wantsRecords(s.GetPositions())) // not before the interval is over
+	}
+	f.askedForRecordsAt = time.Now().Add(-recordsInterval)
+	f.receiveState(l, state)
+	is.True(wantsRecords(sentStates(l)[0].GetPositions()))
+}
+
+// Guards against a request of the parent for large records that is not answered, because its next state comes before
+// this router's, or that is answered with each state until then.
+func TestParentIsSentLargeRecordsOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h, l := newIsolated(t, "node-2")
+	f := h.fleet
+	f.informed = true
+	is.True(f.addLink(l, &peerpb.Member{Node: "node-1", Address: "127.0.0.1:1"}))
+	f.tick(time.Now())
+	is.Equal(f.parent, "node-1")
+	sentStates(l)
+	f.receiveState(l, &peerpb.State{Positions: []*peerpb.Position{{Feed: 1, Want: true}}, MembersDigest: f.members.digest()})
+	is.Equal(len(sentStates(l)), 1)
+	is.Equal(h.wantsAnswered, 1)
+	f.sendUp("node-1", nil, nil, time.Now())
+	is.Equal(len(sentStates(l)), 1)
+	is.Equal(h.wantsAnswered, 1)
+}
+
 // newIsolated returns a router that runs nothing on its own, and a link to node-1 whose other end does not exist.
 func newIsolated(t *testing.T, node string) (*fakeHandler, *link) {
 	t.Helper()
@@ -239,7 +286,7 @@
 	h.onState = func() { time.Sleep(overlap) }
 	var both sync.WaitGroup
 	for range 2 {
-		both.Go(func() { f.sendDown("node-1", nil, time.Now()) })
+		both.Go(func() { f.sendDown("node-1", nil, false, time.Now()) })
 	}
 	both.Wait()
 	records := 0
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -187,7 +187,7 @@
 }
 
 // MergeState implements peer.Handler.
-func (g *Gateway) MergeState(node string, state *peerpb.State) (news bool) {
+func (g *Gateway) MergeState(node string, state *peerpb.State) (news, behind bool) {
 	g.suspects.Merge(state.GetSuspects())
 	suspicions := g.poison.Merge(state.GetSuspectParts())
 	g.logBlocked(suspicions, node)
@@ -200,9 +200,10 @@
 			before := f.follower.FreshAt()
 			mergeFeed(state, position, f.follower, !state.GetUp())
 			news = news || f.follower.FreshAt().After(before.Add(minAdvance))
+			behind = behind || (position.GetAgeMs() < 0 && position.GetNext() > f.follower.Position() && f.follower.Failing())
 		}
 	}
-	return news
+	return news, behind
 }
 
 // minAdvance is how much a feed must advance to be passed on at once: two peers estimate the age of the same read
