Give a parent that is behind what it has not got from this router's parent

A root of the tree that had restarted while the store was silent got nothing from the routers below it: they had the newest records from its predecessor, and do not pass back what they have from a parent, so that it cannot take its own estimate of the age for news.

A parent that is behind has not told the age of what it lacks, so it is sent. The age of what a parent knows is not passed back, as before.

--- a/gateway/update.go
+++ b/gateway/update.go
@@ -150,8 +150,10 @@
 	state.Positions = append(state.Positions, own)
 	n := f.follower.Since(own.Base)
 	own.Next, own.Followed = n.Next, n.HistoryFrom
-	// A peer's position is known from its first response on.
-	if n.FreshAt.IsZero() || position == nil || (up && n.FromParent) {
+	// A peer's position is known from its first response on. A parent that is behind has not told the age of what it lacks:
+	// it has started since, or another router was the parent.
+	passedBack := up && n.FromParent && own.Base >= n.Next
+	if n.FreshAt.IsZero() || position == nil || passedBack {
 		return
 	}
 	size := 0
