Read the body of a request before it is refused

Found by review. A caller whose request was refused got a broken connection in place of the refusal: a request with a body on a route or with a key that a configuration had just taken away, one that comes too late in a stop, or one that comes before the first configuration, if it asked for its connection to be closed or spoke HTTP/1.0. The router of the product's own path did the same.

Cause: refusals by the header were written before the body was read. net/http leaves the body unread where the connection ends with the response anyway, or where more than 256 KB are left. Closing a connection with unread data resets it, and the caller that still writes sees the reset and not the response. Only bodies over the limit were read first.

Change: what is left of the body is read, within the same bounds of size and time as for one over the limit, before a refusal by the header is written.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -10,6 +10,7 @@
 
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/internal/callerconn"
+	"jacinthfork.example/jacinthfork/internal/requestbody"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -34,6 +35,12 @@
 	s.writeError(err)
 }
 
+// rejectUnread responds to a request that was not accepted and whose body was not read.
+func (s *requestState) rejectUnread(err *verdict.Error) {
+	requestbody.Discard(s.writer, s.request)
+	s.reject(err)
+}
+
 // fail ends a request that was accepted. A response that has started is aborted, so that it never looks
 // complete.
 func (s *requestState) fail(err error) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -94,6 +94,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	if err := s.accept(); err != nil {
+		s.rejectUnread(err)
+		return
+	}
+	if err := s.readBody(); err != nil {
 		s.reject(err)
 		return
 	}
@@ -115,10 +119,10 @@
 func (s *requestState) refuseLate() {
 	// Without a valid header the response names no request.
 	s.call, _ = s.g.env.Protocol.ParseRequest(s.request)
-	s.reject(unavailable(verdict.ReasonLeaving, "the router stops", stopRetryAfter))
+	s.rejectUnread(unavailable(verdict.ReasonLeaving, "the router stops", stopRetryAfter))
 }
 
-// accept validates and authorises the request and reads its body.
+// accept validates and authorises the request by its header.
 func (s *requestState) accept() *verdict.Error {
 	if s.table == nil {
 		return unavailable(verdict.ReasonNotReady, "no configuration is known yet", notReadyRetryAfter)
@@ -150,7 +154,10 @@
 		}
 	}
 	s.setDeadline()
-	return s.readBody()
+	if limit := s.table.Limits.HeaderBytes; limit > 0 && headerSize(s.request) > limit {
+		return verdict.New(verdict.NotRun, verdict.ReasonHeaderTooLarge, "the header is over the limit")
+	}
+	return nil
 }
 
 // setDeadline sets the deadline from the caller's or the route's time limit, whichever is shorter.
@@ -167,11 +174,7 @@
 // readBody reads the whole body, so that it can be sent again and never reaches a backend server truncated,
 // and computes the fingerprint.
 func (s *requestState) readBody() *verdict.Error {
-	limits := s.table.Limits
-	if limits.HeaderBytes > 0 && headerSize(s.request) > limits.HeaderBytes {
-		return verdict.New(verdict.NotRun, verdict.ReasonHeaderTooLarge, "the header is over the limit")
-	}
-	body, err := requestbody.Read(s.writer, s.request, limits.BodyBytes)
+	body, err := requestbody.Read(s.writer, s.request, s.table.Limits.BodyBytes)
 	var tooLarge *requestbody.TooLargeError
 	if errors.As(err, &tooLarge) {
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, tooLarge.Error())
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -2,7 +2,6 @@
 package requestbody
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,7 +9,7 @@
 )
 
 const (
-	// maxDrainBytes and drainTimeout bound how much of an oversized body is read and discarded. Without draining, a
+	// maxDrainBytes and drainTimeout bound how much of a body is read and discarded. Without draining, a
 	// client that sends its whole body before it reads would see a connection reset instead of the status. 64 MB
 	// take 0.5 s at 1 Gbit/s.
 	maxDrainBytes = 64 << 20
@@ -45,16 +44,21 @@
 }
 
 func rejectTooLarge(w http.ResponseWriter, r *http.Request, limit int64) error {
-	tooLarge := &TooLargeError{Limit: limit}
 	w.Header().Set("Connection", "close")
+	Discard(w, r)
+	return &TooLargeError{Limit: limit}
+}
+
+// Discard reads what is left of the body of a request that is answered without it, up to a size and for a time. net/http
+// leaves the body of a connection that ends with the response unread, and closing it then resets it.
+func Discard(w http.ResponseWriter, r *http.Request) {
 	// A client that sent Expect has not sent the body yet, and reading would send it 100 Continue.
-	if r.Header.Get("Expect") != "" {
-		return tooLarge
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
 	}
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
-		return errors.Join(tooLarge, err)
+		return
 	}
-	// The request is rejected whether or not the rest of the body can be read.
+	// The request is answered whether or not the rest of the body can be read.
 	_, _ = io.CopyN(io.Discard, r.Body, maxDrainBytes)
-	return tooLarge
 }
--- a/router/callers.go
+++ b/router/callers.go
@@ -52,10 +52,15 @@
 		}
 		in := &callerRequest{http: h, w: w, arrived: time.Now()}
 		if r.openRequests.Add(1) > int64(r.settings.Callers.MaxRequests) {
-			r.reject(in, verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "this router has no free request slot"))
+			r.rejectUnread(in, verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "this router has no free request slot"))
 			return
 		}
-		c, timeout, err := r.prepare(in, parse)
+		timeout, err := r.checkHead(in)
+		if err != nil {
+			r.rejectUnread(in, verdict.As(err))
+			return
+		}
+		c, err := r.readCall(in, parse)
 		if err != nil {
 			r.reject(in, verdict.As(err))
 			return
@@ -66,22 +71,23 @@
 	}
 }
 
-func (r *Router) prepare(in *callerRequest, parse func(*callerRequest) (*call, error)) (*call, time.Duration, error) {
+// checkHead checks what the header of a request says and returns the request's time limit.
+func (r *Router) checkHead(in *callerRequest) (time.Duration, error) {
 	if err := r.readIdentity(in); err != nil {
-		return nil, 0, err
+		return 0, err
 	}
 	if err := r.checkHeaders(in.http); err != nil {
-		return nil, 0, err
-	}
-	timeout, err := r.requestTimeout(in.http)
-	if err != nil {
-		return nil, 0, err
+		return 0, err
 	}
+	return r.requestTimeout(in.http)
+}
+
+// readCall reads the body of a request and parses it.
+func (r *Router) readCall(in *callerRequest, parse func(*callerRequest) (*call, error)) (*call, error) {
 	if err := r.readBody(in); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	c, err := parse(in)
-	return c, timeout, err
+	return parse(in)
 }
 
 // checkHeaders limits the size of the header fields. net/http has its own limit, twice as high, beyond
@@ -99,6 +105,12 @@
 	return nil
 }
 
+// rejectUnread answers a request whose body was not read.
+func (r *Router) rejectUnread(in *callerRequest, err *verdict.Error) {
+	requestbody.Discard(in.w, in.http)
+	r.reject(in, err)
+}
+
 // reject answers a request that was not sent to any sidecar.
 func (r *Router) reject(in *callerRequest, err *verdict.Error) {
 	r.observeRejected(in.organisation, err)
