Keep connections on which the beginning of a request was read with the one before

A caller that has sent the beginning of its next request before it has the response got its connection closed at a stop when the rest was still on its way, and with it '400 Bad Request' for a proper request if half of the header had been read.

Cause: the connection counts what is read after a response to tell whether it is unused. The server reads earlier, too: with the request before into its buffer, and one byte ahead while it serves that one. When it then asks for the rest it looked like a server that waits for a first byte.

Evidence: TestConnectionWithTheBeginningOfARequestIsNotClosedAsUnused, before: '400 != 200' with half of the header and 'unexpected EOF' with one byte, with and without an idle timeout.

Change: the byte that is read ahead is told by the size of the read, and a buffer that holds the beginning of a header by the deadline that the server sets once it has it. Neither connection is closed as unused.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -78,8 +78,21 @@
 	// for the first data after idleReads.
 	closing   bool
 	idleReads uint64
+	// early is set while the last data read is the one byte that the server reads ahead while it serves a request. begun is
+	// set once the beginning of the next request is in the server's buffer, as far as its reads do not show it.
+	early, begun bool
+	// deadlines is the number of read deadlines that the server has still to set until begun.
+	deadlines int
 }
 
+const (
+	// readAheadBytes is the size of the reads of http.Server for data that arrives while a request is served.
+	readAheadBytes = 1
+	// headerDeadlines is the number of read deadlines that http.Server sets from the end of a response until it reads the next
+	// header: one to wait for the first bytes, and one when it has them.
+	headerDeadlines = 2
+)
+
 func newTracked(conn net.Conn) *tracked {
 	c := &tracked{Conn: conn}
 	if own, ok := conn.(syscall.Conn); ok {
@@ -97,7 +110,7 @@
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.count(n, err)
+		return c.count(len(p), n, err)
 	}
 	failure := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
@@ -106,9 +119,10 @@
 			err = net.ErrClosed
 			return true
 		}
-		n, err = c.count(socket.ReadNow(fd, p))
+		n, err = socket.ReadNow(fd, p)
+		n, err = c.count(len(p), n, err)
 		c.waiting = errors.Is(err, syscall.EAGAIN)
-		if c.waiting && c.closing && c.reads == c.idleReads {
+		if c.waiting && c.closing && c.reads == c.idleReads && !c.begun {
 			c.retired, err = true, net.ErrClosed
 			return true
 		}
@@ -130,14 +144,26 @@
 	c.waiting = waiting
 }
 
-// count counts a read. The caller holds mu.
-func (c *tracked) count(n int, err error) (int, error) {
+// SetReadDeadline implements net.Conn.
+func (c *tracked) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.deadlines > 0 {
+		c.deadlines--
+		c.begun = c.begun || c.deadlines == 0
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// count counts a read into a buffer of the given size. The caller holds mu.
+func (c *tracked) count(size, n int, err error) (int, error) {
 	c.waiting = false
 	if c.retired {
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
 		c.reads++
+		c.early = size == readAheadBytes
 	}
 	return n, err
 }
@@ -148,6 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing, c.idleReads = closing, c.reads
+	c.begun, c.deadlines = c.early, headerDeadlines
 	return c.reads
 }
 
@@ -157,7 +184,7 @@
 func (c *tracked) retire(reads uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.waiting || c.reads != reads {
+	if !c.waiting || c.reads != reads || c.begun {
 		return false
 	}
 	if readable, err := socket.Readable(c.Conn); err == nil && readable {
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -222,3 +222,55 @@
 	_, err = reader.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// Guards against a request that ends with its connection because a planned stop takes the connection for unused: the
+// beginning of its header was read together with the request before, or while that one was being served.
+func TestConnectionWithTheBeginningOfARequestIsNotClosedAsUnused(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, early := range map[string]struct{ together, during int }{
+		"half of the header with the request before":    {together: len(request) / 2},
+		"one byte while the request before is served":   {during: 1},
+		"some bytes while the request before is served": {during: 3},
+	} {
+		for _, idleTimeout := range []time.Duration{0, time.Minute} {
+			t.Run(name+", idle timeout "+idleTimeout.String(), func(t *testing.T) {
+				is := is.New(t)
+				inner, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				conns := NewTracker()
+				listener := &Listener{Listener: inner}
+				begun, finish := make(chan struct{}, 2), make(chan struct{})
+				server := &http.Server{
+					Handler:     http.HandlerFunc(func(http.ResponseWriter, *http.Request) { begun <- struct{}{}; <-finish }),
+					ConnState:   conns.Track,
+					IdleTimeout: idleTimeout, ReadHeaderTimeout: time.Minute,
+				}
+				defer server.Close()
+				go func() { _ = server.Serve(listener) }()
+				caller, err := net.Dial("tcp", inner.Addr().String())
+				is.NoErr(err)
+				defer caller.Close()
+				_, err = io.WriteString(caller, request+request[:early.together])
+				is.NoErr(err)
+				<-begun
+				_, err = io.WriteString(caller, request[:early.during])
+				is.NoErr(err)
+				time.Sleep(2 * drainCheckInterval) // the server reads it
+				drained := make(chan error, 1)
+				go func() { drained <- Drain(t.Context(), server, listener, conns) }()
+				time.Sleep(2 * drainCheckInterval)
+				close(finish)
+				reader := bufio.NewReader(caller)
+				_, err = http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				time.Sleep(4 * drainCheckInterval) // checks for unused connections
+				_, err = io.WriteString(caller, request[early.together+early.during:])
+				is.NoErr(err)
+				resp, err := http.ReadResponse(reader, nil)
+				is.NoErr(err) // the second request is answered
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.NoErr(<-drained)
+			})
+		}
+	}
+}
