Register those who wait for a place, and count them, before their end can be heard

Found by review. A plain service looked full to the fleet for as long as the time limit of requests that had been given up: callers were refused with 503 although nothing ran at its instances. The other way round, one place could be given to two requests.

Cause: two parties decide on a place. A request that asks a keeper began to wait in a goroutine of its own, so a keeper that had been frozen or cut off, and reads the question together with the end of the request, heard of the end first; it then granted a place to nobody. Between the grant and the count in the registry, which have locks of their own, an end was missed in the same way, and the periodic check took the place back from a request that has it.

Change: a request is registered before the goroutine of its wait starts, the registry counts it under the lock of the places, and the check leaves it alone until then.

--- a/gateway/places.go
+++ b/gateway/places.go
@@ -48,9 +48,14 @@
 
 // placeRequest is a request that waits for a place, or has one.
 type placeRequest struct {
+	holder placeHolder
+	// ctx ends with the wait.
+	ctx    context.Context
 	cancel context.CancelFunc
 	// grant is nil while the request waits.
 	grant *admission.Grant
+	// counted is set once the registry counts the request.
+	counted bool
 }
 
 func newPlaces() *places {
@@ -99,35 +104,57 @@
 	return i.controller
 }
 
-// acquire waits for a place for a request until ctx ends or the request's time to wait is over. The error is a
-// *verdict.Error with verdict.NotRun; without one, release must be called.
-func (p *places) acquire(ctx context.Context, controller *admission.Controller, h placeHolder, req admission.Request) error {
-	ctx, cancel := context.WithCancel(ctx)
-	entry := &placeRequest{cancel: cancel}
+// enter registers a request that is about to wait for a place, so that release ends its wait from now on. wait must be
+// called next.
+func (p *places) enter(ctx context.Context, h placeHolder) *placeRequest {
+	entry := &placeRequest{holder: h}
+	entry.ctx, entry.cancel = context.WithCancel(ctx)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if old := p.requests[h]; old != nil {
 		old.end()
 	}
 	p.requests[h] = entry
-	p.mu.Unlock()
-	grant, err := controller.Admit(ctx, req)
+	return entry
+}
+
+// wait waits for a place until the context of enter ends or the request's time to wait is over. The error is a
+// *verdict.Error with verdict.NotRun; without one, release must be called.
+func (p *places) wait(entry *placeRequest, controller *admission.Controller, req admission.Request) error {
+	grant, err := controller.Admit(entry.ctx, req)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case p.requests[h] != entry:
+	case p.requests[entry.holder] != entry:
 		if err == nil {
 			grant.Done()
 		}
 		return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the request was given up while it waited")
 	case err != nil:
-		delete(p.requests, h)
-		cancel()
+		delete(p.requests, entry.holder)
+		entry.cancel()
 		return err
 	}
 	entry.grant = grant
 	return nil
 }
 
+// count makes the registry count a request that has a place, unless the place was given back before. The place is given
+// back if the registry does not count it.
+func (p *places) count(entry *placeRequest, reserve func() pool.Answer) pool.Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.requests[entry.holder] != entry {
+		return pool.Answer{}
+	}
+	a := reserve()
+	if entry.counted = a.Granted && !a.Unknown; !entry.counted {
+		delete(p.requests, entry.holder)
+		entry.end()
+	}
+	return a
+}
+
 // release gives a place back, or ends the wait for one.
 func (p *places) release(h placeHolder) {
 	p.mu.Lock()
@@ -152,7 +179,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for h, entry := range p.requests {
-		if entry.grant != nil && !held(h.router, h.sequence) {
+		if entry.counted && !held(h.router, h.sequence) {
 			delete(p.requests, h)
 			entry.end()
 		}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -127,7 +127,7 @@
 	}
 	r := &reservation{sequence: s.g.keepers.NextSequence(), local: true}
 	req := placeRequestOf(organisationHash(s.organisation), s.priority, wait, s.timeLeft())
-	err := s.g.places.acquire(ctx, controller, placeHolder{sequence: r.sequence}, req)
+	err := s.g.places.wait(s.g.places.enter(ctx, placeHolder{sequence: r.sequence}), controller, req)
 	switch {
 	case err == nil:
 		return r, nil, nil
@@ -153,25 +153,21 @@
 	return g.places.at(instance, i.Slots, g.admission.placeWait(i.Pool)), true
 }
 
-// reservePlace decides on a reservation of another router at an instance of a plain service. It returns once there is a
-// place, or the time to wait for one is over.
-func (g *Gateway) reservePlace(controller *admission.Controller, q *pool.Reservation, r *peerpb.Reserve) pool.Answer {
+// reservePlace decides on a reservation of another router at an instance of a plain service, whose wait entry is. It
+// returns once there is a place, or the time to wait for one is over.
+func (g *Gateway) reservePlace(controller *admission.Controller, q *pool.Reservation, r *peerpb.Reserve, entry *placeRequest) pool.Answer {
 	if g.registry.Closed(q.Instance) {
+		g.places.release(entry.holder)
 		return g.registry.Reserve(q)
 	}
-	h := placeHolder{q.Router, q.Sequence}
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
-	err := g.places.acquire(context.Background(), controller, h, placeRequestOf(r.GetOrganisation(), int(r.GetPriority()), wait, q.TTL))
+	err := g.places.wait(entry, controller, placeRequestOf(r.GetOrganisation(), int(r.GetPriority()), wait, q.TTL))
 	if err != nil {
 		a := g.registry.Refusal(q)
 		a.RetryAfter = verdict.As(err).RetryAfter
 		return a
 	}
-	a := g.registry.Reserve(q)
-	if !a.Granted || a.Unknown {
-		g.places.release(h)
-	}
-	return a
+	return g.places.count(entry, func() pool.Answer { return g.registry.Reserve(q) })
 }
 
 // holds reports whether a request that has a place is still in flight.
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -333,3 +333,54 @@
 		g.reservations.moveToKeepers()
 	}
 }
+
+// keeperOf returns the router of a fleet that keeps an instance, and one that does not.
+func keeperOf(fleet []*Gateway, instance pool.Key) (keeper, other *Gateway) {
+	for _, g := range fleet {
+		if g.keeps(instance) {
+			keeper = g
+		} else {
+			other = g
+		}
+	}
+	return keeper, other
+}
+
+// Guards against a place that stays taken until the time limit of a request that was given up, because its keeper has heard
+// of the end before the request had begun to wait, or between its grant and its count.
+func TestRequestGivenUpAtOnceKeepsNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := pool.Instance{ID: "w-0", Pool: "plain", Slots: 64}
+		instance := pool.KeyOf(worker.ID)
+		keeper, _ := keeperOf(newPlainFleet(2, []pool.Instance{worker}), instance)
+		const requests = 50
+		for n := uint64(1); n <= requests; n++ {
+			keeper.Reserve("asker", &peerpb.Reserve{Sequence: n, Instance: uint32(instance), WaitMs: 100, TtlMs: 60_000}, func(*peerpb.Reserved) {})
+			keeper.Release("asker", n, peerpb.Outcome_UNKNOWN)
+		}
+		synctest.Wait()
+		controller, _ := keeper.placesAt(instance)
+		if holds, taken := keeper.ReservedPlaces(), controller.Load().InFlight; holds != 0 || taken != 0 {
+			t.Errorf("%d reservations and %d places of %d requests that were given up", holds, taken, requests)
+		}
+	})
+}
+
+// Guards against a place that is given to a second request because the periodic check runs between its grant and its
+// count.
+func TestPlaceIsKeptUntilItIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := pool.Instance{ID: "w-0", Pool: "plain", Slots: 64}
+		instance := pool.KeyOf(worker.ID)
+		keeper, _ := keeperOf(newPlainFleet(2, []pool.Instance{worker}), instance)
+		controller, _ := keeper.placesAt(instance)
+		h := placeHolder{"asker", 1}
+		if err := keeper.places.wait(keeper.places.enter(t.Context(), h), controller, placeRequestOf(0, 0, 0, time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		keeper.places.sweep(keeper.holds, keeper.keeps)
+		if taken := controller.Load().InFlight; taken != 1 {
+			t.Errorf("%d places are taken, want 1", taken)
+		}
+	})
+}
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -87,10 +88,13 @@
 		g.metrics.keeperDecisions.Add(decisionLabel(true, true), 1)
 	case !plain:
 		g.answer(q, g.registry.Reserve(q), reply)
-	case r.GetWaitMs() == 0:
-		g.answer(q, g.reservePlace(controller, q, r), reply)
 	default:
-		go func() { g.answer(q, g.reservePlace(controller, q, r), reply) }()
+		entry := g.places.enter(context.Background(), placeHolder{node, q.Sequence})
+		if r.GetWaitMs() == 0 {
+			g.answer(q, g.reservePlace(controller, q, r, entry), reply)
+			return
+		}
+		go func() { g.answer(q, g.reservePlace(controller, q, r, entry), reply) }()
 	}
 }
 
