Ask the next keeper when the one at which a request waits has left

Found by review. Beside a stop or a loss of a gateway, callers of a plain service were refused at once with 503, "no place became free in time", while they waited for a place and the next keeper had one. The instance then looked busier than it was for the time limit of the request.

Cause: a change of the fleet moves reservations to their new keepers, and tells the old keeper of the end, also for a request that still waits. The old keeper gives the wait up, and the request took that for a full service. It forgot its reservation then, of which the new keeper had just been told and was told no end.

Change: a refusal by a router that is no longer the keeper makes the request ask again, within the time that it may wait, and a new keeper is told of the end of a reservation that was refused.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"jacinthfork.example/jacinthfork/admission"
@@ -21,6 +22,9 @@
 	fullRetryAfter = 200 * time.Millisecond
 )
 
+// errKeeperChanged is the error of a request whose keeper gave up its wait because another router keeps the instance now.
+var errKeeperChanged = errors.New("the instance has another keeper")
+
 // plain reports whether the request's pool is a plain service.
 func (s *requestState) plain() bool {
 	p := s.table.Pools[s.pool]
@@ -50,6 +54,10 @@
 		}
 		place, refusal, err := s.askForPlace(ctx, lease, wait, last)
 		switch {
+		case errors.Is(err, errKeeperChanged) && time.Now().Before(waitUntil):
+			// The next lease names the new keeper.
+		case errors.Is(err, errKeeperChanged):
+			return nil, nil, unavailable(verdict.ReasonOverCapacity, "no place became free in time", fullRetryAfter)
 		case err != nil:
 			return nil, nil, err
 		case refusal == nil:
@@ -71,7 +79,8 @@
 
 // askForPlace asks the keeper of a lease's instance for a place, or this router's own places. A refusal withdraws the
 // lease. A keeper that does not answer in time counts as one that refuses, because it may be slow for the requests that
-// the service gets; if it is the last one, the request is sent unless the service is full. The error is that of ctx.
+// the service gets; if it is the last one, the request is sent unless the service is full. The error is that of ctx, or
+// errKeeperChanged.
 func (s *requestState) askForPlace(ctx context.Context, lease *pool.Lease, wait time.Duration, last bool) (*reservation, *pool.Answer, error) {
 	if lease.Keeper == "" {
 		return s.takeLocalPlace(ctx, lease, wait)
@@ -85,7 +94,8 @@
 	m := r.message(false)
 	m.WaitMs = uint32(wait.Milliseconds())
 	m.Organisation, m.Priority = organisationHash(s.organisation), uint32(max(0, s.priority))
-	reserved, ok := s.g.keepers.Reserve(ctx, s.g.reservations.keeperOf(r), m)
+	asked := s.g.reservations.keeperOf(r)
+	reserved, ok := s.g.keepers.Reserve(ctx, asked, m)
 	if !ok && ctx.Err() != nil {
 		lease.Withdraw()
 		s.g.reservations.end(r, pool.Abandoned)
@@ -103,11 +113,17 @@
 		return r, nil, nil
 	}
 	answer := decodeAnswer(reserved)
+	if !answer.Granted && s.g.reservations.keeperOf(r) != asked {
+		s.g.metrics.reservations.Add("moved", 1)
+		lease.Withdraw()
+		s.g.reservations.end(r, pool.Abandoned)
+		return nil, nil, errKeeperChanged
+	}
 	if lease.Confirm(answer) {
 		s.g.metrics.reservations.Add("granted", 1)
 		return r, nil, nil
 	}
-	s.g.reservations.forget(r)
+	s.g.reservations.refused(r)
 	s.g.metrics.reservations.Add("refused", 1)
 	return nil, &answer, nil
 }
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -346,6 +346,50 @@
 	return keeper, other
 }
 
+// Guards against a refusal for want of a place because the keeper at which the request waited has left: the next keeper has
+// a place. It also guards against a place that the next keeper counts and that nobody gives back.
+func TestChangeOfKeeperDoesNotRefuseThoseWhoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := pool.Instance{ID: "w-0", Pool: "plain", Slots: 1}
+		instance := pool.KeyOf(worker.ID)
+		fleet := newPlainFleet(3, []pool.Instance{worker})
+		keeper, asker := keeperOf(fleet, instance)
+		controller, _ := keeper.placesAt(instance)
+		for n := range placeCapacity(worker.Slots) {
+			if err := keeper.places.wait(keeper.places.enter(t.Context(), placeHolder{sequence: uint64(1000 + n)}), controller, placeRequestOf(0, 0, 0, time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		answered := make(chan error, 1)
+		go func() { answered <- asker.sendPlain("", func(string) {}) }()
+		time.Sleep(5 * linkDelay)
+		if waiting := controller.Load().Waiting; waiting != 1 {
+			t.Fatalf("%d requests wait, want 1", waiting)
+		}
+		var left []pool.Router
+		for n, g := range fleet {
+			if g != keeper {
+				left = append(left, pool.Router{Name: fmt.Sprintf("r-%03d", n)})
+			}
+		}
+		for n, g := range fleet {
+			if g != keeper {
+				g.registry.SetFleet(fmt.Sprintf("r-%03d", n), left)
+				g.reservations.moveToKeepers()
+			}
+		}
+		if err := <-answered; err != nil {
+			t.Error("the request was refused:", err)
+		}
+		time.Sleep(10 * linkDelay)
+		for n, g := range fleet {
+			if holds := g.ReservedPlaces(); holds != 0 {
+				t.Errorf("router %d counts %d requests, want none", n, holds)
+			}
+		}
+	})
+}
+
 // Guards against a place that stays taken until the time limit of a request that was given up, because its keeper has heard
 // of the end before the request had begun to wait, or between its grant and its count.
 func TestRequestGivenUpAtOnceKeepsNoPlace(t *testing.T) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -45,6 +45,8 @@
 	// keeper changes with the fleet. It is guarded by the lock of reservations.
 	keeper pool.Router
 	until  time.Time
+	// moved is set once the keeper has changed.
+	moved bool
 	// local is set for a place at an instance of a plain service that this router keeps.
 	local bool
 }
@@ -138,7 +140,7 @@
 			s.g.metrics.reservations.Add("granted", 1)
 			return lease, r
 		}
-		s.g.reservations.forget(r)
+		s.g.reservations.refused(r)
 		s.g.metrics.reservations.Add("refused", 1)
 	}
 }
@@ -168,10 +170,16 @@
 	return res.keeper.Name
 }
 
-func (r *reservations) forget(res *reservation) {
+// refused forgets a reservation that its keeper has refused. A router that has become the keeper meanwhile counts it, and
+// is told of the end.
+func (r *reservations) refused(res *reservation) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	moved := res.moved
 	delete(r.open, res.sequence)
+	r.mu.Unlock()
+	if moved {
+		r.end(res, pool.Abandoned)
+	}
 }
 
 func (res *reservation) message(forced bool) *peerpb.Reserve {
@@ -231,7 +239,7 @@
 			continue
 		}
 		previous := res.keeper
-		res.keeper = keeper
+		res.keeper, res.moved = keeper, true
 		moves = append(moves, move{*res, previous})
 	}
 	r.mu.Unlock()
