Tell keepers of requests in the order in which they begin and end

Found by review. An instance looked busier than it was for the time limit of a request (seconds) after a change of the fleet, and the next callers were sent elsewhere or refused.

Cause: a change of the fleet notes the new keeper of each reservation and tells it later, without the lock. A request that ended in between told its end to the new keeper first; the place that it was then told of belonged to nobody. A request that takes its place without an answer had the same gap towards the old keeper.

Change: keepers are told under the lock that names them. A link queues what it is told, so nobody waits long for it.

--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -390,6 +391,55 @@
 	})
 }
 
+// toldLink calls back before each message that needs no answer.
+type toldLink struct {
+	keeperLink
+	tell func(node string, m *peerpb.Message)
+}
+
+func (l *toldLink) Tell(node string, m *peerpb.Message) { l.tell(node, m) }
+
+// Guards against a place that stays taken at a new keeper, because it is told of the request after the end of the request.
+func TestRequestThatEndsWhileItsKeeperChangesKeepsNoPlace(t *testing.T) {
+	worker := pool.Instance{ID: "w-0", Pool: "plain", Slots: 1}
+	fleet := newPlainFleet(3, []pool.Instance{worker})
+	keeper, asker := keeperOf(fleet, pool.KeyOf(worker.ID))
+	var all, left []pool.Router
+	for n, g := range fleet {
+		r := pool.Router{Name: fmt.Sprintf("r-%03d", n)}
+		if all = append(all, r); g != keeper {
+			left = append(left, r)
+		}
+	}
+	// A router that is no member keeps nothing itself.
+	for _, g := range fleet {
+		g.registry.SetFleet("nobody", all)
+	}
+	lease := asker.registry.Acquire(&pool.Request{Pool: "plain"})
+	var mu sync.Mutex
+	var last *peerpb.Message
+	var ended sync.WaitGroup
+	var begun atomic.Bool
+	link := &toldLink{keeperLink: asker.keepers}
+	asker.reservations.fleet = link
+	place := asker.reservations.begin(lease, time.Second)
+	link.tell = func(_ string, m *peerpb.Message) {
+		if !begun.Swap(true) {
+			ended.Go(func() { asker.reservations.end(place, pool.Served) })
+			time.Sleep(20 * time.Millisecond) // long enough for the end to be told, if nothing holds it back
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		last = m
+	}
+	asker.registry.SetFleet("nobody", left)
+	asker.reservations.moveToKeepers()
+	ended.Wait()
+	if last.GetReleased() != place.sequence {
+		t.Errorf("the last message was %v, want the end of the request", last)
+	}
+}
+
 // Guards against a place that stays taken until the time limit of a request that was given up, because its keeper has heard
 // of the end before the request had begun to wait, or between its grant and its count.
 func TestRequestGivenUpAtOnceKeepsNoPlace(t *testing.T) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -205,7 +205,9 @@
 
 // force tells the keeper that the place is taken.
 func (r *reservations) force(res *reservation) {
-	r.fleet.Tell(r.keeperOf(res), &peerpb.Message{Reserve: res.message(true)})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.Tell(res.keeper.Name, &peerpb.Message{Reserve: res.message(true)})
 }
 
 // end gives the place back and tells the keeper the outcome of the request. A nil reservation is allowed.
@@ -227,26 +229,18 @@
 // moveToKeepers tells the new keepers of instances, and those that have restarted, of the requests in flight there. The
 // keepers' state is rebuilt by this after a router is lost.
 func (r *reservations) moveToKeepers() {
-	type move struct {
-		res      reservation
-		previous pool.Router
-	}
-	var moves []move
+	// The lock is held until all is told: a request that ends now is told to its new keeper after that.
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, res := range r.open {
 		keeper := r.registry.KeeperOf(res.instance)
 		if keeper == res.keeper {
 			continue
 		}
-		previous := res.keeper
-		res.keeper, res.moved = keeper, true
-		moves = append(moves, move{*res, previous})
-	}
-	r.mu.Unlock()
-	for _, m := range moves {
-		if m.previous.Name != m.res.keeper.Name {
-			r.fleet.Tell(m.previous.Name, &peerpb.Message{Released: m.res.sequence, Outcome: peerpb.Outcome_UNKNOWN})
+		if res.keeper.Name != keeper.Name {
+			r.fleet.Tell(res.keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: peerpb.Outcome_UNKNOWN})
 		}
-		r.force(&m.res)
+		res.keeper, res.moved = keeper, true
+		r.fleet.Tell(keeper.Name, &peerpb.Message{Reserve: res.message(true)})
 	}
 }
