Print what each router knows when a test's fleet does not agree

TestTreeSurvivesLossOfInnerRouters and TestHandlerHasTheNewestMembers said "the condition was not met" only. A failure now prints for each router whom it knows, with incarnation, version and status, its parent, children, links and attempts to reach others. The conditions and the bound are the same.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -163,10 +163,60 @@
 		}
 		all = append(all, start(t, name, listenAddress(), seeds...))
 	}
-	eventually(t, func() bool { return everywhere(all, func(h *fakeHandler) bool { return h.alive() == n }) })
+	eventuallyEverywhere(t, all, func(h *fakeHandler) bool { return h.alive() == n })
 	return all
 }
 
+// eventuallyEverywhere waits for a condition of all routers. If it is not met, the test ends with what each router knows.
+func eventuallyEverywhere(t testing.TB, all []*fakeHandler, condition func(h *fakeHandler) bool) {
+	t.Helper()
+	begin := time.Now()
+	for time.Since(begin) < testTimeout {
+		if everywhere(all, condition) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, h := range all {
+		t.Log(condition(h), h.describe())
+	}
+	t.Fatal("the condition was not met everywhere within testTimeout")
+}
+
+// describe returns what the router knows.
+func (h *fakeHandler) describe() string {
+	known := h.alive()
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := fmt.Sprintf("%s@%s %d.%d up %v: told alive %d, alive", f.node, f.address, f.members.own.GetIncarnation(), f.members.own.GetVersion(), time.Since(f.startedAt), known)
+	for _, m := range f.members.alive {
+		out += fmt.Sprintf(" %s=%d.%d", m.GetNode(), m.GetIncarnation()%100000, m.GetVersion())
+	}
+	out += "; others"
+	for _, e := range f.members.entries {
+		if e.GetStatus() != peerpb.Status_ALIVE {
+			out += fmt.Sprintf(" %s=%d.%d:%s (%v ago)", e.GetNode(), e.GetIncarnation()%100000, e.GetVersion(), e.GetStatus(), time.Since(e.changedAt))
+		}
+	}
+	out += fmt.Sprintf("; parent %q heard %v ago; children", f.parent, time.Since(f.heardParentAt))
+	for node, c := range f.children {
+		out += fmt.Sprintf(" %s (%v ago)", node, time.Since(c.heardAt))
+	}
+	out += "; links"
+	for node, list := range f.links {
+		out += fmt.Sprintf(" %s*%d", node, len(list))
+		for _, l := range list {
+			out += fmt.Sprintf("[queue %d, closed %v, members sent %v ago]", len(l.out), l.ctx.Err() != nil, time.Since(l.sentMembersAt).Round(time.Millisecond))
+		}
+	}
+	out += "; dials"
+	for address, d := range f.dials {
+		out += fmt.Sprintf(" %s[running %v, failures %d, next in %v]", address, d.running, d.failures, time.Until(d.nextAt).Round(time.Millisecond))
+	}
+	return out + fmt.Sprintf("; news %d, informed %v, digest %x, total %d", len(f.news), f.informed, f.members.digest(), h.total)
+}
+
 func everywhere(all []*fakeHandler, condition func(h *fakeHandler) bool) bool {
 	for _, h := range all {
 		if !condition(h) {
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -74,10 +74,8 @@
 	t.Parallel()
 	for range 3 {
 		all := startFleet(t, 30)
-		eventually(t, func() bool {
-			return everywhere(all, func(h *fakeHandler) bool {
-				return h.alive() == 30 && len(h.fleet.alive()) == 30
-			})
+		eventuallyEverywhere(t, all, func(h *fakeHandler) bool {
+			return h.alive() == 30 && len(h.fleet.alive()) == 30
 		})
 		for _, h := range all {
 			h.stop()
@@ -103,16 +101,10 @@
 		}
 		left = append(left, h)
 	}
-	eventually(t, func() bool {
-		return everywhere(left, func(h *fakeHandler) bool { return h.alive() == routers-gone })
-	})
-	eventually(t, func() bool {
-		return everywhere(left, func(h *fakeHandler) bool { return h.get(func() int { return int(h.total) }) == routers-gone })
-	})
+	eventuallyEverywhere(t, left, func(h *fakeHandler) bool { return h.alive() == routers-gone })
+	eventuallyEverywhere(t, left, func(h *fakeHandler) bool { return h.get(func() int { return int(h.total) }) == routers-gone })
 	left = append(left, start(t, 0, address, left[0].fleet.Address()))
-	eventually(t, func() bool {
-		return everywhere(left, func(h *fakeHandler) bool { return h.alive() == routers-gone+1 })
-	})
+	eventuallyEverywhere(t, left, func(h *fakeHandler) bool { return h.alive() == routers-gone+1 })
 }
 
 // Guards against sending peers an address at which they cannot reach the router, and against a link to itself.
