--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -53,8 +53,7 @@
 	Read(ctx context.Context, id ID, from uint64, wait time.Duration) (records []Record, next uint64, err error)
 }
 
-// Sink receives the records of a feed. Apply and StoreRecovered are called one at a time. SnapshotApplied may
-// be called while one of them runs for an update from a peer.
+// Sink receives the records of a feed. Its methods are called one at a time and must not call the follower.
 type Sink interface {
 	// Apply applies a record, in the order of offsets of each key. It reports whether the record is passed on
 	// to peers, which a record that changed nothing need not be.
@@ -62,7 +61,8 @@
 	// StoreRecovered is called before the first records after a period in which the store answered neither this
 	// router nor its peers.
 	StoreRecovered()
-	// SnapshotApplied is called after a snapshot of the whole feed has been applied.
+	// SnapshotApplied is called after a snapshot of the whole feed has been applied. Keys that are not among keys have been
+	// removed.
 	SnapshotApplied(keys map[string]bool)
 }
 
@@ -325,14 +325,20 @@
 		return err
 	}
 	f.Merge(records, next, begin)
-	f.mu.Lock()
-	f.synced = true
-	f.historyFrom = next
-	f.mu.Unlock()
 	keys := make(map[string]bool, len(records))
 	for _, r := range records {
 		keys[r.Key] = true
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.synced = true
+	f.historyFrom = max(f.historyFrom, next)
+	// Peers may have sent newer records while the snapshot was on its way.
+	for key, offset := range f.offsets {
+		if offset >= next {
+			keys[key] = true
+		}
+	}
 	f.sink.SnapshotApplied(keys)
 	return nil
 }
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -627,3 +627,57 @@
 		synctest.Wait()
 	})
 }
+
+// lateSource answers Newest with what it held when it was asked, after a delay.
+type lateSource struct {
+	fakeSource
+	delay time.Duration
+}
+
+func (s *lateSource) Newest(ctx context.Context, id ID) ([]Record, uint64, error) {
+	records, next, err := s.fakeSource.Newest(ctx, id)
+	time.Sleep(s.delay)
+	return records, next, err
+}
+
+// snapshotSink drops the values that a snapshot does not have.
+type snapshotSink struct{ *fakeSink }
+
+func (s *snapshotSink) SnapshotApplied(keys map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.values {
+		if !keys[key] {
+			delete(s.values, key)
+		}
+	}
+}
+
+// Guards against a snapshot of the store that arrives late and takes back what a peer has sent meanwhile: an evacuation
+// that is in force would end for good, as its record is known, and an instance that has joined would be gone.
+func TestLateSnapshotTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		source, sink := &lateSource{delay: time.Second}, &snapshotSink{newSink()}
+		source.put("gone", "1")
+		source.put("kept", "1")
+		f := NewFollower(Configuration, source, sink, testPollPolicy)
+		go f.Run(ctx)
+		time.Sleep(source.delay / 2)
+		source.put("joined", "1")
+		source.put("gone", "")
+		f.ApplyDelta(Delta{Next: 4, HistoryFrom: 2, FreshAt: time.Now(), Records: []Record{
+			{Key: "kept", Offset: 1, Value: []byte("1")}, {Key: "joined", Offset: 2, Value: []byte("1")}, {Key: "gone", Offset: 3},
+		}})
+		is.Equal(sink.get("joined"), "1")
+		time.Sleep(source.delay)
+		is.Equal(sink.get("joined"), "1")
+		is.Equal(sink.get("kept"), "1")
+		is.Equal(sink.get("gone"), "")
+		is.Equal(f.Position(), uint64(4))
+		is.Equal(f.Since(4).HistoryFrom, uint64(4)) // what was removed before it took the copy is not all known
+		cancel()
+		synctest.Wait()
+	})
+}
