Keep a silent stream at its instance until another one has it

The stall detector closed the connection as soon as another instance counted as available; that one then refused, could not be reached or gave no usable answer.

On a stall the request is now offered to another instance while the connection to the silent one stays open. The stream goes over once that instance accepts, or has neither refused nor answered in 200 ms while the first one is still silent. A refusal, an unusable answer, a crash or an unreachable instance ends the offer only; data of the first instance withdraws it. If the first instance breaks meanwhile, the offer is the next attempt. An offer is withdrawn from the retry budget before it is sent. The offer works on a copy of the request's state; one lock decides between data of the first instance and the offer. Lines "request taken over" and "offer ended", counter "offers".

OwnPauseIsNotTakenForAStall now asks the watch whether an offer is due, by the same conditions; it used to wait until the detector that is gone had fired.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,34 +46,26 @@
 // tryInstances sends the request to one instance after another as long as retrying is safe.
 func (s *requestState) tryInstances(ctx context.Context) error {
 	var last error
-	sent := 0
-	for attempt := 1; attempt <= maxDials && sent < maxAttempts; attempt++ {
-		if err := s.checkParts(); err != nil {
-			return err
+	for s.offer != nil || s.withinLimits() {
+		if s.offer == nil {
+			if err := s.checkParts(); err != nil {
+				return err
+			}
 		}
-		lease, place, err := s.acquire(ctx)
+		lease, place, err := s.nextLease(ctx)
 		if lease == nil {
-			if last != nil {
-				return s.exhausted(last)
+			if err == nil {
+				err = s.noInstance()
 			}
-			if err != nil {
-				return err
+			if last != nil {
+				err = s.exhausted(last)
 			}
-			return s.noInstance()
+			return err
 		}
-		s.triedInstances = append(s.triedInstances, lease.Instance.ID)
+		attempt := len(s.triedInstances)
 		begin := time.Now()
 		outcome, err := s.attempt(ctx, lease)
-		ejected := lease.Release(outcome)
-		s.g.reservations.end(place, outcome)
-		s.g.metrics.attempts.Add(s.pool+"/"+outcome.String(), 1)
-		if ejected {
-			s.g.metrics.ejections.Add(s.pool, 1)
-			s.g.log.Warn("instance ejected", "instance", lease.Instance.ID, "outcome", outcome.String(), "id", s.call.ID)
-		}
-		if outcome == pool.Unreachable {
-			s.g.probeUnreachable()
-		}
+		s.release(lease, place, outcome)
 		if err == nil {
 			s.recordServed(lease, attempt)
 			return nil
@@ -81,12 +73,17 @@
 		s.recordExceededLimit(lease, err)
 		failure := verdict.As(err)
 		if failure.Reason != verdict.ReasonUnreachable {
-			sent++
+			s.failedAttempts++
 		}
 		s.g.log.InfoContext(failedContext, "attempt failed", "id", s.call.ID, "instance", lease.Instance.ID, "attempt", attempt,
 			"reason", string(failure.Reason), "verdict", failure.Verdict.String(), "detail", failure.Detail,
 			"took_ms", time.Since(begin).Milliseconds())
 		last = err
+		if s.offer != nil {
+			// The next attempt has been sent already, and paid for.
+			s.g.metrics.retries.Add(s.pool+"/"+string(failure.Reason), 1)
+			continue
+		}
 		if !s.shouldRetry(ctx, failure) {
 			return last
 		}
@@ -94,6 +91,38 @@
 	return last
 }
 
+// withinLimits reports whether the request may be sent to one more instance, as far as maxAttempts and maxDials tell.
+func (s *requestState) withinLimits() bool {
+	return len(s.triedInstances) < maxDials && s.failedAttempts < maxAttempts
+}
+
+// nextLease returns the lease of the next attempt: that of the instance that has taken the request over, or a new one.
+// Without a lease, a nil error means that no instance is eligible.
+func (s *requestState) nextLease(ctx context.Context) (*pool.Lease, *reservation, error) {
+	if s.offer != nil {
+		return s.offer.lease, s.offer.place, nil
+	}
+	lease, place, err := s.acquire(ctx)
+	if lease != nil {
+		s.triedInstances = append(s.triedInstances, lease.Instance.ID)
+	}
+	return lease, place, err
+}
+
+// release ends the lease of an attempt and gives its place back.
+func (s *requestState) release(lease *pool.Lease, place *reservation, outcome pool.Outcome) {
+	ejected := lease.Release(outcome)
+	s.g.reservations.end(place, outcome)
+	s.g.metrics.attempts.Add(s.pool+"/"+outcome.String(), 1)
+	if ejected {
+		s.g.metrics.ejections.Add(s.pool, 1)
+		s.g.log.Warn("instance ejected", "instance", lease.Instance.ID, "outcome", outcome.String(), "id", s.call.ID)
+	}
+	if outcome == pool.Unreachable {
+		s.g.probeUnreachable()
+	}
+}
+
 // exhausted returns the error of a request for which no instance is left after the last one did not serve it. If all
 // instances are leaving or held off, it says when to come back.
 func (s *requestState) exhausted(last error) error {
@@ -148,34 +177,71 @@
 	return true
 }
 
-// attempt sends the request to one instance and relays its response.
+// attempt sends the request to one instance and relays its response. If another instance has taken the request over, the
+// response is that of the offer.
 func (s *requestState) attempt(ctx context.Context, lease *pool.Lease) (pool.Outcome, error) {
+	var r exchangeResult
+	if o := s.offer; o != nil {
+		s.offer = nil
+		defer o.cancel()
+		s.answered, s.sentParts = false, o.sentParts
+		r = o.receive()
+	} else {
+		conn, outcome, err := s.connect(ctx, lease)
+		if err != nil {
+			return outcome, err
+		}
+		s.recordSending()
+		r = s.g.exchange(ctx, conn, s.backendRequest(lease))
+	}
+	if r.err != nil {
+		return s.classifyFailure(ctx, lease, r.err, r.stale)
+	}
+	lease.RecordProgress()
+	return s.relay(ctx, lease, r.response)
+}
+
+// connect returns a connection to a leased instance. After an error nothing was sent.
+func (s *requestState) connect(ctx context.Context, lease *pool.Lease) (*backend.Conn, pool.Outcome, error) {
 	i := lease.Instance
 	conn, err := s.g.connections.Get(ctx, backend.Target{
 		Server: connectionKey(i), Address: i.Address, MaxIdle: s.maxIdleTime(), DialTimeout: s.dialTimeout(lease),
 	})
 	if err != nil {
 		if ctx.Err() != nil {
-			return pool.Abandoned, s.contextError(ctx, verdict.NotRun)
+			return nil, pool.Abandoned, s.contextError(ctx, verdict.NotRun)
 		}
-		return pool.Unreachable, verdict.Wrap(verdict.NotRun, verdict.ReasonUnreachable, err)
+		return nil, pool.Unreachable, verdict.Wrap(verdict.NotRun, verdict.ReasonUnreachable, err)
 	}
 	if !lease.Usable() {
 		_ = conn.Close()
 		s.retryReserved = true
-		return pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the instance takes no more requests")
+		return nil, pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the instance takes no more requests")
 	}
-	reused := conn.Reused
-	begin := time.Now()
+	return conn, pool.Served, nil
+}
+
+// recordSending records that the request is about to be sent.
+func (s *requestState) recordSending() {
 	s.attemptsSent++
 	s.answered = false
 	s.sentParts = s.g.poison.Begin(s.parts)
-	resp, err := s.g.connections.Do(ctx, conn, s.backendRequest(lease))
-	if err != nil {
-		return s.classifyFailure(ctx, lease, err, reused && time.Since(begin) < staleConnectionWindow)
-	}
-	lease.RecordProgress()
-	return s.relay(ctx, lease, resp)
+}
+
+// exchangeResult is what came of sending a request on a connection.
+type exchangeResult struct {
+	response *backend.Response
+	err      error
+	// stale is set if the error is attributed to a stale connection.
+	stale bool
+}
+
+// exchange sends a request and returns once the response header was read.
+func (g *Gateway) exchange(ctx context.Context, conn *backend.Conn, req *backend.Request) exchangeResult {
+	reused := conn.Reused
+	begin := time.Now()
+	resp, err := g.connections.Do(ctx, conn, req)
+	return exchangeResult{response: resp, err: err, stale: err != nil && reused && time.Since(begin) < staleConnectionWindow}
 }
 
 // dialTimeout returns how long connecting to the leased instance may take.
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -25,6 +25,7 @@
 	attempts         *expvar.Map
 	retries          *expvar.Map
 	resumptions      *expvar.Int
+	offers           *expvar.Map
 	ejections        *expvar.Map
 	reservations     *expvar.Map
 	keeperDecisions  *expvar.Map
@@ -50,6 +51,7 @@
 		attempts:         c.Map("attempts"),
 		retries:          c.Map("repeats"),
 		resumptions:      c.Int("resumptions"),
+		offers:           c.Map("offers"),
 		ejections:        c.Map("ejections"),
 		reservations:     c.Map("reservations"),
 		keeperDecisions:  c.Map("keeper_decisions"),
--- /dev/null
+++ b/gateway/offer.go
@@ -0,0 +1,331 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"jacinthfork.example/jacinthfork/gateway/backend"
+	"jacinthfork.example/jacinthfork/gateway/poison"
+	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/verdict"
+)
+
+const (
+	// offerTimeout is how long an instance may take to answer an offer before the request goes over to it all the same:
+	// instances refuse at once, and two of them must not work on one request for long.
+	offerTimeout = 200 * time.Millisecond
+	// offerGrace is how much longer the offer lasts while the silent instance seems to go on.
+	offerGrace = 50 * time.Millisecond
+	// offerCheckInterval is how often that is checked.
+	offerCheckInterval = 10 * time.Millisecond
+	// offerPause is the time between an offer that was sent in vain and the next one.
+	offerPause = 500 * time.Millisecond
+)
+
+// offer is a request that is sent to another instance while a silent one keeps it.
+type offer struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	lease  *pool.Lease
+	place  *reservation
+	// sentAt is when the request was sent, zero before, and withdrawn the reason for which the offer was cancelled. Both are
+	// guarded by the lock of the watch.
+	sentAt    time.Time
+	withdrawn string
+	sentParts *poison.Attempt
+	result    chan exchangeResult
+	// received is the result once it was taken from the channel.
+	received *exchangeResult
+}
+
+// sent reports whether the request was sent. The caller holds the lock of the watch.
+func (o *offer) sent() bool { return !o.sentAt.IsZero() }
+
+// receive returns the result of an offer that was sent.
+func (o *offer) receive() exchangeResult {
+	if o.received == nil {
+		r := <-o.result
+		o.received = &r
+	}
+	return *o.received
+}
+
+// offerAnswer is what an instance has answered to an offer.
+type offerAnswer uint8
+
+const (
+	noAnswer offerAnswer = iota
+	// acceptance is the header of a response that the caller can be given.
+	acceptance
+	// rejection is anything else.
+	rejection
+)
+
+// offerView is what the router knows of an offer that was sent.
+type offerView struct {
+	answer offerAnswer
+	// resumed is set once the silent instance has sent data.
+	resumed bool
+	// silent is set if it seems to be silent still.
+	silent bool
+	// waited is the time since the offer was sent.
+	waited time.Duration
+}
+
+// offerDecision is what becomes of an offer.
+type offerDecision uint8
+
+const (
+	waitForAnswer offerDecision = iota
+	takeOver
+	endOffer
+)
+
+// decide decides on an offer.
+func (v offerView) decide() offerDecision {
+	switch {
+	case v.resumed, v.answer == rejection:
+		return endOffer
+	case v.answer == acceptance:
+		return takeOver
+	case v.waited < offerTimeout:
+		return waitForAnswer
+	case v.silent:
+		return takeOver
+	case v.waited < offerTimeout+offerGrace:
+		return waitForAnswer
+	default:
+		return endOffer
+	}
+}
+
+// offer makes one offer and reports whether it goes on with the request.
+func (w *watch) offer() bool {
+	ctx, cancel := context.WithCancel(w.ctx)
+	o := &offer{ctx: ctx, cancel: cancel, result: make(chan exchangeResult, 1)}
+	if !w.begin(o) {
+		cancel()
+		return false
+	}
+	reason := w.send(o)
+	if reason == "" {
+		var over bool
+		if over, reason = w.await(o); over {
+			return true
+		}
+	}
+	w.mu.Lock()
+	switch {
+	case o.withdrawn != "":
+		reason = o.withdrawn
+	case ctx.Err() != nil:
+		reason = offerPointless
+	}
+	if w.current == o {
+		w.current = nil
+	}
+	w.mu.Unlock()
+	cancel()
+	w.recordEnded(o, reason)
+	return false
+}
+
+// begin registers an offer, unless the watch has ended.
+func (w *watch) begin(o *offer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return false
+	}
+	w.current = o
+	w.state.lastEventID = w.lastEventID
+	return true
+}
+
+// Reasons for which an offer ends, besides those of its verdict.
+const (
+	offerNoInstance = "no instance"
+	// offerResumed means that the silent instance has sent data, offerPointless that the request has ended otherwise.
+	offerResumed   = "resumed"
+	offerPointless = "request ended"
+)
+
+// send sends an offer to an instance, or returns the reason why not.
+func (w *watch) send(o *offer) (reason string) {
+	s := w.state
+	lease, place, err := s.acquire(o.ctx)
+	if lease == nil {
+		if err != nil && o.ctx.Err() == nil {
+			return string(verdict.As(err).Reason)
+		}
+		return offerNoInstance
+	}
+	o.lease, o.place = lease, place
+	conn, outcome, err := s.connect(o.ctx, lease)
+	if outcome == pool.Unreachable {
+		s.triedInstances = append(s.triedInstances, lease.Instance.ID)
+	}
+	if err != nil {
+		s.release(lease, place, outcome)
+		return string(verdict.As(err).Reason)
+	}
+	if !w.markSent(o) {
+		_ = conn.Close()
+		s.release(lease, place, pool.Abandoned)
+		return offerResumed
+	}
+	w.paid = false
+	s.triedInstances = append(s.triedInstances, lease.Instance.ID)
+	s.recordSending()
+	o.sentParts = s.sentParts
+	request := s.backendRequest(lease)
+	go func() { o.result <- s.g.exchange(o.ctx, conn, request) }()
+	return ""
+}
+
+// markSent records that an offer is being sent, unless it was withdrawn.
+func (w *watch) markSent(o *offer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.current != o {
+		return false
+	}
+	o.sentAt = time.Now()
+	return true
+}
+
+// await waits until it is decided what becomes of an offer that was sent. over is set if it goes on with the request.
+func (w *watch) await(o *offer) (over bool, reason string) {
+	timer := time.NewTimer(offerTimeout)
+	defer timer.Stop()
+	for {
+		v := offerView{answer: noAnswer}
+		var outcome pool.Outcome
+		var failure error
+		select {
+		case r := <-o.result:
+			o.received = &r
+			if w.adopted(o) {
+				return true, ""
+			}
+			v.answer, outcome, failure = w.judge(o)
+		case <-o.ctx.Done():
+		case <-w.stopping:
+			if w.adopted(o) {
+				return true, ""
+			}
+		case <-timer.C:
+			timer.Reset(offerCheckInterval)
+		}
+		v.resumed, v.silent, v.waited = o.ctx.Err() != nil, w.silent(), time.Since(o.sentAt)
+		decision := v.decide()
+		if decision == takeOver {
+			if w.take(o) {
+				w.recordTakenOver(o, v)
+				return true, ""
+			}
+			if w.adopted(o) {
+				return true, ""
+			}
+			decision = endOffer
+		}
+		if decision == endOffer {
+			return false, w.endSent(o, outcome, failure)
+		}
+	}
+}
+
+// adopted reports whether the silent instance's attempt has failed, so that the offer is the next attempt.
+func (w *watch) adopted(o *offer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stopped && w.current == o
+}
+
+// take lets an offer take the request over, and closes the connection to the silent instance. It returns false if that one
+// has sent data or its attempt has ended.
+func (w *watch) take(o *offer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.current != o {
+		return false
+	}
+	w.taken = true
+	w.abort()
+	return true
+}
+
+// judge says what an instance has answered. A rejection has an outcome and an error, and its response has ended.
+func (w *watch) judge(o *offer) (offerAnswer, pool.Outcome, error) {
+	s, resp := w.state, o.received.response
+	if err := o.received.err; err != nil {
+		outcome, err := s.classifyFailure(o.ctx, o.lease, err, o.received.stale)
+		return rejection, outcome, err
+	}
+	o.lease.RecordProgress()
+	if outcome, err := s.screen(o.lease, resp); err != nil {
+		return rejection, outcome, err
+	}
+	if !s.canRelay(resp) {
+		resp.Abort()
+		return rejection, pool.Errored, verdict.New(verdict.Ran, verdict.ReasonEngineError, "status "+strconv.Itoa(resp.StatusCode))
+	}
+	return acceptance, pool.Served, nil
+}
+
+// canRelay reports whether the request can go on with a response that is an instance's answer to it.
+func (s *requestState) canRelay(resp *backend.Response) bool {
+	return s.route.Mode == routes.Streaming && resp.StatusCode == http.StatusOK
+}
+
+// endSent ends an offer that was sent. failure is that of a rejection.
+func (w *watch) endSent(o *offer, outcome pool.Outcome, failure error) (reason string) {
+	w.state.failedAttempts++
+	w.pausedUntil = time.Now().Add(offerPause)
+	if failure == nil {
+		w.state.endOffer(o)
+		return offerResumed
+	}
+	w.state.release(o.lease, o.place, outcome)
+	return string(verdict.As(failure).Reason)
+}
+
+// endOffer gives up an offer that was sent.
+func (s *requestState) endOffer(o *offer) {
+	o.cancel()
+	if resp := o.receive().response; resp != nil {
+		resp.Abort()
+	}
+	s.release(o.lease, o.place, pool.Abandoned)
+}
+
+// recordTakenOver logs and counts an offer that has taken the request over.
+func (w *watch) recordTakenOver(o *offer, v offerView) {
+	s := w.state
+	s.g.metrics.offers.Add(s.pool+"/taken over", 1)
+	s.g.log.InfoContext(failedContext, "request taken over", "id", s.call.ID, "from", w.from, "to", o.lease.Instance.ID,
+		"silent_ms", w.silentFor().Milliseconds(), "waited_ms", v.waited.Milliseconds(), "answered", v.answer == acceptance,
+		"last_event", s.lastEventID)
+}
+
+// recordEnded logs and counts an offer that ended while the silent instance keeps the request.
+func (w *watch) recordEnded(o *offer, reason string) {
+	s := w.state
+	to := ""
+	if o.lease != nil {
+		to = o.lease.Instance.ID
+	}
+	s.g.metrics.offers.Add(s.pool+"/"+reason, 1)
+	s.g.log.InfoContext(failedContext, "offer ended", "id", s.call.ID, "from", w.from, "to", to, "reason", reason,
+		"silent_ms", w.silentFor().Milliseconds(), "last_event", s.lastEventID)
+}
+
+// silentFor returns the time since the instance sent data.
+func (w *watch) silentFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.progressAt)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,6 +32,22 @@
 
 // relay passes a response on to the caller, or returns an error if it cannot be used.
 func (s *requestState) relay(ctx context.Context, lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
+	if outcome, err := s.screen(lease, resp); err != nil {
+		return outcome, err
+	}
+	switch {
+	case s.route.Mode == routes.Streaming && resp.StatusCode == http.StatusOK:
+		return s.relayStream(ctx, lease, resp)
+	case s.responseStarted:
+		resp.Abort()
+		return pool.Errored, verdict.New(verdict.Ran, verdict.ReasonEngineError, "the stream could not go on")
+	}
+	return s.relayBuffered(ctx, lease, resp)
+}
+
+// screen records what the header of a response says and ends the response with an error if it is not an instance's answer
+// to the request.
+func (s *requestState) screen(lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
 	reply := s.g.env.Protocol.ParseResponse(resp.Response)
 	s.recordAnnouncements(lease, &reply)
 	switch {
@@ -50,13 +66,8 @@
 	case resp.Header.Get("Content-Encoding") != "":
 		resp.Abort()
 		return pool.Broken, verdict.New(verdict.Unknown, verdict.ReasonForeignChunk, "an encoded answer")
-	case s.route.Mode == routes.Streaming && resp.StatusCode == http.StatusOK:
-		return s.relayStream(ctx, lease, resp)
-	case s.responseStarted:
-		resp.Abort()
-		return pool.Errored, verdict.New(verdict.Ran, verdict.ReasonEngineError, "the stream could not go on")
 	}
-	return s.relayBuffered(ctx, lease, resp)
+	return pool.Served, nil
 }
 
 // recordAnnouncements records what a backend server says of itself in a response. One that was meant for another instance
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -43,6 +43,10 @@
 	// triedInstances are the instances tried so far. attemptsSent counts the attempts that may have run.
 	triedInstances []string
 	attemptsSent   int
+	// failedAttempts counts the attempts that failed, other than at unreachable instances.
+	failedAttempts int
+	// offer is the attempt that goes on with the request, if it was sent before the current one ended.
+	offer *offer
 	// answered is set once the current attempt is known to have been answered without a crash.
 	answered bool
 	// parts are the parts of the prompt that other requests may share, which are all but the last. sentParts is what was
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,8 +41,8 @@
 // relayStream passes on events as they arrive. Until the stream ends it writes complete events only, so that it
 // can be resumed at another instance after the last one.
 func (s *requestState) relayStream(ctx context.Context, lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
-	detector := s.watchForStalls(lease, resp)
-	defer detector.stop()
+	watch := s.watchForStalls(ctx, lease, resp)
+	defer watch.stop()
 	in := newEventReader(resp.Body, s.g.buffers)
 	defer in.close()
 	out := http.NewResponseController(s.writer)
@@ -54,23 +54,26 @@
 		if err == io.EOF && !s.mayBeEmpty(resp) {
 			err = io.ErrUnexpectedEOF
 		}
-		if err == io.EOF {
+		if err == io.EOF && watch.settle() {
 			s.endAnswer(lease, resp, events)
 			return s.endStream(resp, e.raw)
 		}
 		if err != nil {
-			return s.streamFailed(ctx, lease, resp, detector.reason(err))
+			return s.streamFailed(ctx, lease, resp, watch, err)
 		}
 		// A server that has stalled may still send comments.
 		if e.hasData {
 			lease.RecordProgress()
+			if !watch.claim(e.id) {
+				return s.streamFailed(ctx, lease, resp, watch, errStalled)
+			}
 			s.limitSilence(resp)
 			idleBytes = 0
 			if events++; events == answeredEvents {
 				s.recordAnswer()
 			}
 		} else if idleBytes += len(e.raw); idleBytes > maxIdleBytes {
-			return s.streamFailed(ctx, lease, resp, errOnlyComments)
+			return s.streamFailed(ctx, lease, resp, watch, errOnlyComments)
 		}
 		if e.id != "" && !isAfter(e.id, s.lastEventID) {
 			continue
@@ -159,14 +162,14 @@
 	return pool.Served, nil
 }
 
-// streamFailed turns a broken stream into a pool outcome and a verdict.
-func (s *requestState) streamFailed(ctx context.Context, lease *pool.Lease, resp *backend.Response, err error) (pool.Outcome, error) {
+// streamFailed turns a stream that broke, or that another instance has taken over, into a pool outcome and a verdict.
+func (s *requestState) streamFailed(ctx context.Context, lease *pool.Lease, resp *backend.Response, watch *watch, err error) (pool.Outcome, error) {
 	resp.Abort()
 	if ctx.Err() != nil {
 		return pool.Abandoned, s.contextError(ctx, verdict.Ran)
 	}
-	if errors.Is(err, errStalled) {
-		s.retryReserved = true
+	if s.goOnWith(watch) {
+		err = errStalled
 	} else {
 		s.reportFailedConnection(lease)
 	}
@@ -176,58 +179,21 @@
 	return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 }
 
-// stallDetector closes the connection of a resumable stream when its instance stalls.
-type stallDetector struct {
-	done    chan struct{}
-	stalled chan struct{}
-}
-
-// watchForStalls starts a stall detector, or returns an inactive one if the stream cannot be resumed
-// elsewhere.
-func (s *requestState) watchForStalls(lease *pool.Lease, resp *backend.Response) *stallDetector {
-	d := &stallDetector{done: make(chan struct{}), stalled: make(chan struct{})}
-	if !s.route.Resumable || s.attemptsSent >= s.route.MaxAttempts {
-		return d
+// watchForStalls watches a stream for a stall of its instance, if the stream can go on at another one.
+func (s *requestState) watchForStalls(ctx context.Context, lease *pool.Lease, resp *backend.Response) *watch {
+	if !s.route.Resumable {
+		return nil
 	}
 	gap := s.route.EventGapObjective
 	if gap == 0 {
 		gap = defaultEventGap
 	}
-	go d.run(s, s.poolRequest(), lease, resp, time.Duration(stallGapFactor*float64(gap)))
-	return d
-}
-
-// run aborts a stalled stream only if another instance is available and the retry budget permits it: a silent
-// instance may still finish, and waiting is better for the caller than a truncated stream.
-func (d *stallDetector) run(s *requestState, request *pool.Request, lease *pool.Lease, resp *backend.Response, limit time.Duration) {
-	ticker := time.NewTicker(stallCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-d.done:
-			return
-		case <-ticker.C:
-		}
-		// With data unread, it is this router that was silent.
-		if !lease.Stalled(limit) || resp.Unread() {
-			continue
-		}
-		if s.g.registry.HasAlternative(request) && s.budget.Withdraw(time.Now()) {
-			close(d.stalled)
-			resp.Abort()
-			return
-		}
-	}
+	limit := time.Duration(stallGapFactor * float64(gap))
+	return s.watchAttempt(ctx, lease, watched{interval: stallCheckInterval, silent: stalled(lease, resp, limit), abort: resp.Abort})
 }
 
-func (d *stallDetector) stop() { close(d.done) }
-
-// reason returns errStalled if the detector closed the connection, and err otherwise.
-func (d *stallDetector) reason(err error) error {
-	select {
-	case <-d.stalled:
-		return errStalled
-	default:
-		return err
-	}
+// stalled returns a function that reports whether the instance of a stream has stalled. With data unread, it is this router
+// that was silent.
+func stalled(lease *pool.Lease, resp *backend.Response, limit time.Duration) func() bool {
+	return func() bool { return lease.Stalled(limit) && !resp.Unread() }
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"jacinthfork.example/jacinthfork/gateway/backend"
+	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/kernel"
@@ -43,7 +44,7 @@
 			for _, id := range []string{"i-1", "i-2"} {
 				registry.ApplyEntry(pool.Instance{ID: id, Pool: "p", Address: listener.Addr().String(), Slots: 2, StartedAt: 1})
 			}
-			g := &Gateway{registry: registry, connections: backend.NewPool(), metrics: newMetrics(kernel.NewCounters())}
+			g := &Gateway{registry: registry, connections: backend.NewPool(), metrics: newMetrics(kernel.NewCounters()), poison: poison.NewTable()}
 			s := &requestState{g: g, pool: "p", route: &routes.Route{Resumable: true, MaxAttempts: 2}}
 			s.budget = newRetryBudgets(Settings{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second}).recordRequest("p", time.Now())
 			lease := registry.Acquire(s.poolRequest())
@@ -55,20 +56,16 @@
 			})
 			is.NoErr(err)
 			defer resp.Abort()
-			d := &stallDetector{done: make(chan struct{}), stalled: make(chan struct{})}
-			ended := make(chan struct{})
-			go func() {
-				d.run(s, s.poolRequest(), lease, resp, 50*time.Millisecond)
-				close(ended)
-			}()
-			select {
-			case <-d.stalled:
-				is.True(want)
-			case <-time.After(4 * stallCheckInterval):
-				is.True(!want)
+			w := s.watchAttempt(context.Background(), lease, watched{
+				interval: time.Hour, silent: stalled(lease, resp, 50*time.Millisecond), abort: resp.Abort,
+			})
+			defer w.stop()
+			due := false
+			for range 4 {
+				time.Sleep(stallCheckInterval)
+				due = due || w.due(time.Now())
 			}
-			d.stop()
-			<-ended
+			is.Equal(due, want)
 		})
 	}
 }
