Do not shut an instance out because a request stopped waiting for its place

A request that waits for a place at an instance of a plain service and ends meanwhile, because its caller leaves or its time is over, withdrew its lease as if the keeper had not answered: this router then preferred other instances for 0.5 s. Offers to other instances, which end as soon as the first one answers, will do so more often. The lease is now released as abandoned.

TestRequestThatStopsWaitingDoesNotShutAnInstanceOut (gateway, synctest) failed before at both routers, the keeper and another.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -97,7 +97,7 @@
 	asked := s.g.reservations.keeperOf(r)
 	reserved, ok := s.g.keepers.Reserve(ctx, asked, m)
 	if !ok && ctx.Err() != nil {
-		lease.Withdraw()
+		lease.Release(pool.Abandoned)
 		s.g.reservations.end(r, pool.Abandoned)
 		return nil, nil, s.contextError(ctx, verdict.NotRun)
 	}
@@ -148,7 +148,7 @@
 	case err == nil:
 		return r, nil, nil
 	case ctx.Err() != nil:
-		lease.Withdraw()
+		lease.Release(pool.Abandoned)
 		return nil, nil, s.contextError(ctx, verdict.NotRun)
 	}
 	refusal := &pool.Answer{RetryAfter: verdict.As(err).RetryAfter}
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -236,6 +236,35 @@
 	})
 }
 
+// Guards against an instance that is left out for half a second because a request that waited for a place there did not need
+// it any more.
+func TestRequestThatStopsWaitingDoesNotShutAnInstanceOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newPlainFleet(2, []pool.Instance{{ID: "w-0", Pool: "plain", Slots: workerSlots, StartedAt: 1, Sequence: 1}})
+		var busy sync.WaitGroup
+		for range placeCapacity(workerSlots) {
+			busy.Go(func() { _ = fleet[0].sendPlain("", func(string) { time.Sleep(objective) }) })
+		}
+		time.Sleep(4 * linkDelay)
+		for n, g := range fleet {
+			ctx, cancel := context.WithTimeout(context.Background(), objective/8)
+			s := &requestState{g: g, table: g.table.Load(), pool: "plain", start: time.Now()}
+			lease, _, err := s.acquirePlace(ctx)
+			cancel()
+			if err == nil || lease != nil {
+				t.Fatal("there was a place")
+			}
+			time.Sleep(60 * time.Millisecond) // after the refusal of a place without waiting
+			lease = g.registry.Acquire(s.poolRequest())
+			if lease.Denied {
+				t.Errorf("router %d shuts the instance out", n)
+			}
+			lease.Release(pool.Abandoned)
+		}
+		busy.Wait()
+	})
+}
+
 // Replays a service that gets twice what it can run while its keepers, which are busy with that, answer a third of the
 // questions in time. Guards against gateways that send what they cannot ask about: the workers would hold more and more,
 // and run everything late. The first half second is not counted: the sums of the load, 0.3 s old, are what then remains.
