Keep a slow request at its instance until another one has it

A request that may run more than once was given up at its instance after three quarters of its objective, because another one counted as available. If that one refused it, could not be reached, crashed or answered with an error, the caller got 502 or 500 although the first instance answered a little later. By the code, not by a run, the same came of a spent retry budget.

The same offers are made: backend.Request loses FirstByteTimeout and GiveUp and says instead when the first byte has come, which settles the watch of the attempt. An attempt that has taken over is watched as well. An instance that cannot be reached does not delay the next offer, and a refusal delays it by 0.2 s instead of 0.5.

All stream, offer and slow-request tests pass with -race (one run).

A signed 5xx of the other instance ends the offer, too; if the first instance then never answers, the caller gets 504 at its deadline, where it got the 500 sooner before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,7 +21,7 @@
 	// instances are unreachable.
 	maxAttempts = 4
 	maxDials    = 10
-	// firstByteFraction is the part of the latency objective after which a request of an idempotent route moves
+	// firstByteFraction is the part of the latency objective after which a request of an idempotent route is offered
 	// to another instance if the current one has not started to respond.
 	firstByteFraction = 0.75
 	// staleConnectionWindow is the time after sending within which a failure on a reused connection is
@@ -177,23 +177,54 @@
 	return true
 }
 
-// attempt sends the request to one instance and relays its response. If another instance has taken the request over, the
+// attempt sends the request to one instance and relays its response. If the request was offered to the instance, the
 // response is that of the offer.
 func (s *requestState) attempt(ctx context.Context, lease *pool.Lease) (pool.Outcome, error) {
-	var r exchangeResult
 	if o := s.offer; o != nil {
 		s.offer = nil
 		defer o.cancel()
 		s.answered, s.sentParts = false, o.sentParts
-		r = o.receive()
-	} else {
-		conn, outcome, err := s.connect(ctx, lease)
-		if err != nil {
-			return outcome, err
-		}
-		s.recordSending()
-		r = s.g.exchange(ctx, conn, s.backendRequest(lease))
+		return s.goOn(ctx, o)
+	}
+	conn, outcome, err := s.connect(ctx, lease)
+	if err != nil {
+		return outcome, err
+	}
+	s.recordSending()
+	watch := s.watchForResponse(ctx, lease, conn)
+	defer watch.stop()
+	request := s.backendRequest(lease)
+	if watch != nil {
+		request.FirstByte = watch.settle
+	}
+	r := s.g.exchange(ctx, conn, request)
+	return s.relayWatched(ctx, lease, watch, r)
+}
+
+// goOn relays the response to an offer, which other instances may take over in turn.
+func (s *requestState) goOn(ctx context.Context, o *offer) (pool.Outcome, error) {
+	if o.received != nil {
+		return s.relayResult(ctx, o.lease, *o.received)
+	}
+	watch := s.watchForResponse(ctx, o.lease, o.conn)
+	defer watch.stop()
+	r := o.receive()
+	if r.response != nil && !watch.settle() {
+		r.response.Abort()
 	}
+	return s.relayWatched(ctx, o.lease, watch, r)
+}
+
+// relayWatched relays what came of sending the request, unless another instance has taken it over.
+func (s *requestState) relayWatched(ctx context.Context, lease *pool.Lease, watch *watch, r exchangeResult) (pool.Outcome, error) {
+	if ctx.Err() == nil && s.goOnWith(watch) {
+		return pool.Broken, verdict.Wrap(verdict.Unknown, verdict.ReasonConnectionBroken, errUnanswered)
+	}
+	return s.relayResult(ctx, lease, r)
+}
+
+// relayResult relays what came of sending the request.
+func (s *requestState) relayResult(ctx context.Context, lease *pool.Lease, r exchangeResult) (pool.Outcome, error) {
 	if r.err != nil {
 		return s.classifyFailure(ctx, lease, r.err, r.stale)
 	}
@@ -276,15 +307,13 @@
 	}
 	s.g.env.Protocol.SetForwardHeader(header, forwarding)
 	return &backend.Request{
-		Method:           s.request.Method,
-		Target:           s.target,
-		Host:             s.request.Host,
-		Header:           header,
-		Body:             s.body,
-		HasBody:          len(s.body) > 0 || s.request.ContentLength != 0 || s.request.Header.Get("Content-Length") != "",
-		Matches:          s.ownsResponse,
-		FirstByteTimeout: s.firstByteTimeout(),
-		GiveUp:           func() bool { return !lease.Overloaded() && s.g.registry.HasAlternative(s.poolRequest()) },
+		Method:  s.request.Method,
+		Target:  s.target,
+		Host:    s.request.Host,
+		Header:  header,
+		Body:    s.body,
+		HasBody: len(s.body) > 0 || s.request.ContentLength != 0 || s.request.Header.Get("Content-Length") != "",
+		Matches: s.ownsResponse,
 	}
 }
 
@@ -298,13 +327,19 @@
 	return resp.StatusCode >= http.StatusBadRequest, resp.StatusCode >= http.StatusBadRequest
 }
 
-// firstByteTimeout returns how long the first byte of a response may take before the request moves to another
-// instance. 0 is no limit.
-func (s *requestState) firstByteTimeout() time.Duration {
-	if s.route.Mode != routes.Idempotent || s.attemptsSent >= s.route.MaxAttempts || s.route.LatencyObjective == 0 {
-		return 0
+// errUnanswered is the error of a request that another instance has taken over before the first one answered.
+var errUnanswered = errors.New("the instance does not answer")
+
+// watchForResponse watches for an instance that does not begin to answer a request which may run more than once.
+func (s *requestState) watchForResponse(ctx context.Context, lease *pool.Lease, conn *backend.Conn) *watch {
+	if s.route.Mode != routes.Idempotent || s.route.LatencyObjective == 0 {
+		return nil
 	}
-	return time.Duration(float64(s.route.LatencyObjective) * firstByteFraction)
+	return s.watchAttempt(ctx, lease, watched{
+		interval: time.Duration(float64(s.route.LatencyObjective) * firstByteFraction),
+		silent:   func() bool { return !lease.Overloaded() && !conn.Unread() },
+		abort:    func() { _ = conn.Close() },
+	})
 }
 
 // classifyFailure turns a failure before the response header into a pool outcome and a verdict.
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -26,10 +26,8 @@
 	// Matches reports whether a response belongs to this request. unidentified is set if nothing in the response
 	// says which request it answers.
 	Matches func(resp *http.Response) (matches, unidentified bool)
-	// FirstByteTimeout is the time to wait for the first byte of the response. When it passes, GiveUp decides
-	// whether to stop or to wait for the same time again. Zero means no limit.
-	FirstByteTimeout time.Duration
-	GiveUp           func() bool
+	// FirstByte, if set, is called once data of the response can be read. It reports whether the response is still wanted.
+	FirstByte func() bool
 }
 
 // ExchangeError is the error of a failed exchange.
@@ -100,8 +98,12 @@
 
 // Unread reports whether data of the body has arrived that was not read from the connection yet. It may be called while
 // the body is read.
-func (r *Response) Unread() bool {
-	readable, err := socket.Readable(r.conn.Conn)
+func (r *Response) Unread() bool { return r.conn.Unread() }
+
+// Unread reports whether data has arrived that was not read from the connection yet. It may be called while a request is
+// served on it.
+func (c *Conn) Unread() bool {
+	readable, err := socket.Readable(c.Conn)
 	return err == nil && readable
 }
 
@@ -144,23 +146,21 @@
 	return fail(&ExchangeError{Sent: true, Mismatched: true, Err: errors.New("only foreign responses came")})
 }
 
-// awaitFirstByte waits until data can be read.
+// errUnwanted is the error of a response that came after all when it was not wanted any more.
+var errUnwanted = errors.New("the response is not wanted any more")
+
+// awaitFirstByte waits until data can be read, if the request wants to know.
 func (c *Conn) awaitFirstByte(req *Request) error {
-	if req.FirstByteTimeout == 0 {
+	if req.FirstByte == nil {
 		return nil
 	}
-	for {
-		if err := c.SetReadDeadline(time.Now().Add(req.FirstByteTimeout)); err != nil {
-			return err
-		}
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			return c.SetReadDeadline(time.Time{})
-		}
-		if !isTimeout(err) || req.GiveUp() {
-			return err
-		}
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
 	}
+	if !req.FirstByte() {
+		return errUnwanted
+	}
+	return nil
 }
 
 // receive reads a response header and skips interim (1xx) responses. The limits hold for all of them together.
--- a/gateway/backend/exchange_test.go
+++ b/gateway/backend/exchange_test.go
@@ -243,3 +243,23 @@
 	default:
 	}
 }
+
+// Guards against a response that is used although it came after another instance was given the request, and against a caller
+// that is not told when it begins.
+func TestUnwantedResponseIsNotReturned(t *testing.T) {
+	for _, wanted := range []bool{true, false} {
+		is := is.New(t)
+		asked := 0
+		conn := newConn(&countingConn{in: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, "s")
+		resp, err := NewPool().Do(context.Background(), conn, &Request{
+			Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+			Matches:   func(*http.Response) (bool, bool) { return true, false },
+			FirstByte: func() bool { asked++; return wanted },
+		})
+		is.Equal(asked, 1)
+		is.Equal(err == nil, wanted)
+		if err == nil {
+			resp.Abort()
+		}
+	}
+}
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -22,7 +22,7 @@
 	// offerCheckInterval is how often that is checked.
 	offerCheckInterval = 10 * time.Millisecond
 	// offerPause is the time between an offer that was sent in vain and the next one.
-	offerPause = 500 * time.Millisecond
+	offerPause = 200 * time.Millisecond
 )
 
 // offer is a request that is sent to another instance while a silent one keeps it.
@@ -31,6 +31,7 @@
 	cancel context.CancelFunc
 	lease  *pool.Lease
 	place  *reservation
+	conn   *backend.Conn
 	// sentAt is when the request was sent, zero before, and withdrawn the reason for which the offer was cancelled. Both are
 	// guarded by the lock of the watch.
 	sentAt    time.Time
@@ -102,19 +103,19 @@
 	}
 }
 
-// offer makes one offer and reports whether it goes on with the request.
-func (w *watch) offer() bool {
+// offer makes one offer. over is set if it goes on with the request, again if no instance was reached, so that the next one
+// can be asked at once.
+func (w *watch) offer() (over, again bool) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	o := &offer{ctx: ctx, cancel: cancel, result: make(chan exchangeResult, 1)}
 	if !w.begin(o) {
 		cancel()
-		return false
+		return false, false
 	}
 	reason := w.send(o)
 	if reason == "" {
-		var over bool
 		if over, reason = w.await(o); over {
-			return true
+			return true, false
 		}
 	}
 	w.mu.Lock()
@@ -130,7 +131,7 @@
 	w.mu.Unlock()
 	cancel()
 	w.recordEnded(o, reason)
-	return false
+	return false, reason == string(verdict.ReasonUnreachable)
 }
 
 // begin registers an offer, unless the watch has ended.
@@ -177,6 +178,7 @@
 		s.release(lease, place, pool.Abandoned)
 		return offerResumed
 	}
+	o.conn = conn
 	w.paid = false
 	s.triedInstances = append(s.triedInstances, lease.Instance.ID)
 	s.recordSending()
@@ -278,7 +280,10 @@
 
 // canRelay reports whether the request can go on with a response that is an instance's answer to it.
 func (s *requestState) canRelay(resp *backend.Response) bool {
-	return s.route.Mode == routes.Streaming && resp.StatusCode == http.StatusOK
+	if s.route.Mode == routes.Streaming {
+		return resp.StatusCode == http.StatusOK
+	}
+	return resp.StatusCode < http.StatusInternalServerError
 }
 
 // endSent ends an offer that was sent. failure is that of a rejection.
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// end ends the watch of an attempt that failed. It returns the offer that goes on with the request, if there is one, and
+// end ends the watch of an attempt that failed or is settled. It returns the offer that goes on with the request, if there is one, and
 // whether that one had taken over. An offer that was not sent yet ends. The state of the watch then belongs to the caller.
 func (w *watch) end() (o *offer, taken bool) {
 	w.mu.Lock()
@@ -150,8 +150,8 @@
 	}
 }
 
-// goOnWith ends the watch of a failed attempt and lets the offer under way, if there is one, be the next attempt. It reports
-// whether the attempt failed because the offer had taken over.
+// goOnWith ends the watch of an attempt and counts the offers that were made. If the attempt has failed, the offer under way,
+// if there is one, is the next attempt. It reports whether the attempt failed because the offer had taken over.
 func (s *requestState) goOnWith(w *watch) (taken bool) {
 	if w == nil {
 		return false
@@ -167,7 +167,11 @@
 	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
 	for {
-		if w.due(time.Now()) && w.offer() {
+		over, again := false, true
+		for again && w.due(time.Now()) {
+			over, again = w.offer()
+		}
+		if over {
 			return
 		}
 		select {
