End the block of a prompt part with an answer, not with its time alone

When the time of a block was over, 5 minutes after the last crash, each router sent all requests with the part again, and each crashed an engine until the next crash was known everywhere: as many as arrive in half a second at all routers.

Cause: the end of the time was taken for an acquittal. It is only the time after which it makes sense to look again. A part now stays blocked until a request with it is answered or it is forgotten. After blockPeriod any router may send one request with it, as the responsible router does from 10 s on; its crash or answer reaches the others and decides for them.

TestBlockEndsAndOneMoreCrashRenewsIt stated the old end (after blockPeriod the part was free everywhere). TestBlockEndsWithOneTrialAtATime replaces it: the same times, and one request at one router at each of them. TestBlockEndsDespiteDelayedMessages asks for the trial at the same moment at which it asked for the end.

--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -115,9 +115,9 @@
 		}
 		c.at = c.at.Add(300 * time.Millisecond)
 	}
-	is.True(!blocked(all[0], guide))
+	is.True(all[0].Try([]uint64{guide}, notResponsible))
 	c.at = c.at.Add(time.Second)
-	is.True(!blocked(all[1], guide))
+	is.True(all[1].Try([]uint64{guide}, notResponsible))
 }
 
 // Guards against a chain of crashes that does not go on at a router which has started since the last one.
--- a/gateway/poison/outage_test.go
+++ b/gateway/poison/outage_test.go
@@ -7,6 +7,10 @@
 	"github.com/matryer/is"
 )
 
+func responsible(uint64) bool { return true }
+
+func notResponsible(uint64) bool { return false }
+
 // Guards against a sound part that stays blocked long after an outage in which each engine crashed, whatever it was sent:
 // as all requests with the part are refused, none of them is answered.
 func TestPartIsTriedAgainAfterAnOutage(t *testing.T) {
@@ -17,8 +21,8 @@
 	}
 	is.True(blocked(table, guide, page))
 	c.at = c.at.Add(trialPeriod)
-	is.True(table.Try([]uint64{guide, page}))
-	is.True(!table.Try([]uint64{guide, page})) // one request at a time
+	is.True(table.Try([]uint64{guide, page}, responsible))
+	is.True(!table.Try([]uint64{guide, page}, responsible)) // one request at a time
 	is.True(blocked(table, guide, page))
 	table.RecordResponse([]uint64{guide, page})
 	is.True(!blocked(table, guide, page))
@@ -35,7 +39,7 @@
 	for range 3 * 60 {
 		c.at = c.at.Add(time.Second)
 		table.RecordResponse([]uint64{guide})
-		if table.Try([]uint64{guide, deadly}) {
+		if table.Try([]uint64{guide, deadly}, responsible) {
 			tried++
 			crash(table, guide, deadly)
 		}
@@ -57,6 +61,6 @@
 		crash(table, deadly)
 	}
 	c.at = c.at.Add(time.Second)
-	is.True(!table.Try([]uint64{guide, deadly}))
-	is.True(table.Try([]uint64{guide, page}))
+	is.True(!table.Try([]uint64{guide, deadly}, responsible))
+	is.True(table.Try([]uint64{guide, page}, responsible))
 }
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -20,8 +20,9 @@
 //
 // A few percent of the requests of one route contain the part, come at any router and are retried by their callers.
 // The other requests share their organisation and their other parts. Each crash interrupts the requests of a dozen
-// others. Requests with the part are blocked from the third crash of a chain on, at all routers. One request with a blocked
-// part is sent from time to time, at growing intervals.
+// others. Requests with the part are blocked from the third crash of a chain on, at all routers, until one of them is
+// answered. A single request with a blocked part is sent from time to time, at growing intervals by the router that is
+// responsible for the part, and at longer ones by the others, which may be the only ones that get such requests.
 package poison
 
 import (
@@ -33,12 +34,11 @@
 const (
 	// blockDepth is the depth from which on a part is blocked.
 	blockDepth = 3
-	// blockPeriod is how long a part is blocked after its last crash. It doubles with each crash after blockDepth, up
-	// to maxBlockPeriod.
+	// blockPeriod is how long after the last crash of a blocked part, or its last trial there, any router sends one request
+	// with it. It doubles with each crash after blockDepth, up to maxBlockPeriod.
 	blockPeriod    = 5 * time.Minute
 	maxBlockPeriod = time.Hour
-	// trialPeriod is the time after the last crash of a blocked part after which one request with it is sent. It grows by
-	// trialGrowth with each trial.
+	// trialPeriod is the same for the router that is responsible for the part. It grows by trialGrowth with each trial.
 	trialPeriod = 10 * time.Second
 	trialGrowth = 4
 	// maxParts bounds the suspected parts, and maxCrashes the crashes that are remembered of each.
@@ -91,7 +91,8 @@
 	// Alternatives are the fewest other parts that may have caused one of its crashes instead. A request without one of
 	// them is not blocked.
 	Alternatives []uint64
-	// Until is the end of the time for which the part is blocked, zero if it is not.
+	// Until is when this router sends one request with the part again, whether or not it is responsible for the part. It
+	// is zero if the part is not blocked.
 	Until time.Time
 }
 
@@ -184,29 +185,38 @@
 	if len(t.parts) == 0 {
 		return Suspicion{}, false
 	}
-	now := t.now()
 	for _, id := range parts {
-		p := t.parts[id]
-		if p != nil && now.Before(p.blockedUntil()) && t.explains(id, parts) {
+		if t.blocks(id, parts) {
 			return t.suspicion(id), true
 		}
 	}
 	return Suspicion{}, false
 }
 
+// blocks reports whether a request with the given parts is not to be sent because of one of them.
+func (t *Table) blocks(id uint64, parts []uint64) bool {
+	p := t.parts[id]
+	return p != nil && p.depth >= blockDepth && t.explains(id, parts)
+}
+
 // Try reports whether a blocked request is to be sent nevertheless, to find out whether its parts are sound: while all
-// requests with a part are refused, no response can clear it. One router should try each part.
-func (t *Table) Try(parts []uint64) bool {
+// requests with a part are refused, no response can clear it. responsible reports whether this router is the one that
+// tries a part first.
+func (t *Table) Try(parts []uint64, responsible func(part uint64) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	var tried []*part
 	for _, id := range parts {
-		p := t.parts[id]
-		if p == nil || !now.Before(p.blockedUntil()) || !t.explains(id, parts) {
+		if !t.blocks(id, parts) {
 			continue
 		}
-		if now.Before(p.nextTrial()) {
+		p := t.parts[id]
+		at := p.blockedUntil()
+		if responsible(id) {
+			at = p.nextTrial()
+		}
+		if now.Before(at) {
 			return false
 		}
 		tried = append(tried, p)
@@ -218,17 +228,21 @@
 	return true
 }
 
-// nextTrial returns the time from which on one request with a blocked part may be sent.
+// nextTrial returns the time from which on the responsible router may send one request with a blocked part.
 func (p *part) nextTrial() time.Time {
 	pause := trialPeriod
 	for n := 0; n < p.trials && pause < maxBlockPeriod; n++ {
 		pause *= trialGrowth
 	}
-	from := p.crashedAt
-	if p.triedAt.After(from) {
-		from = p.triedAt
+	return p.lastEvidence().Add(min(pause, maxBlockPeriod))
+}
+
+// lastEvidence returns the time of the last crash, or of this router's last trial if that is later.
+func (p *part) lastEvidence() time.Time {
+	if p.triedAt.After(p.crashedAt) {
+		return p.triedAt
 	}
-	return from.Add(min(pause, maxBlockPeriod))
+	return p.crashedAt
 }
 
 // explains reports whether a request with the given parts is held to cause one of the crashes of a part among them: all
@@ -258,7 +272,7 @@
 	return out
 }
 
-// blockedUntil returns the end of the time for which a part is blocked, zero if it is not.
+// blockedUntil returns the time from which on any router may send one request with the part, zero if it is not blocked.
 func (p *part) blockedUntil() time.Time {
 	if p.depth < blockDepth {
 		return time.Time{}
@@ -267,17 +281,16 @@
 	if further := p.depth - blockDepth; further < 8 {
 		period = min(maxBlockPeriod, blockPeriod<<further)
 	}
-	return p.crashedAt.Add(period)
+	return p.lastEvidence().Add(period)
 }
 
 // BlockedParts returns the number of parts that are blocked.
 func (t *Table) BlockedParts() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
 	n := 0
 	for _, p := range t.parts {
-		if now.Before(p.blockedUntil()) {
+		if p.depth >= blockDepth {
 			n++
 		}
 	}
--- a/gateway/poison/table_test.go
+++ b/gateway/poison/table_test.go
@@ -176,24 +176,39 @@
 	is.Equal(table.parts[page].depth, uint32(1))
 }
 
-// Guards against a part that stays blocked for good after a coincidence, and against one that crashes engines again and again
-// after its time is over.
-func TestBlockEndsAndOneMoreCrashRenewsIt(t *testing.T) {
+// Guards against a part that crashes engines at all routers at once when the time of its block is over, against one that
+// stays blocked for good after a coincidence because the responsible router gets no requests with it, and against one that
+// is tried more and more often.
+func TestBlockEndsWithOneTrialAtATime(t *testing.T) {
 	is := is.New(t)
-	c, table := newTable()
+	c, all := newTables(2)
+	table, request := all[0], []uint64{guide, deadly}
 	for range blockDepth {
 		crash(table, guide, deadly)
 	}
-	s, ok := table.Blocked([]uint64{guide, deadly})
+	s, ok := table.Blocked(request)
 	is.True(ok)
 	is.Equal(s.Until.Sub(c.at), blockPeriod)
-	c.at = c.at.Add(blockPeriod)
-	is.True(!blocked(table, guide, deadly))
+	exchange(all...)
+	c.at = c.at.Add(blockPeriod - time.Second)
+	is.True(!table.Try(request, notResponsible))
+	c.at = c.at.Add(time.Second)
+	is.True(blocked(table, guide, deadly))
+	is.True(table.Try(request, notResponsible))
+	is.True(!table.Try(request, notResponsible))
 	crash(table, guide, deadly)
+	exchange(all...)
+	for _, other := range all {
+		is.True(blocked(other, guide, deadly))
+		is.True(!other.Try(request, notResponsible))
+	}
 	c.at = c.at.Add(2*blockPeriod - time.Second)
-	is.True(blocked(table, guide, deadly))
+	is.True(!table.Try(request, notResponsible))
 	c.at = c.at.Add(time.Second)
-	is.Equal(table.RecordResponse([]uint64{guide}), []uint64{guide})
+	is.True(all[1].Try(request, notResponsible))
+	is.Equal(all[1].RecordResponse(request), request)
+	is.Equal(all[1].BlockedParts(), 0)
+	exchange(all...)
 	is.Equal(table.BlockedParts(), 0)
 }
 
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -43,13 +43,17 @@
 	if s.attemptsSent == 0 && (s.trial || s.tryParts(suspicion.Part)) {
 		return nil
 	}
-	return unavailable(verdict.ReasonCrashRefused, "part "+formatParts([]uint64{suspicion.Part})+" of the prompt crashes engines", time.Until(suspicion.Until))
+	return unavailable(verdict.ReasonCrashRefused, "part "+formatParts([]uint64{suspicion.Part})+" of the prompt crashes engines", max(minBlockedRetryAfter, time.Until(suspicion.Until)))
 }
 
-// tryParts reports whether the request is sent although the given part of its prompt is blocked. One router of the fleet
-// tries each part.
+// minBlockedRetryAfter is the shortest Retry-After value for a request with a blocked part. One that is due for a trial may
+// be refused for another of its parts.
+const minBlockedRetryAfter = time.Second
+
+// tryParts reports whether the request is sent although the given part of its prompt is blocked. The router whose
+// directory has a part is responsible for its trials.
 func (s *requestState) tryParts(part uint64) bool {
-	if s.g.registry.DirectoryOf(part) != "" || !s.g.poison.Try(s.parts) {
+	if !s.g.poison.Try(s.parts, func(id uint64) bool { return s.g.registry.DirectoryOf(id) == "" }) {
 		return false
 	}
 	s.trial = true
