--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -21,6 +21,9 @@
 	// noInstanceRetryAfter is the Retry-After value when no instance accepts requests. Entries of new
 	// instances appear within about a second.
 	noInstanceRetryAfter = 500 * time.Millisecond
+	// maxHeldOffRetryAfter bounds the Retry-After value while all instances turn requests away for longer. Other
+	// instances may join their pool meanwhile.
+	maxHeldOffRetryAfter = time.Minute
 )
 
 // unavailable returns an error for a request that did not run and may be retried after the given time.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,7 +139,7 @@
 // noInstance returns the error of a request for which there is no instance.
 func (s *requestState) noInstance() *verdict.Error {
 	if heldOff := s.g.registry.HeldOff(s.pool); heldOff > 0 {
-		return unavailable(verdict.ReasonOverCapacity, "all instances turn requests away", heldOff)
+		return unavailable(verdict.ReasonOverCapacity, "all instances turn requests away", min(heldOff, maxHeldOffRetryAfter))
 	}
 	return unavailable(verdict.ReasonNoCandidate, "no instance takes work", noInstanceRetryAfter)
 }
--- a/gateway/pool/announce.go
+++ b/gateway/pool/announce.go
@@ -3,7 +3,7 @@
 import "time"
 
 // announcementTTL is how long what an instance has said of itself is kept after it was said, if no entry of the instance
-// is known. An entry that lapses while the instance runs is back sooner.
+// is known. An entry that lapses while the instance runs is back sooner. A hold-off is kept until its end.
 const announcementTTL = 10 * time.Minute
 
 // incarnation identifies one run of an instance.
@@ -103,7 +103,7 @@
 func (r *Registry) sweepAnnouncements(now time.Time) {
 	for i, a := range r.announcements {
 		m := r.members[i.id]
-		if (m == nil || m.StartedAt != i.startedAt) && now.Sub(a.at) > announcementTTL {
+		if (m == nil || m.StartedAt != i.startedAt) && now.Sub(a.at) > announcementTTL && !now.Before(a.heldOffUntil) {
 			delete(r.announcements, i)
 		}
 	}
--- a/gateway/pool/announce_test.go
+++ b/gateway/pool/announce_test.go
@@ -123,6 +123,26 @@
 	is.True(r.Acquire(withoutOther) != nil)
 }
 
+// Guards against requests to an instance within the time for which it has turned this router away, because its entry
+// was gone for longer than announcements are kept.
+func TestLongHoldOffOutlastsTheEntry(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	i := testInstance(0)
+	r.ApplyEntry(i)
+	r.Acquire(&Request{Pool: "llm"}).RecordHoldOff(3 * announcementTTL)
+	r.Remove(i.ID)
+	c.advance(2 * announcementTTL)
+	r.Sweep(c.now())
+	i.Sequence++
+	is.Equal(r.ApplyEntry(i), Joined)
+	is.True(r.Acquire(&Request{Pool: "llm"}) == nil)
+	r.Remove(i.ID)
+	c.advance(announcementTTL)
+	r.Sweep(c.now())
+	is.Equal(len(r.announcements), 0)
+}
+
 // Guards against callers of a pool whose instances all turn requests away that are not told when the first one takes
 // requests again. One that is leaving does not count.
 func TestHeldOffPoolReturnsWithItsFirstInstance(t *testing.T) {
