Let one router be responsible for the trial of a request with two blocked parts

Cause: asks for each blocked part of a request whether this router is responsible for it. Where a document and one of its parts are both blocked, two routers may be, and each waits for the time of the other part. The router of the first blocked part is responsible for the request again, as before.

--- a/gateway/poison/outage_test.go
+++ b/gateway/poison/outage_test.go
@@ -7,9 +7,10 @@
 	"github.com/matryer/is"
 )
 
-func responsible(uint64) bool { return true }
-
-func notResponsible(uint64) bool { return false }
+const (
+	responsible    = true
+	notResponsible = false
+)
 
 // Guards against a sound part that stays blocked long after an outage in which each engine crashed, whatever it was sent:
 // as all requests with the part are refused, none of them is answered.
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -200,9 +200,9 @@
 }
 
 // Try reports whether a blocked request is to be sent nevertheless, to find out whether its parts are sound: while all
-// requests with a part are refused, no response can clear it. responsible reports whether this router is the one that
-// tries a part first.
-func (t *Table) Try(parts []uint64, responsible func(part uint64) bool) bool {
+// requests with a part are refused, no response can clear it. responsible is set at the router that tries the request's
+// parts first.
+func (t *Table) Try(parts []uint64, responsible bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -213,7 +213,7 @@
 		}
 		p := t.parts[id]
 		at := p.blockedUntil()
-		if responsible(id) {
+		if responsible {
 			at = p.nextTrial()
 		}
 		if now.Before(at) {
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -50,10 +50,11 @@
 // be refused for another of its parts.
 const minBlockedRetryAfter = time.Second
 
-// tryParts reports whether the request is sent although the given part of its prompt is blocked. The router whose
-// directory has a part is responsible for its trials.
+// tryParts reports whether the request is sent although the given part of its prompt, the first that is blocked, is. The
+// router whose directory has that part is responsible for the trial: if each part had its own, none might try a request with
+// two.
 func (s *requestState) tryParts(part uint64) bool {
-	if !s.g.poison.Try(s.parts, func(id uint64) bool { return s.g.registry.DirectoryOf(id) == "" }) {
+	if !s.g.poison.Try(s.parts, s.g.registry.DirectoryOf(part) == "") {
 		return false
 	}
 	s.trial = true
