Say in what state a gateway is that does not stop in time

The report of such a failure now holds the state of the process, the signals that wait for it, its context switches and the load of the machine (TestSchedulingStateShowsPendingSignal). Nothing else changes.

Measured: TestSchedulingStateShowsPendingSignal and TestPausedProcessHoldsConnections pass.

--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -89,6 +89,21 @@
 	is.Equal(offset, uint64(0))
 }
 
+// Guards against a failed stop whose report does not tell a process that does not run from one that has lost the signal.
+func TestSchedulingStateShowsPendingSignal(t *testing.T) {
+	is := is.New(t)
+	s := StartStandin(t, "log", "")
+	s.Pause()
+	s.Signal(syscall.SIGTERM)
+	state := s.SchedulingState()
+	is.True(strings.Contains(state, "State T"))
+	is.True(strings.Contains(state, "ShdPnd 0000000000004000")) // bit of SIGTERM
+	s.Resume()
+	status, err := s.Wait(testTimeout)
+	is.NoErr(err)
+	is.Equal(status, 0)
+}
+
 // Guards against a pause that closes connections or does not stop the process, and against a process that
 // does not continue after Resume.
 func TestPausedProcessHoldsConnections(t *testing.T) {
--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -253,6 +254,29 @@
 	return kilobytes << 10
 }
 
+// schedulingFields are the fields of /proc/PID/status that tell a process that is stopped or short of processor time from one
+// that has lost a signal: ShdPnd holds the signals that wait for it.
+var schedulingFields = []string{"State", "SigPnd", "ShdPnd", "SigBlk", "SigCgt", "voluntary_ctxt_switches", "nonvoluntary_ctxt_switches"}
+
+// SchedulingState describes whether the process runs, which signals wait for it, and the load of the machine.
+func (p *Process) SchedulingState() string {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return err.Error()
+	}
+	var out []string
+	for line := range strings.Lines(string(status)) {
+		name, value, _ := strings.Cut(line, ":")
+		if slices.Contains(schedulingFields, name) {
+			out = append(out, name+" "+strings.TrimSpace(value))
+		}
+	}
+	if load, err := os.ReadFile("/proc/loadavg"); err == nil {
+		out = append(out, "load "+strings.TrimSpace(string(load)))
+	}
+	return strings.Join(out, ", ")
+}
+
 // procState returns the state letter from /proc/PID/stat, which follows the program name in parentheses.
 func procState(pid int) (byte, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -61,7 +61,7 @@
 	end := processEnd{node: node, signal: signal, at: time.Now()}
 	f.nodes[node].Signal(signal)
 	if _, err := f.nodes[node].Wait(f.configs[node].GracePeriod); err != nil {
-		f.t.Errorf("%s did not stop in time: %v", f.configs[node].Name, err)
+		f.t.Errorf("%s did not stop in time: %v; %s", f.configs[node].Name, err, f.nodes[node].SchedulingState())
 		f.nodes[node].Kill()
 	}
 	end.gone = time.Now()
