Keep the places of a router that stops until its requests have ended

Cause: keepers dropped the reservations of a router as soon as it announced that it stops. Its requests, long streams above all, are in flight for up to the whole grace period. With twelve gateways of 31 in a stop, keepers counted fewer requests than the instances held, let more come and told all others too low loads. Places at plain services were given back early too.

Change: the handler of peers is told of the routers that are leaving too. They keep no instances, and their reservations stay until they are released, their time is over or the router is back.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -110,7 +110,7 @@
 	return &peerpb.Located{Sequence: l.GetSequence(), Instances: []uint32{uint32(l.GetDocument()), l.GetInstance()}}
 }
 
-func (h *fakeHandler) MembersChanged(alive []*peerpb.Member, lost int) {
+func (h *fakeHandler) MembersChanged(alive, _ []*peerpb.Member, lost int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.aliveRouters, h.lostRouters = len(alive), lost
--- a/gateway/peer/members.go
+++ b/gateway/peer/members.go
@@ -131,6 +131,17 @@
 	return out
 }
 
+// leaving returns the other routers that are shutting down, or were when they were last heard of.
+func (m *members) leaving() []*peerpb.Member {
+	var out []*peerpb.Member
+	for _, e := range m.entries {
+		if e.GetStatus() == peerpb.Status_LEAVING {
+			out = append(out, e.Member)
+		}
+	}
+	return out
+}
+
 // get returns what is known about a router, or nil.
 func (m *members) get(node string) *peerpb.Member {
 	if e, ok := m.entries[node]; ok {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -100,8 +100,9 @@
 	Release(node string, sequence uint64, outcome peerpb.Outcome)
 	// Locate answers a question about a document of this router's directory.
 	Locate(l *peerpb.Locate) *peerpb.Located
-	// MembersChanged is called after each change with the routers that are alive and the number of those that are lost.
-	MembersChanged(alive []*peerpb.Member, lost int)
+	// MembersChanged is called after each change with the routers that are alive, with the other ones that are leaving,
+	// which finish the requests that they have, and with the number of those that are lost.
+	MembersChanged(alive, leaving []*peerpb.Member, lost int)
 	// PeerStateChanged is called when a router is lost or alive again, and ParentChanged with the new parent, ""
 	// at the root.
 	PeerStateChanged(node string, alive bool)
@@ -363,9 +364,9 @@
 	f.notifyMu.Lock()
 	defer f.notifyMu.Unlock()
 	f.mu.Lock()
-	alive, lost := f.members.alive, len(f.members.lost())
+	alive, leaving, lost := f.members.alive, f.members.leaving(), len(f.members.lost())
 	f.mu.Unlock()
-	f.handler.MembersChanged(alive, lost)
+	f.handler.MembersChanged(alive, leaving, lost)
 }
 
 // AnnounceLeave tells the others that this router is shutting down.
--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -27,8 +27,9 @@
 }
 
 // SetFleet sets the routers that are alive, this one included, and by them the keeper of each instance. It drops the
-// reservations of routers that are gone or have restarted.
-func (r *Registry) SetFleet(self string, routers []Router) {
+// reservations of routers that are gone or have restarted. Those of routers that are leaving stay, until they are released
+// or their time is over: the requests are still in flight.
+func (r *Registry) SetFleet(self string, routers []Router, leaving ...Router) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self = self
@@ -38,6 +39,9 @@
 		r.routers = append(r.routers, rankedRouter{name: router.Name, hash: rendezvous.Hash(router.Name)})
 		incarnations[router.Name] = router.Incarnation
 	}
+	for _, router := range leaving {
+		incarnations[router.Name] = router.Incarnation
+	}
 	for _, m := range r.members {
 		r.setKeeper(m)
 		for h := range m.holds {
--- a/gateway/pool/peers_test.go
+++ b/gateway/pool/peers_test.go
@@ -128,6 +128,39 @@
 	is.Equal(len(m.holds), 0)
 }
 
+// Guards against an instance that gets more than its bound because the places of a router that stops are given back before
+// its requests have ended, and against places of its earlier incarnation that stay taken.
+func TestHoldsOfLeavingRoutersStay(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	all := []Router{{"a", 1}, {"b", 1}}
+	r.SetFleet("a", all)
+	i := testInstance(0)
+	r.ApplyEntry(i)
+	m := r.members[i.ID]
+	reserve := func(sequence uint64) {
+		m.keeper = ""
+		is.True(r.Reserve(&Reservation{Router: "b", Sequence: sequence, Instance: KeyOf(i.ID), TTL: time.Second}).Granted)
+	}
+	reserve(1)
+	r.SetFleet("a", all[:1], all[1])
+	is.Equal(len(m.holds), 1)
+	is.Equal(r.PeerCount(), 0)
+	is.Equal(m.keeper, "")
+	reserve(2) // it serves requests that still arrive
+	r.SetFleet("a", all[:1], all[1])
+	is.Equal(len(m.holds), 2)
+	r.EndReservation("b", 1, Served)
+	is.Equal(len(m.holds), 1)
+	r.SetFleet("a", []Router{{"a", 1}, {"b", 2}}) // it is back
+	is.Equal(len(m.holds), 0)
+	reserve(3)
+	r.SetFleet("a", all[:1], Router{"b", 2})
+	c.advance(2 * time.Second)
+	r.Sweep(c.now())
+	is.Equal(len(m.holds), 0)
+}
+
 // Guards against a keeper and a request that count twice or not at all around a lost keeper: the new keeper is told
 // of the places, twice by mistake, and the old one that still runs is told of their end.
 func TestForcedReservationIsCountedOnce(t *testing.T) {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -92,7 +92,8 @@
 	byKey    map[Key][]*member
 	// byAddress holds the members by address: more than one until the entry of a predecessor is removed.
 	byAddress map[string][]*member
-	// self is this router's name, routers are those that are alive, and incarnations their incarnations by name.
+	// self is this router's name, routers are those that are alive, and incarnations the incarnations of these and of those
+	// that are leaving, by name.
 	self         string
 	routers      []rankedRouter
 	incarnations map[string]uint64
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -43,12 +43,16 @@
 }
 
 // MembersChanged implements peer.Handler.
-func (g *Gateway) MembersChanged(alive []*peerpb.Member, lost int) {
+func (g *Gateway) MembersChanged(alive, leaving []*peerpb.Member, lost int) {
 	routers := make([]pool.Router, 0, len(alive))
 	for _, m := range alive {
 		routers = append(routers, pool.Router{Name: m.GetNode(), Incarnation: m.GetIncarnation()})
 	}
-	g.registry.SetFleet(g.settings.Node, routers)
+	finishing := make([]pool.Router, 0, len(leaving))
+	for _, m := range leaving {
+		finishing = append(finishing, pool.Router{Name: m.GetNode(), Incarnation: m.GetIncarnation()})
+	}
+	g.registry.SetFleet(g.settings.Node, routers, finishing...)
 	g.registry.SetLost(lost)
 	g.reservations.moveToKeepers()
 	if !g.settings.FirstStart && startedTogether(g.settings.Node, routers) {
