Tell new keepers of the requests in flight once a link to them is open

Cause: when the keeper of an instance changes, each router tells the new one of its requests there. The message was dropped if there was no link, and there is none to a router that has just started unless it is a neighbour in the tree. The earlier keeper was told that they had ended, so no router counted them.

Change: Tell says whether there was a link.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,6 +263,7 @@
 			g.log.Info("instance", "instance", id, "change", "lapsed")
 		}
 		g.probeUnreachable()
+		g.reservations.tellKeepers()
 		g.places.sweep(g.holds, g.keeps)
 		g.connections.CloseExpired()
 		rank := g.readRank()
--- a/gateway/peer/reserve.go
+++ b/gateway/peer/reserve.go
@@ -119,15 +119,17 @@
 	}
 }
 
-// Tell sends a router a message that needs no answer. It is dropped if there is no link.
-func (f *Fleet) Tell(node string, m *peerpb.Message) {
+// Tell sends a router a message that needs no answer. If there is no link, the message is dropped, an attempt to connect
+// starts, and Tell returns false.
+func (f *Fleet) Tell(node string, m *peerpb.Message) (sent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l := f.linkTo(node); l != nil {
 		l.send(m)
-		return
+		return true
 	}
 	if known := f.members.get(node); known != nil {
 		f.connect(node, known.GetAddress(), time.Now())
 	}
+	return false
 }
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -74,7 +74,7 @@
 }
 
 // Tell waits while maxUndelivered messages are not handled yet.
-func (l *simulatedLink) Tell(node string, m *peerpb.Message) {
+func (l *simulatedLink) Tell(node string, m *peerpb.Message) (sent bool) {
 	l.undelivered <- struct{}{}
 	time.AfterFunc(linkDelay, func() {
 		defer func() { <-l.undelivered }()
@@ -85,6 +85,7 @@
 			l.fleet[node].Release(l.node, m.GetReleased(), m.GetOutcome())
 		}
 	})
+	return true
 }
 
 // newPlainFleet returns gateways before the workers of a plain service. They do no I/O.
@@ -426,7 +427,10 @@
 	tell func(node string, m *peerpb.Message)
 }
 
-func (l *toldLink) Tell(node string, m *peerpb.Message) { l.tell(node, m) }
+func (l *toldLink) Tell(node string, m *peerpb.Message) (sent bool) {
+	l.tell(node, m)
+	return true
+}
 
 // Guards against a place that stays taken at a new keeper, because it is told of the request after the end of the request.
 func TestRequestThatEndsWhileItsKeeperChangesKeepsNoPlace(t *testing.T) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -25,8 +25,8 @@
 	// Reserve and Locate ask another router. ok is false if it did not answer in time.
 	Reserve(ctx context.Context, node string, r *peerpb.Reserve) (answer *peerpb.Reserved, ok bool)
 	Locate(ctx context.Context, node string, l *peerpb.Locate) (answer *peerpb.Located, ok bool)
-	// Tell sends another router a message that needs no answer.
-	Tell(node string, m *peerpb.Message)
+	// Tell sends another router a message that needs no answer. It returns false, and starts to connect, if there is no link.
+	Tell(node string, m *peerpb.Message) (sent bool)
 }
 
 // reservations are the places that this router's requests have at instances that other routers keep.
@@ -44,6 +44,8 @@
 	instance pool.Key
 	// keeper changes with the fleet. It is guarded by the lock of reservations.
 	keeper pool.Router
+	// untold is set while the keeper does not know of a place that is taken, for want of a link. It has the same lock.
+	untold bool
 	until  time.Time
 	// moved is set once the keeper has changed.
 	moved bool
@@ -203,11 +205,32 @@
 	return decodeAnswer(reserved), true
 }
 
-// force tells the keeper that the place is taken.
+// force tells the keeper that the place is taken, now or once there is a link to it.
 func (r *reservations) force(res *reservation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleet.Tell(res.keeper.Name, &peerpb.Message{Reserve: res.message(true)})
+	// Otherwise its keeper was told of the end.
+	if r.open[res.sequence] == res {
+		r.tell(res)
+	}
+}
+
+// tell tells the keeper of a place that is taken, if there is a link. The caller holds mu: a link queues what it is told,
+// and a request that ends now is told to its keeper after that.
+func (r *reservations) tell(res *reservation) {
+	keeper := res.keeper.Name
+	res.untold = keeper != "" && !r.fleet.Tell(keeper, &peerpb.Message{Reserve: res.message(true)})
+}
+
+// tellKeepers tells the keepers of the places that they could not be told of before.
+func (r *reservations) tellKeepers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, res := range r.open {
+		if res.untold {
+			r.tell(res)
+		}
+	}
 }
 
 // end gives the place back and tells the keeper the outcome of the request. A nil reservation is allowed.
@@ -229,7 +252,6 @@
 // moveToKeepers tells the new keepers of instances, and those that have restarted, of the requests in flight there. The
 // keepers' state is rebuilt by this after a router is lost.
 func (r *reservations) moveToKeepers() {
-	// The lock is held until all is told: a request that ends now is told to its new keeper after that.
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, res := range r.open {
@@ -241,6 +263,6 @@
 			r.fleet.Tell(res.keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: peerpb.Outcome_UNKNOWN})
 		}
 		res.keeper, res.moved = keeper, true
-		r.fleet.Tell(keeper.Name, &peerpb.Message{Reserve: res.message(true)})
+		r.tell(res)
 	}
 }
