Count the places at instances that their new keeper does not know yet

Cause: a router that has just started is the keeper of its instances as soon as it is a member. The others tell it of their requests in flight there, and it may get these messages before the entries of the instances: it dropped them (a trace of a failed run: 18 of 18 for unknown instances, 0 for unknown routers).

Change: such a reservation is kept, bounded and with its time to live, and counts once the instance is known. A place granted at an unknown instance and not used, because the instance is cold, is given back.

Test: TestPlacesAtInstancesThatAreNotKnownYetAreCounted (before: 0 places, want 3).

--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -1,6 +1,9 @@
 package pool
 
 import (
+	"maps"
+	"time"
+
 	"jacinthfork.example/jacinthfork/internal/rendezvous"
 )
 
@@ -42,14 +45,15 @@
 	for _, router := range leaving {
 		incarnations[router.Name] = router.Incarnation
 	}
+	gone := func(h holder) bool {
+		incarnation, ok := incarnations[h.router]
+		return !ok || incarnation != r.incarnations[h.router]
+	}
 	for _, m := range r.members {
 		r.setKeeper(m)
-		for h := range m.holds {
-			if incarnation, ok := incarnations[h.router]; !ok || incarnation != r.incarnations[h.router] {
-				delete(m.holds, h)
-			}
-		}
+		maps.DeleteFunc(m.holds, func(h holder, _ time.Time) bool { return gone(h) })
 	}
+	maps.DeleteFunc(r.early, func(h holder, _ earlyHold) bool { return gone(h) })
 	r.incarnations = incarnations
 }
 
--- a/gateway/pool/keeper.go
+++ b/gateway/pool/keeper.go
@@ -36,7 +36,8 @@
 // Answer is a keeper's answer to a reservation.
 type Answer struct {
 	Granted bool
-	// Unknown is set if the keeper does not know the instance. The reservation is then granted, but not counted.
+	// Unknown is set if the keeper does not know the instance yet. The reservation is then granted, and counts once the
+	// keeper does.
 	Unknown bool
 	// CachedTokens is the number of tokens at the beginning of the prompt that the instance has cached.
 	CachedTokens int
@@ -68,6 +69,7 @@
 		if left := r.replaced[q.Instance].Sub(now); left > 0 {
 			return Answer{Ejected: left}
 		}
+		r.early.add(q, now)
 		return Answer{Granted: true, Unknown: true}
 	}
 	m := kept[0]
@@ -188,6 +190,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := holder{router, sequence}
+	delete(r.early, h)
 	for _, m := range r.members {
 		if _, ok := m.holds[h]; !ok {
 			continue
@@ -203,7 +206,7 @@
 	return i, ejected
 }
 
-// HoldCount returns the number of reservations of other routers.
+// HoldCount returns the number of reservations of other routers at known instances.
 func (r *Registry) HoldCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,3 +225,37 @@
 		}
 	}
 }
+
+// earlyHolds are reservations at instances that this router does not know yet. A router that has just started gets them
+// before the entries of the instances that it keeps.
+type earlyHolds map[holder]earlyHold
+
+type earlyHold struct {
+	instance Key
+	until    time.Time
+}
+
+func (e earlyHolds) add(q *Reservation, now time.Time) {
+	if len(e) < maxHolds {
+		e[holder{q.Router, q.Sequence}] = earlyHold{instance: q.Instance, until: now.Add(q.TTL)}
+	}
+}
+
+// move makes the reservations at an instance that has become known count there.
+func (e earlyHolds) move(m *member) {
+	for h, early := range e {
+		if early.instance == keyOf(m.hash) {
+			m.hold(h, early.until)
+			delete(e, h)
+		}
+	}
+}
+
+// sweep ends reservations whose time is over.
+func (e earlyHolds) sweep(now time.Time) {
+	for h, early := range e {
+		if now.After(early.until) {
+			delete(e, h)
+		}
+	}
+}
--- a/gateway/pool/peers_test.go
+++ b/gateway/pool/peers_test.go
@@ -177,3 +177,40 @@
 	r.EndReservation("b", 7, Served)
 	is.Equal(m.others(), 0)
 }
+
+// Guards against an instance that gets more than its bound because a router that has just started is told of the requests
+// in flight there before it has the instance's entry, and against such places that stay taken for ever.
+func TestPlacesAtInstancesThatAreNotKnownYetAreCounted(t *testing.T) {
+	is := is.New(t)
+	r, c := testRegistry()
+	r.SetFleet("a", []Router{{"a", 1}, {"b", 1}, {"c", 1}})
+	i := testInstance(0)
+	reserve := func(router string, sequence uint64, ttl time.Duration) {
+		a := r.Reserve(&Reservation{Router: router, Sequence: sequence, Instance: KeyOf(i.ID), TTL: ttl, Forced: sequence%2 == 0})
+		is.True(a.Granted)
+		is.True(a.Unknown)
+	}
+	for n := range uint64(4) {
+		reserve("b", n, time.Minute)
+	}
+	reserve("b", 0, time.Minute) // told twice
+	reserve("b", 4, time.Second)
+	reserve("c", 0, time.Minute)
+	r.EndReservation("b", 3, Served)
+	r.SetFleet("a", []Router{{"a", 1}, {"b", 1}, {"c", 2}}) // c has restarted
+	c.advance(2 * time.Second)
+	r.Sweep(c.now())
+	r.ApplyEntry(i)
+	m := r.members[i.ID]
+	m.keeper = ""
+	is.Equal(m.others(), 3)
+	for n := range uint64(3) {
+		r.EndReservation("b", n, Served)
+	}
+	is.Equal(m.others(), 0)
+	is.Equal(len(r.early), 0)
+	for n := range uint64(2 * maxHolds) {
+		r.Reserve(&Reservation{Router: "b", Sequence: n, Instance: KeyOf(testInstance(1).ID), TTL: time.Minute})
+	}
+	is.Equal(len(r.early), maxHolds)
+}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -97,6 +97,8 @@
 	self         string
 	routers      []rankedRouter
 	incarnations map[string]uint64
+	// early holds reservations at instances that are not known yet.
+	early earlyHolds
 	// lost is the number of routers that cannot be reached and may be a part of the fleet without contact to this one.
 	lost int
 	// fleetLoad is the load of all routers, by PoolHash.
@@ -134,6 +136,7 @@
 		pools:           make(map[string][]*member),
 		byKey:           make(map[Key][]*member),
 		byAddress:       make(map[string][]*member),
+		early:           make(earlyHolds),
 		tombstones:      make(map[string]tombstone),
 		announcements:   make(map[incarnation]*announcement),
 		directory:       newDirectory(),
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -103,6 +103,7 @@
 	key := keyOf(m.hash)
 	r.byKey[key] = append(r.byKey[key], m)
 	r.byAddress[i.Address] = append(r.byAddress[i.Address], m)
+	r.early.move(m)
 	r.setKeeper(m)
 }
 
@@ -186,6 +187,7 @@
 			r.evict(m, now)
 		}
 	}
+	r.early.sweep(now)
 	r.sweepAnnouncements(now)
 	for key, until := range r.replaced {
 		if now.After(until) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -142,6 +142,10 @@
 			s.g.metrics.reservations.Add("granted", 1)
 			return lease, r
 		}
+		if answer.Granted {
+			s.g.reservations.end(r, pool.Abandoned)
+			continue
+		}
 		s.g.reservations.refused(r)
 		s.g.metrics.reservations.Add("refused", 1)
 	}
