Close an unused connection without the lock that its reader needs

Callers would see a router that answers nothing any more: requests wait until their callers give up, new connections are accepted and not read, and a stop never ends, so that the process is killed with all requests in flight.

The check for unused connections (at a stop, and at the idle limit, which a new configuration may shorten) closed a connection under the lock that a read of it takes. Closing a connection waits for the reads in progress. If data arrived after the check had found none and before the close, its reader was woken, waited for the lock and kept the connection open: both waited for each other for good, and with them the lock of the tracker, on which each change of state of any connection waits.

TestDataThatArrivesDuringACloseBlocksNothing writes between the check and the close. It failed before: "the check for unused connections does not return".

The connection is marked as closed under the lock and closed after it; a reader that was woken meanwhile takes no data.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -183,16 +183,18 @@
 // closing would reset the connection.
 func (c *tracked) retire(reads uint64) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.waiting || c.reads != reads || c.begun {
-		return false
+	unused := c.waiting && c.reads == reads && !c.begun
+	if unused {
+		readable, err := socket.Readable(c.Conn)
+		unused = err != nil || !readable
 	}
-	if readable, err := socket.Readable(c.Conn); err == nil && readable {
-		return false
+	c.retired = c.retired || unused
+	c.mu.Unlock()
+	if unused {
+		// Close waits for a read that data has just woken, and that one needs the lock.
+		_ = c.Conn.Close()
 	}
-	c.retired = true
-	_ = c.Conn.Close()
-	return true
+	return unused
 }
 
 // Tracker knows the state of each caller's connection. Its Track must be the ConnState hook of the server, and the
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -274,3 +274,46 @@
 		}
 	}
 }
+
+// closingConn calls a function before it is closed.
+type closingConn struct {
+	*net.TCPConn
+	before func()
+}
+
+func (c closingConn) Close() error {
+	c.before()
+	return c.TCPConn.Close()
+}
+
+// Guards against a router that hangs, and that a planned stop then does not end: data arrives on a connection in the
+// instant in which it is closed as unused, and its reader and the check for unused connections wait for each other.
+func TestDataThatArrivesDuringACloseBlocksNothing(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	accepted, err := inner.Accept()
+	is.NoErr(err)
+	conn := newTracked(closingConn{accepted.(*net.TCPConn), func() {
+		_, _ = caller.Write([]byte("GET"))
+		time.Sleep(20 * time.Millisecond) // the data wakes the reader
+	}})
+	conns := NewTracker()
+	conns.Track(conn, http.StateIdle)
+	read := startRead(conn)
+	left := make(chan int, 1)
+	go func() { left <- conns.closeUnused() }()
+	select {
+	case n := <-left:
+		is.Equal(n, 0)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the check for unused connections does not return")
+	}
+	is.Equal(<-read, 0) // nothing is read from a connection that is closed
+	conns.Track(conn, http.StateClosed)
+	is.Equal(conns.Total(), 0)
+}
