Count a pause before the signal to stop as part of the grace period

Callers would see requests end without an answer at a planned stop of a gateway that was frozen, or without processor time, when the signal came: the process is killed while its stop goes on.

The grace period runs from the signal. The process counted it from when it noticed the signal, which is after the pause, so its stop ended too late by as much.

TestStopEndsInTimeAfterAFreeze freezes a gateway, signals it and lets it go on after half of the grace period. It failed before: "process is still running" when the platform would have killed it.

A router now notes every 50 ms that it runs. If it notices the signal at the end of a pause of 200 ms or more, or within 300 ms after it, the grace period counts from the beginning of the pause. When the signal really came after the pause, the stop is shorter than it need be, by the length of the pause. A pause of about the grace period or longer leaves 1 s. The line "stopping" says how much was counted. The decision is apart from the clock; TestPausesCountAsPartOfTheGracePeriod replays freezes and lack of processor time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,7 @@
 	places        *places
 	callers       *callerconn.Tracker
 	metrics       *metrics
+	pauses        pauseDetector
 
 	// started is closed once the router is ready for the first time, or StartHold after its start.
 	started chan struct{}
@@ -180,6 +181,7 @@
 	go g.peers.Run(ctx)
 	go g.discoverPeers(ctx)
 	go g.maintain(ctx)
+	go g.pauses.run(ctx)
 	go g.awaitReady(ctx)
 	go g.serve(g.callerServer, g.callerListener)
 	go g.serve(g.readyServer, g.readyListener)
@@ -311,14 +313,17 @@
 
 // Stop shuts down gracefully: it fails health checks, keeps serving requests and connections that still
 // arrive, closes connections as they become idle, and returns when no request is in flight or GracePeriod is
-// nearly over. Requests that are then left get an error response, unless their response has begun.
+// nearly over. Requests that are then left get an error response, unless their response has begun. A pause of the process
+// just before counts as part of GracePeriod.
 func (g *Gateway) Stop() {
 	begin := time.Now()
+	signalled := g.pauses.earliestSignal(begin, g.settings.GracePeriod)
+	end := signalled.Add(g.settings.GracePeriod)
 	g.leaving.Store(true)
-	g.log.Info("stopping", "in_flight", g.callers.Active())
+	g.log.Info("stopping", "in_flight", g.callers.Active(), "paused_ms", begin.Sub(signalled).Milliseconds())
 	g.peers.AnnounceLeave()
-	time.Sleep(min(g.settings.DrainDelay, g.settings.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.settings.GracePeriod-stopMargin))
+	time.Sleep(min(g.settings.DrainDelay, end.Sub(begin)/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-stopMargin))
 	defer cancel()
 	refusal := time.AfterFunc(lateArrival, func() { g.refusing.Store(true) })
 	defer refusal.Stop()
