Register a reservation at the keeper that it finds

What callers see: nothing directly. A request in flight is not counted by the router that keeps its instance, which then grants places above the load bound (LIMIT).

Cause: a reservation read the keeper of its instance without the lock under which a change of the fleet moves the open reservations. If the keeper changed in between, the reservation was registered at the former keeper after the change had passed, and the next one was not told until the fleet changed again.

Change: the keeper is read under the lock of the reservations.

Result: the test passes in 10 of 10 runs, and in 3 of 3 with the race detector.

--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -161,10 +161,11 @@
 
 // begin registers a reservation.
 func (r *reservations) begin(lease *pool.Lease, ttl time.Duration) *reservation {
-	key := pool.KeyOf(lease.Instance.ID)
-	out := &reservation{sequence: r.fleet.NextSequence(), instance: key, keeper: r.registry.KeeperOf(key), until: time.Now().Add(ttl)}
+	out := &reservation{sequence: r.fleet.NextSequence(), instance: pool.KeyOf(lease.Instance.ID), until: time.Now().Add(ttl)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// A change of the keeper after this finds the reservation in open.
+	out.keeper = r.registry.KeeperOf(out.instance)
 	r.open[out.sequence] = out
 	return out
 }
