Tell a new keeper of the former keeper's own requests

What callers see: an instance gets more requests than its load bound allows (LIMIT) after another router has become its keeper: one that joined or returned, or any other one when its keeper stops.

Cause: a router had no reservation for its requests at instances that it keeps itself, so that a change of the keeper had nothing to pass on. The new keeper counted the requests of all routers but the former keeper. A router that is alone keeps all instances: the second one to start was told of none of its requests.

Evidence: TestNewKeeperIsToldOfTheFormerKeepersOwnRequests failed before for requests to model and to plain services: "after the other one joined: the other keeper counts 0 requests, want 14 of 32".

Change: these requests are registered like all others, with this router as the keeper, and a change of the keeper tells the new one. Nothing is sent while the keeper stays.

Result: the test passes, also for places that must not count twice or for ever when the keeper changes back and forth. The tests of package gateway pass with the race detector, and the tests of keepers, stops and takeovers of package platform pass twice.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -138,14 +138,19 @@
 // takeLocalPlace takes a place at an instance that this router keeps.
 func (s *requestState) takeLocalPlace(ctx context.Context, lease *pool.Lease, wait time.Duration) (*reservation, *pool.Answer, error) {
 	controller, ok := s.g.placesAt(pool.KeyOf(lease.Instance.ID))
+	r := s.g.reservations.prepare(lease, s.reservationTTL())
 	if !ok || lease.Forced {
-		return nil, nil, nil
+		s.g.reservations.register(r)
+		s.g.reservations.force(r)
+		return r, nil, nil
 	}
-	r := &reservation{sequence: s.g.keepers.NextSequence(), local: true}
+	r.local = true
 	req := placeRequestOf(organisationHash(s.organisation), s.priority, wait, s.timeLeft())
 	err := s.g.places.wait(s.g.places.enter(ctx, placeHolder{sequence: r.sequence}), controller, req)
 	switch {
 	case err == nil:
+		s.g.reservations.register(r)
+		s.g.reservations.force(r)
 		return r, nil, nil
 	case ctx.Err() != nil:
 		lease.Release(pool.Abandoned)
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -29,7 +29,8 @@
 	Tell(node string, m *peerpb.Message) (sent bool)
 }
 
-// reservations are the places that this router's requests have at instances that other routers keep.
+// reservations are the places that this router's requests have at instances. It counts those at instances that it keeps
+// itself, and has them at hand for the next keeper.
 type reservations struct {
 	registry *pool.Registry
 	fleet    keeperLink
@@ -42,14 +43,14 @@
 type reservation struct {
 	sequence uint64
 	instance pool.Key
-	// keeper changes with the fleet. It is guarded by the lock of reservations.
+	// keeper changes with the fleet. Its name is "" if it is this router. It is guarded by the lock of reservations.
 	keeper pool.Router
 	// untold is set while the keeper does not know of a place that is taken, for want of a link. It has the same lock.
 	untold bool
 	until  time.Time
 	// moved is set once the keeper has changed.
 	moved bool
-	// local is set for a place at an instance of a plain service that this router keeps.
+	// local is set for a place at an instance of a plain service that this router kept when it was granted.
 	local bool
 }
 
@@ -117,10 +118,14 @@
 		q := s.poolRequest()
 		q.ExcludeCold = n > maxReservations
 		lease := s.g.registry.Acquire(q)
-		if lease == nil || lease.Keeper == "" {
-			return lease, nil
+		if lease == nil {
+			return nil, nil
 		}
 		r := s.g.reservations.begin(lease, s.reservationTTL())
+		if lease.Keeper == "" {
+			s.g.reservations.force(r)
+			return lease, r
+		}
 		if n > maxReservations || ((lease.Forced || lease.Denied) && !lease.Cold) {
 			s.g.reservations.force(r)
 			s.g.metrics.reservations.Add("forced", 1)
@@ -161,13 +166,22 @@
 
 // begin registers a reservation.
 func (r *reservations) begin(lease *pool.Lease, ttl time.Duration) *reservation {
-	out := &reservation{sequence: r.fleet.NextSequence(), instance: pool.KeyOf(lease.Instance.ID), until: time.Now().Add(ttl)}
+	out := r.prepare(lease, ttl)
+	r.register(out)
+	return out
+}
+
+// prepare returns a reservation that is not registered yet.
+func (r *reservations) prepare(lease *pool.Lease, ttl time.Duration) *reservation {
+	return &reservation{sequence: r.fleet.NextSequence(), instance: pool.KeyOf(lease.Instance.ID), until: time.Now().Add(ttl)}
+}
+
+func (r *reservations) register(res *reservation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// A change of the keeper after this finds the reservation in open.
-	out.keeper = r.registry.KeeperOf(out.instance)
-	r.open[out.sequence] = out
-	return out
+	res.keeper = r.registry.KeeperOf(res.instance)
+	r.open[res.sequence] = res
 }
 
 // keeperOf returns the name of the router that keeps the reservation's instance.
@@ -245,13 +259,14 @@
 	}
 	if res.local {
 		r.places.release(placeHolder{sequence: res.sequence})
-		return
 	}
 	r.mu.Lock()
 	keeper := res.keeper
 	delete(r.open, res.sequence)
 	r.mu.Unlock()
-	r.fleet.Tell(keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: encodeOutcome(o)})
+	if keeper.Name != "" {
+		r.fleet.Tell(keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: encodeOutcome(o)})
+	}
 }
 
 // moveToKeepers tells the new keepers of instances, and those that have restarted, of the requests in flight there. The
@@ -264,7 +279,7 @@
 		if keeper == res.keeper {
 			continue
 		}
-		if res.keeper.Name != keeper.Name {
+		if res.keeper.Name != "" && res.keeper.Name != keeper.Name {
 			r.fleet.Tell(res.keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: peerpb.Outcome_UNKNOWN})
 		}
 		res.keeper, res.moved = keeper, true
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
@@ -27,6 +29,83 @@
 	g.reservations.moveToKeepers()
 }
 
+// Guards against instances that get more than their load bound because a router that joins and keeps them from then on is
+// not told of the requests that their keeper so far has in flight there itself. It also guards against such requests that
+// count twice, or for ever, when that one keeps the instances again.
+func TestNewKeeperIsToldOfTheFormerKeepersOwnRequests(t *testing.T) {
+	const requests = 2 * 16
+	type acquired struct {
+		lease *pool.Lease
+		place *reservation
+	}
+	kinds := map[string]func(s *requestState) (a acquired){
+		"model": func(s *requestState) (a acquired) {
+			a.lease, a.place = s.reserve(context.Background())
+			return a
+		},
+		"plain": func(s *requestState) (a acquired) {
+			a.lease, a.place, _ = s.acquirePlace(context.Background())
+			return a
+		},
+	}
+	for kind, acquire := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newPlainFleet(2, plainWorkers(16))
+				first, joining := fleet[0], fleet[1]
+				both := []pool.Router{{Name: "r-000"}, {Name: "r-001"}}
+				first.setFleet("r-000", both[:1])
+				var open []acquired
+				end := func() {
+					first.reservations.end(open[0].place, pool.Served)
+					open[0].lease.Release(pool.Served)
+					open = open[1:]
+				}
+				check := func(when string) {
+					t.Helper()
+					time.Sleep(5 * linkDelay)
+					want := 0
+					for _, a := range open {
+						if !first.keeps(pool.KeyOf(a.lease.Instance.ID)) {
+							want++
+						}
+					}
+					if got := joining.ReservedPlaces(); got != want {
+						t.Errorf("%s: the other keeper counts %d requests, want %d of %d", when, got, want, len(open))
+					}
+					if got := first.ReservedPlaces(); got != 0 {
+						t.Errorf("%s: the router counts %d requests of its own as those of others", when, got)
+					}
+				}
+				for range requests {
+					a := acquire(&requestState{g: first, table: first.table.Load(), pool: "plain", start: time.Now()})
+					if a.lease == nil {
+						t.Fatal("no instance")
+					}
+					open = append(open, a)
+				}
+				first.setFleet("r-000", both)
+				check("after the other one joined")
+				for range requests / 2 {
+					end()
+				}
+				check("after half of the requests")
+				first.setFleet("r-000", both[:1])
+				check("after the other one left")
+				first.setFleet("r-000", both)
+				check("after it joined again")
+				for len(open) > 0 {
+					end()
+				}
+				check("at the end")
+				if left := len(first.reservations.open); left != 0 {
+					t.Errorf("%d reservations are left", left)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a place that its keeper does not count, because the keeper changed between the choice of the keeper and the
 // registration of the reservation, so that the change passed it by.
 func TestReservationsAreRegisteredAtTheirKeeper(t *testing.T) {
