Keep the places of routers that are not known yet

What callers see: an instance gets more requests than its load bound allows (LIMIT) after its keeper has learned of a router that it did not know, or that it had declared lost by mistake.

Cause: a router sends its reservations as soon as a link is open. The keeper may know of the router only after that: a new member that another goroutine has merged and not passed on yet, or one that was declared lost, is in contact, and is a member again only once it has refuted that. The next change of the membership dropped the places of all routers whose incarnation was not the one known before, and an unknown one has none.

Change: only the places of routers that were known, and are gone or have restarted since, are dropped. Places of a router that never becomes known end with their time to live.

--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -30,8 +30,8 @@
 }
 
 // SetFleet sets the routers that are alive, this one included, and by them the keeper of each instance. It drops the
-// reservations of routers that are gone or have restarted. Those of routers that are leaving stay, until they are released
-// or their time is over: the requests are still in flight.
+// reservations of routers that are gone or have restarted since the last call. Those of routers that are leaving stay, until
+// they are released or their time is over: the requests are still in flight.
 func (r *Registry) SetFleet(self string, routers []Router, leaving ...Router) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -46,8 +46,10 @@
 		incarnations[router.Name] = router.Incarnation
 	}
 	gone := func(h holder) bool {
+		// A router that was not known before is not gone: its first reservations may come before its membership.
+		before, known := r.incarnations[h.router]
 		incarnation, ok := incarnations[h.router]
-		return !ok || incarnation != r.incarnations[h.router]
+		return known && (!ok || incarnation != before)
 	}
 	for _, m := range r.members {
 		r.setKeeper(m)
--- a/gateway/pool/peers_test.go
+++ b/gateway/pool/peers_test.go
@@ -214,3 +214,33 @@
 	}
 	is.Equal(len(r.early), maxHolds)
 }
+
+// Guards against an instance that gets more than its bound because the places of a router are given back when this router
+// learns of it: its reservations may come before, those of a router that was declared lost by mistake as well.
+func TestHoldsOfRoutersThatAreNotKnownYetStay(t *testing.T) {
+	is := is.New(t)
+	r, _ := testRegistry()
+	alone, both := []Router{{"a", 1}}, []Router{{"a", 1}, {"b", 1}}
+	r.SetFleet("a", alone)
+	i := testInstance(0)
+	r.ApplyEntry(i)
+	m := r.members[i.ID]
+	reserve := func(sequence uint64) {
+		for _, key := range []Key{KeyOf(i.ID), KeyOf(testInstance(1).ID)} { // the other one is not known
+			is.True(r.Reserve(&Reservation{Router: "b", Sequence: sequence, Instance: key, TTL: time.Minute, Forced: true}).Granted)
+		}
+	}
+	holds := func() []int { return []int{len(m.holds), len(r.early)} }
+	reserve(1)
+	r.SetFleet("a", both)
+	is.Equal(holds(), []int{1, 1})
+	r.SetFleet("a", alone) // b is lost
+	is.Equal(holds(), []int{0, 0})
+	reserve(2)
+	r.SetFleet("a", []Router{{"a", 1}, {"c", 1}})
+	is.Equal(holds(), []int{1, 1})
+	r.SetFleet("a", both) // it was not
+	is.Equal(holds(), []int{1, 1})
+	r.SetFleet("a", []Router{{"a", 1}, {"b", 2}})
+	is.Equal(holds(), []int{0, 0})
+}
