Read a new link once the handler knows its router

What callers see: an instance gets more requests than its load bound allows (LIMIT) after another router has restarted.

Cause: a link was read as soon as the description of its router was merged. If another goroutine had merged the same description, from a third router, and had not told the handler yet, the first reservations of the restarted router were counted as those of its predecessor, and dropped with them a moment later.

Evidence: TestNewLinkIsReadOnceTheHandlerKnowsItsRouter failed before ("5 != 6": the link was open and the handler knew the incarnation before).

Change: a link is added once the handler knows all changes of the members until then. Nothing is told twice.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -27,7 +27,9 @@
 	// feed is the newest number known, as the position of feed 1. A router below that is behind is sent one record.
 	feed uint64
 	// onState is called while a state is made. It may be nil.
-	onState        func()
+	onState func()
+	// onPeerState is called when the state of a peer has changed. It may be nil.
+	onPeerState    func()
 	wants          int
 	wantsAnswered  int
 	needsRecords   bool
@@ -39,6 +41,7 @@
 	outcome        peerpb.Outcome
 	aliveRouters   int
 	lostRouters    int
+	incarnations   map[string]uint64
 	parent         string
 	parentsChanged int
 }
@@ -114,9 +117,17 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.aliveRouters, h.lostRouters = len(alive), lost
+	h.incarnations = make(map[string]uint64)
+	for _, m := range alive {
+		h.incarnations[m.GetNode()] = m.GetIncarnation()
+	}
 }
 
-func (h *fakeHandler) PeerStateChanged(string, bool) {}
+func (h *fakeHandler) PeerStateChanged(string, bool) {
+	if h.onPeerState != nil {
+		h.onPeerState()
+	}
+}
 
 func (h *fakeHandler) ParentChanged(node string) {
 	h.mu.Lock()
--- a/gateway/peer/members.go
+++ b/gateway/peer/members.go
@@ -26,6 +26,8 @@
 	entries map[string]*member
 	// alive are the routers that are alive, by name. It is rebuilt after a change.
 	alive []*peerpb.Member
+	// changes is the number of changes so far.
+	changes uint64
 }
 
 type member struct {
@@ -99,6 +101,7 @@
 }
 
 func (m *members) rebuild() {
+	m.changes++
 	m.alive = m.alive[:0:0]
 	if m.own.GetStatus() == peerpb.Status_ALIVE {
 		m.alive = append(m.alive, m.own)
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -131,7 +131,10 @@
 	// answerTimeout is reserveTimeout, unless a test sets another one.
 	answerTimeout time.Duration
 	wake          chan struct{}
-	notifyMu      sync.Mutex
+	// notifyMu is held while the handler is told of the members. notified is the number of their changes that it was told
+	// of.
+	notifyMu sync.Mutex
+	notified uint64
 
 	mu sync.Mutex
 	// runCtx ends with Run, and endRun ends Run.
@@ -363,8 +366,27 @@
 func (f *Fleet) notifyMembers() {
 	f.notifyMu.Lock()
 	defer f.notifyMu.Unlock()
+	f.notify()
+}
+
+// awaitNotified returns once the handler knows the changes of the members until now. Another goroutine that has made one
+// may be about to tell it.
+func (f *Fleet) awaitNotified() {
+	f.notifyMu.Lock()
+	defer f.notifyMu.Unlock()
+	f.mu.Lock()
+	told := f.notified == f.members.changes
+	f.mu.Unlock()
+	if !told {
+		f.notify()
+	}
+}
+
+// notify tells the handler of the members. The caller holds notifyMu.
+func (f *Fleet) notify() {
 	f.mu.Lock()
 	alive, leaving, lost := f.members.alive, f.members.leaving(), len(f.members.lost())
+	f.notified = f.members.changes
 	f.mu.Unlock()
 	f.handler.MembersChanged(alive, leaving, lost)
 }
@@ -390,6 +412,7 @@
 	known := f.members.get(l.node)
 	f.mu.Unlock()
 	f.merge([]*peerpb.Member{hello})
+	f.awaitNotified()
 	f.mu.Lock()
 	if known == nil || known.GetIncarnation() != hello.GetIncarnation() || known.GetStatus() != peerpb.Status_ALIVE {
 		// A router that has just started may know nobody else, and one that was declared lost has to refute that.
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -275,3 +275,35 @@
 	all[0].fleet.AnnounceLeave()
 	eventually(t, func() bool { return everywhere(all[1:], func(h *fakeHandler) bool { return h.alive() == 3 }) })
 }
+
+// Guards against the places of a router that has restarted being given back at once: they come over its new link, before
+// the handler knows that it has restarted, because another goroutine that has learned of it has not told the handler yet.
+func TestNewLinkIsReadOnceTheHandlerKnowsItsRouter(t *testing.T) {
+	is := is.New(t)
+	h := start(t, 0, listenAddress())
+	description := func(incarnation uint64) *peerpb.Member {
+		return &peerpb.Member{Node: "node-001", Address: "192.0.2.1:1", Incarnation: incarnation}
+	}
+	h.fleet.merge([]*peerpb.Member{description(5)})
+	h.fleet.mu.Lock()
+	h.fleet.members.declareLost("node-001", time.Now())
+	h.fleet.mu.Unlock()
+	merged, told := make(chan struct{}), make(chan struct{})
+	h.onPeerState = func() {
+		close(merged)
+		<-told
+	}
+	done := make(chan struct{})
+	go func() {
+		h.fleet.merge([]*peerpb.Member{description(6)})
+		close(done)
+	}()
+	<-merged
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := &link{node: "node-001", out: make(chan *peerpb.Message, linkQueue), ctx: ctx, close: cancel}
+	is.True(h.fleet.addLink(l, description(6)))
+	is.Equal(h.get(func() int { return int(h.incarnations["node-001"]) }), 6)
+	close(told)
+	<-done
+}
