Keep the hold-off of an instance that restarts under its old ID

An instance that had restarted under its old ID and turned requests away for a time got requests again within that time, as soon as its own entry was read.

Cause: until then requests are sent by the entry of its predecessor, whose ID is the same, and the hold-off was kept for the predecessor alone. So was one that came in an answer to such a request after the entry was read.

Change: a hold-off that was recorded for a predecessor after the start of an incarnation counts for that incarnation too. One that was recorded before its start does not.

--- a/gateway/pool/announce.go
+++ b/gateway/pool/announce.go
@@ -18,9 +18,18 @@
 // whatever the entry of the instance says afterwards, and also when the entry lapses and returns.
 type announcement struct {
 	leaving bool
-	// heldOffUntil is the end of the time for which the instance wants no requests from this router.
-	heldOffUntil time.Time
-	at           time.Time
+	// heldOffUntil is the end of the time for which the instance wants no requests from this router, heldOffAt is when it
+	// said so last.
+	heldOffUntil, heldOffAt time.Time
+	at                      time.Time
+}
+
+// holdOff extends the time for which the instance wants no requests from this router, by what it said at the given time.
+func (a *announcement) holdOff(at, until time.Time) {
+	a.heldOffAt = at
+	if until.After(a.heldOffUntil) {
+		a.heldOffUntil = until
+	}
 }
 
 // turnsAway reports whether the instance wants no requests from this router now. A nil announcement is allowed.
@@ -63,12 +72,24 @@
 	now := r.now()
 	a := r.announcement(l.Instance, now)
 	first = !now.Before(a.heldOffUntil)
-	if until := now.Add(d); until.After(a.heldOffUntil) {
-		a.heldOffUntil = until
+	a.holdOff(now, now.Add(d))
+	if m := r.members[l.Instance.ID]; m != nil && m.StartedAt != l.Instance.StartedAt {
+		r.inheritHoldOff(m.Instance, now)
 	}
 	return first
 }
 
+// inheritHoldOff applies to an instance what it has said under the entry of its predecessor: one that restarts under its old
+// ID answers the requests that are sent by that entry until its own is read. The answers of its predecessor came before
+// its start.
+func (r *Registry) inheritHoldOff(i Instance, now time.Time) {
+	for predecessor, a := range r.announcements {
+		if predecessor.id == i.ID && predecessor.startedAt < i.StartedAt && i.StartedAt <= a.heldOffAt.UnixMilli() && now.Before(a.heldOffUntil) {
+			r.announcement(i, now).holdOff(a.heldOffAt, a.heldOffUntil)
+		}
+	}
+}
+
 // HeldOff returns the time until the first instance of a pool takes requests from this router again, if all that are not
 // leaving are held off, and 0 otherwise.
 func (r *Registry) HeldOff(pool string) time.Duration {
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -97,6 +97,7 @@
 
 func (r *Registry) add(i Instance) {
 	m := &member{Instance: i, hash: rendezvous.Hash(i.ID), coldUntil: r.now().Add(i.ColdLeft), cache: newPromptCache(r.cacheTokens[i.Pool])}
+	r.inheritHoldOff(i, r.now())
 	m.announced = r.announcements[i.incarnation()]
 	r.members[i.ID] = m
 	r.pools[i.Pool] = append(r.pools[i.Pool], m)
