Say when to come back after the last retry of a refused request

A caller whose request was refused by an instance that turned requests away for a time, or announced its departure, was told when to come back only if one more instance was looked for and not found. Without retries left it got a 503 without Retry-After, although no instance was left and the time was known.

Cause: when the retry budget denied the retry, or the request had been refused as often as it may, the refusal was returned as it was.

Change: all ways in which tryInstances gives up look whether an instance is left.

TestRefusalAfterTheLastRetrySaysWhenToComeBack failed before in its four cases (no Retry-After) and passes now, ten times in a row. go test ./gateway and the announcement, retry and refusal tests of platform pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,10 +85,10 @@
 			continue
 		}
 		if !s.shouldRetry(ctx, failure) {
-			return last
+			break
 		}
 	}
-	return last
+	return s.exhausted(last)
 }
 
 // withinLimits reports whether the request may be sent to one more instance, as far as maxAttempts and maxDials tell.
@@ -123,7 +123,7 @@
 	}
 }
 
-// exhausted returns the error of a request for which no instance is left after the last one did not serve it. If all
+// exhausted returns the error of a request that is sent to no other instance after the last one did not serve it. If all
 // instances are leaving or held off, it says when to come back.
 func (s *requestState) exhausted(last error) error {
 	failure, sum := verdict.As(last), s.g.registry.Summary(s.pool)
