Send requests to another pool of the route while one turns all away

A caller of a route that is split between pools was refused with the hold-off of one pool while another pool of the route would have served the request. A pool whose instances are all leaving was passed over already.

Cause: choosePool looked at departures alone, and the hold-off of the pool was looked at after it had been selected.

Change: a pool that is held off follows the others of its route. If all are held off, the caller is told when the first of them is back.

TestHeldOffPoolLeavesItsRequestsToOthers failed before ("3 != 2", requests of a held-off pool stay with it) and passes now, with the tests of package gateway and those of platform for announcements, refusals and splits.

--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +148,41 @@
 		is.Equal(time.Since(s.start), time.Duration(0))
 	})
 }
+
+// Guards against a request that is refused because all instances of its pool turn requests away, while another pool of its
+// route would serve it, and against one that is told to come back later than the first pool does.
+func TestHeldOffPoolLeavesItsRequestsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		names := []string{"p-0", "p-1", "p-2"}
+		route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1}
+		spec := routes.Spec{Version: 1, Routes: []*routes.Route{route}}
+		g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a")}
+		for n, name := range names {
+			route.Targets = append(route.Targets, routes.Target{Pool: name, Weight: 1})
+			spec.Pools = append(spec.Pools, &routes.Pool{Name: name})
+			g.registry.ApplyEntry(pool.Instance{ID: fmt.Sprintf("w-%d", n), Pool: name, Slots: 1, StartedAt: 1, Sequence: 1})
+		}
+		table, err := routes.New(spec)
+		is.NoErr(err)
+		chosen := func() (count map[string]int) {
+			count = make(map[string]int)
+			for n := range 60 {
+				s := &requestState{g: g, table: table, route: route, call: RequestInfo{ID: strconv.Itoa(n)}}
+				is.True(s.choosePool() == nil)
+				count[s.pool]++
+			}
+			return count
+		}
+		is.Equal(len(chosen()), 3)
+		for n, name := range names {
+			g.registry.Acquire(&pool.Request{Pool: name}).RecordHoldOff(time.Duration(3-n) * time.Minute)
+			is.Equal(len(chosen()), max(1, 2-n))
+		}
+		is.Equal(chosen()["p-2"], 60) // the first to come back
+		time.Sleep(2 * time.Minute)
+		is.Equal(chosen()["p-0"], 0)
+		time.Sleep(time.Minute)
+		is.Equal(len(chosen()), 3)
+	})
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -235,15 +235,25 @@
 	return s.tryInstances(ctx)
 }
 
-// choosePool selects the first pool of the route that has an instance that is not leaving, even if it is ejected.
+// choosePool selects the first pool of the route that has an instance that is not leaving, even if it is ejected. A pool
+// whose instances all turn requests away follows the others; if there is no other, the first one to come back is selected.
 func (s *requestState) choosePool() *verdict.Error {
-	order := s.route.PoolOrder(s.poolHash())
-	for _, name := range order {
-		if sum := s.g.registry.Summary(name); sum.Members > sum.Leaving {
-			s.pool = name
+	least := time.Duration(0)
+	for _, name := range s.route.PoolOrder(s.poolHash()) {
+		if sum := s.g.registry.Summary(name); sum.Members == sum.Leaving {
+			continue
+		}
+		heldOff := s.g.registry.HeldOff(name)
+		if s.pool == "" || heldOff < least {
+			s.pool, least = name, heldOff
+		}
+		if heldOff == 0 {
 			return nil
 		}
 	}
+	if s.pool != "" {
+		return nil
+	}
 	return unavailable(verdict.ReasonNoCandidate, "no instance takes work", noInstanceRetryAfter)
 }
 
