Say when a held-off pool returns to requests that waited for it

A request that waited for a place, or in the queue of a pool of engines, while the last instance turned requests away was refused at the end of its wait with the Retry-After value of a full pool, 0.1 to 0.2 s. Its caller came back far too early, and was refused again.

Cause: the hold-off was looked at when a wait began, and after an attempt, but not when a wait had ended in vain.

Change: these refusals take the same way as those after the last attempt.

TestRefusalAfterAWaitSaysWhenAHeldOffPoolReturns, at the keeper and at another gateway, and TestRefusalAfterAQueueSaysWhenAHeldOffPoolReturns failed before ("not true: ...RetryAfter >= holdOff-objective") and pass now, with package gateway and the tests of refusals in platform. TestHeldOffPoolRefusesWithoutQueueing takes its gateway from a function that it shares with the last one.

--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -122,20 +122,40 @@
 	is.Equal(verdict.As(err).Verdict, verdict.NotRun)
 }
 
+// Guards against a caller that is told to come back sooner than its pool takes requests again, because its request waited
+// for a place when the last instance turned requests away.
+func TestRefusalAfterAWaitSaysWhenAHeldOffPoolReturns(t *testing.T) {
+	for router, name := range []string{"keeper", "other gateway"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				instance := pool.Instance{ID: "w-0", Pool: "plain", Slots: 1, StartedAt: 1, Sequence: 1}
+				fleet := newPlainFleet(2, []pool.Instance{instance})
+				if _, kept := fleet[0].registry.Kept(pool.KeyOf(instance.ID)); !kept {
+					fleet[0], fleet[1] = fleet[1], fleet[0]
+				}
+				g := fleet[router]
+				g.poison = poison.NewTable()
+				var running []*pool.Lease
+				for range placeCapacity(instance.Slots) {
+					lease, _, err := newWaitingRequest(g).acquire(context.Background())
+					is.NoErr(err)
+					running = append(running, lease)
+				}
+				const holdOff = 20 * time.Second
+				time.AfterFunc(objective/10, func() { running[0].RecordHoldOff(holdOff) })
+				err := newWaitingRequest(g).tryInstances(context.Background())
+				is.True(verdict.As(err).RetryAfter >= holdOff-objective)
+			})
+		})
+	}
+}
+
 // Guards against a request that waits in the queue of a pool of engines while all of them turn requests away.
 func TestHeldOffPoolRefusesWithoutQueueing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "llm", Weight: 1}}}
-		table, err := routes.New(routes.Spec{Version: 1, Pools: []*routes.Pool{{Name: "llm", Engine: &routes.Engine{}}}, Routes: []*routes.Route{route}})
-		is.NoErr(err)
-		suspects, err := suspect.NewTable("", 1, suspect.DefaultSettings())
-		is.NoErr(err)
-		g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), suspects: suspects, poison: poison.NewTable()}
-		g.admission = newAdmissionControllers(g.registry)
-		g.admission.configure(table)
-		g.registry.ApplyEntry(pool.Instance{ID: "e-0", Pool: "llm", Slots: 1, StartedAt: 1, Sequence: 1})
-		g.admission.refresh()
+		g, table, route := newEngineGateway(t)
 		grant, err := g.admission.admit(context.Background(), table.Pools["llm"], "", 0)
 		is.NoErr(err)
 		defer grant.Done()
@@ -186,3 +206,34 @@
 		is.Equal(len(chosen()), 3)
 	})
 }
+
+// The same for a request that waited in the queue of a pool of engines.
+func TestRefusalAfterAQueueSaysWhenAHeldOffPoolReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, table, route := newEngineGateway(t)
+		grant, err := g.admission.admit(context.Background(), table.Pools["llm"], "", 0)
+		is.NoErr(err)
+		defer grant.Done()
+		const holdOff = 20 * time.Second
+		time.AfterFunc(objective/10, func() { g.registry.Acquire(&pool.Request{Pool: "llm"}).RecordHoldOff(holdOff) })
+		s := &requestState{g: g, table: table, route: route, start: time.Now()}
+		is.True(verdict.As(s.run(context.Background())).RetryAfter >= holdOff-objective)
+	})
+}
+
+// newEngineGateway returns a gateway before one engine with one slot. It does no I/O.
+func newEngineGateway(t *testing.T) (*Gateway, *routes.Table, *routes.Route) {
+	is := is.New(t)
+	route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "llm", Weight: 1}}}
+	table, err := routes.New(routes.Spec{Version: 1, Pools: []*routes.Pool{{Name: "llm", Engine: &routes.Engine{}}}, Routes: []*routes.Route{route}})
+	is.NoErr(err)
+	suspects, err := suspect.NewTable("", 1, suspect.DefaultSettings())
+	is.NoErr(err)
+	g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), suspects: suspects, poison: poison.NewTable()}
+	g.admission = newAdmissionControllers(g.registry)
+	g.admission.configure(table)
+	g.registry.ApplyEntry(pool.Instance{ID: "e-0", Pool: "llm", Slots: 1, StartedAt: 1, Sequence: 1})
+	g.admission.refresh()
+	return g, table, route
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,13 +54,13 @@
 		}
 		lease, place, err := s.nextLease(ctx)
 		if lease == nil {
-			if err == nil {
-				err = s.noInstance()
+			if last == nil {
+				last = err
 			}
-			if last != nil {
-				err = s.exhausted(last)
+			if last == nil {
+				return s.noInstance()
 			}
-			return err
+			return s.exhausted(last)
 		}
 		attempt := len(s.triedInstances)
 		begin := time.Now()
@@ -123,8 +123,8 @@
 	}
 }
 
-// exhausted returns the error of a request that is sent to no other instance after the last one did not serve it. If all
-// instances are leaving or held off, it says when to come back.
+// exhausted returns the error of a request that is sent to no other instance after the last one did not serve it, or that
+// was refused while it waited. If all instances are leaving or held off, it says when to come back.
 func (s *requestState) exhausted(last error) error {
 	failure, sum := verdict.As(last), s.g.registry.Summary(s.pool)
 	heldOff := s.g.registry.HeldOff(s.pool)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -226,7 +226,7 @@
 	s.admissionWait = time.Since(s.start)
 	s.g.metrics.admissionWait.observe(s.admissionWait)
 	if err != nil {
-		return err
+		return s.exhausted(err)
 	}
 	if grant != nil {
 		defer grant.Done()
