Keep what an instance says of itself in an answer that is given up

An instance that turned this router away for a time got requests within that time if it said so in the answer to an offer that ended, or to a request that another instance took over, between the arrival of the header and its use.

Cause: such an answer was closed without a look at what its header says of the instance.

Change: it is recorded as that of any other answer.

TestHoldOffInTheAnswerToAnEndedOfferIsKept failed before ("not true: g.registry.HeldOff("plain") > 0") and passes now, with package gateway under the race detector and the tests of offers and takeovers in platform.

--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -86,11 +87,18 @@
 	}
 }
 
-// plainProtocol sets no header fields.
+// plainProtocol sets no header fields. An instance that answers with status 503 turns the router away for a minute.
 type plainProtocol struct{ Protocol }
 
 func (plainProtocol) SetForwardHeader(http.Header, ForwardInfo) {}
 
+func (plainProtocol) ParseResponse(resp *http.Response) (r ResponseInfo) {
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		r.NotRun, r.RetryAfter = true, time.Minute
+	}
+	return r
+}
+
 // Guards against a request that is sent although its instance has announced its departure while the connection was made.
 func TestConnectedRequestIsNotSentAfterAnnouncedDeparture(t *testing.T) {
 	is := is.New(t)
@@ -122,6 +130,30 @@
 	is.Equal(verdict.As(err).Verdict, verdict.NotRun)
 }
 
+// Guards against requests to an instance that has turned this router away in the answer to an offer which ended before the
+// answer was looked at.
+func TestHoldOffInTheAnswerToAnEndedOfferIsKept(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer server.Close()
+	g := newPlainFleet(1, []pool.Instance{{ID: "w-0", Pool: "plain", Address: server.Listener.Addr().String(), Slots: 1, StartedAt: 1, Sequence: 1}})[0]
+	g.connections = backend.NewPool()
+	g.log = slog.New(slog.DiscardHandler)
+	g.env.Protocol = plainProtocol{}
+	s := newWaitingRequest(g)
+	s.route, s.request = &routes.Route{}, httptest.NewRequest(http.MethodPost, "/", nil)
+	s.target = "/"
+	o := &offer{lease: g.registry.Acquire(s.poolRequest()), result: make(chan exchangeResult, 1)}
+	o.ctx, o.cancel = context.WithCancel(t.Context())
+	conn, _, err := s.connect(o.ctx, o.lease)
+	is.NoErr(err)
+	r := g.exchange(o.ctx, conn, s.backendRequest(o.lease))
+	is.NoErr(r.err)
+	o.result <- r
+	s.endOffer(o)
+	is.True(g.registry.HeldOff("plain") > 0)
+}
+
 // Guards against a caller that is told to come back sooner than its pool takes requests again, because its request waited
 // for a place when the last instance turned requests away.
 func TestRefusalAfterAWaitSaysWhenAHeldOffPoolReturns(t *testing.T) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -210,7 +210,7 @@
 	defer watch.stop()
 	r := o.receive()
 	if r.response != nil && !watch.settle() {
-		r.response.Abort()
+		s.abandon(o.lease, r.response)
 	}
 	return s.relayWatched(ctx, o.lease, watch, r)
 }
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -302,7 +302,7 @@
 func (s *requestState) endOffer(o *offer) {
 	o.cancel()
 	if resp := o.receive().response; resp != nil {
-		resp.Abort()
+		s.abandon(o.lease, resp)
 	}
 	s.release(o.lease, o.place, pool.Abandoned)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// abandon ends a response that is of no use any more, except for what its instance says of itself.
+func (s *requestState) abandon(lease *pool.Lease, resp *backend.Response) {
+	resp.Abort()
+	reply := s.g.env.Protocol.ParseResponse(resp.Response)
+	s.recordAnnouncements(lease, &reply)
+}
+
 // drain reads the body of a refusal, so that the connection can be reused, or closes the connection.
 func (s *requestState) drain(resp *backend.Response) {
 	resp.SetReadDeadline(time.Now().Add(refusalTimeout))
