Check the prompt's parts again once a request has its place

A request that had waited for its place at an instance was sent even if one of its parts had been found to crash engines meanwhile. Behind a full service a queue of such requests crashed one engine after the other, up to the whole time for which requests wait, after all routers had blocked the part. The same held for an offer to a second instance.

Cause: the parts were checked before the place was asked for, and not again.

Evidence: TestWaitingRequestIsNotSentAfterItsPartIsBlocked failed before; the instance received the request. The test blocks the part while the request waits behind others.

Change: the parts are checked once the connection to the instance is there, beside the check whether the instance still takes requests.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -249,6 +249,11 @@
 		s.retryReserved = true
 		return nil, pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the instance takes no more requests")
 	}
+	// A part may have been blocked while the request waited for its place.
+	if err := s.checkParts(); err != nil {
+		_ = conn.Close()
+		return nil, pool.Abandoned, err
+	}
 	return conn, pool.Served, nil
 }
 
