Make a trial of a blocked part again that reached no engine

After an outage of all engines a sound part of prompts may be blocked. One request with it is sent from time to time to find that out, after 10 s, then 40 s, then 160 s. A request that was chosen for this and refused before any engine ran it, because the service had no instance or no room, counted as one of them. Callers of the part were then refused for up to 2.5 minutes after the engines were back.

Cause: the trial was counted when the request came, not by what became of it.

Evidence: TestTrialThatReachesNoInstanceIsMadeAgain failed before: the second request while there was no instance was refused for the part.

Change: the trial is taken back when the request ends without having been run by an engine; the next request is the trial then.

--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -71,6 +71,8 @@
 	// trials is the number of requests that this router has sent while the part was blocked, triedAt the time of the last.
 	trials  int
 	triedAt time.Time
+	// triedBefore is the time of the trial before that.
+	triedBefore time.Time
 }
 
 // Attempt is one attempt to send a request, with what was known of its parts at that time.
@@ -223,11 +225,24 @@
 	}
 	for _, p := range tried {
 		p.trials++
-		p.triedAt = now
+		p.triedBefore, p.triedAt = p.triedAt, now
 	}
 	return true
 }
 
+// CancelTrial takes back that a request with the given parts is sent although they are blocked: no engine has run it.
+func (t *Table) CancelTrial(parts []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range parts {
+		if t.blocks(id, parts) && t.parts[id].trials > 0 {
+			p := t.parts[id]
+			p.trials--
+			p.triedAt = p.triedBefore
+		}
+	}
+}
+
 // nextTrial returns the time from which on the responsible router may send one request with a blocked part.
 func (p *part) nextTrial() time.Time {
 	pause := trialPeriod
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -62,6 +62,13 @@
 	return true
 }
 
+// endTrial lets another request be the trial if this one was to be, and no instance has run it.
+func (s *requestState) endTrial() {
+	if s.trial && s.attemptsSent == 0 {
+		s.g.poison.CancelTrial(s.parts)
+	}
+}
+
 // recordAnswer records that the instance has begun to answer the request, and is still there.
 func (s *requestState) recordAnswer() {
 	if s.answered {
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -16,6 +16,8 @@
 	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/kernel"
+	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -74,3 +76,30 @@
 	is.Equal(failure.Verdict, verdict.NotRun)
 	is.Equal(g.registry.Summary("plain").Own, 0) // places that are still taken
 }
+
+// Guards against a block that lasts for much longer than an outage, because the requests that were to find out whether the
+// part is sound came while there was no instance to send them to.
+func TestTrialThatReachesNoInstanceIsMadeAgain(t *testing.T) {
+	const part = 7
+	is := is.New(t)
+	route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "llm", Weight: 1}}}
+	table, err := routes.New(routes.Spec{Version: 1, Pools: []*routes.Pool{{Name: "llm", Engine: &routes.Engine{}}}, Routes: []*routes.Route{route}})
+	is.NoErr(err)
+	suspects, err := suspect.NewTable("", 1, suspect.DefaultSettings())
+	is.NoErr(err)
+	g := &Gateway{
+		registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), log: slog.New(slog.DiscardHandler),
+		suspects: suspects, poison: poison.NewTable(),
+	}
+	blockPart(g, part, time.Minute)
+	request := func() *requestState {
+		return &requestState{g: g, table: table, route: route, start: time.Now(), parts: []uint64{part}}
+	}
+	for range 3 {
+		failure := verdict.As(request().run(context.Background()))
+		is.Equal(failure.Reason, verdict.ReasonNoCandidate)
+	}
+	// One request is tried at a time.
+	is.True(request().checkParts() == nil)
+	is.Equal(request().checkParts().Reason, verdict.ReasonCrashRefused)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -213,6 +213,7 @@
 	if d := s.g.suspects.Check(suspect.Request{Fingerprint: s.fingerprint}); d.Err != nil {
 		return d.Err
 	}
+	defer s.endTrial()
 	if err := s.checkParts(); err != nil {
 		return err
 	}
