Count the trials of a blocked part at all routers

The intervals at which one request with a blocked part is sent grow from 10 s by a factor of 4. While routers were stopped one after the other, or killed and restarted, engines crashed every 10 s or so instead, and each crash cut off the answers that the engine was writing.

Cause: each router counted the trials that it had made itself, so that the next one to be responsible for the part began with 10 s again, and so did the same one after a restart.

Evidence: TestTrialsGrowAcrossRouters failed before with 6 trials in five minutes at three routers, want 3.

Change: routers tell each other how many trials have ended. One under way is not told, as it may reach no engine (TestCancelledTrialsAreNotTold). TestMergeDoesNotDependOnOrder covers the new field.

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -47,6 +47,7 @@
 	m := &peerpb.SuspectPart{Part: id, Generation: p.generation, Depth: p.depth, Crashes: slices.Clone(p.crashes)}
 	if p.depth > 0 {
 		m.AgeMs = uint64(max(0, now.Sub(p.crashedAt).Milliseconds()))
+		m.Trials = uint32(max(0, p.endedTrials()))
 	}
 	return m
 }
@@ -90,6 +91,7 @@
 	if m.GetDepth() == 0 {
 		return false
 	}
+	p.trials = max(p.trials, int(m.GetTrials()))
 	changed := false
 	if m.GetDepth() > p.depth {
 		p.depth, deeper, changed = m.GetDepth(), true, true
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -15,12 +15,13 @@
 type known struct {
 	generation, depth uint32
 	crashes           []uint32
+	trials            int
 }
 
 func knowledge(t *Table) map[uint64]known {
 	out := make(map[uint64]known)
 	for id, p := range t.parts {
-		out[id] = known{p.generation, p.depth, append([]uint32{}, p.crashes...)}
+		out[id] = known{p.generation, p.depth, append([]uint32{}, p.crashes...), p.trials}
 	}
 	return out
 }
@@ -35,6 +36,7 @@
 			}
 			if m.Depth > 0 {
 				m.Crashes = rapid.SliceOfN(rapid.Uint32Range(1, 50), 0, 40).Draw(t, "crashes")
+				m.Trials = rapid.Uint32Range(0, 3).Draw(t, "trials")
 			}
 			return m
 		}), 0, 12).Draw(t, "messages")
--- a/gateway/poison/outage_test.go
+++ b/gateway/poison/outage_test.go
@@ -65,3 +65,44 @@
 	is.True(!table.Try([]uint64{guide, deadly}, responsible))
 	is.True(table.Try([]uint64{guide, page}, responsible))
 }
+
+// Guards against a rolling restart of the routers during which a part crashes an engine every trialPeriod, because each router
+// that becomes responsible for its trials begins to count them anew.
+func TestTrialsGrowAcrossRouters(t *testing.T) {
+	is := is.New(t)
+	c, tables := newTables(3)
+	for range blockDepth {
+		crash(tables[0], deadly)
+	}
+	exchange(tables[:2]...)
+	tried := 0
+	// Of five minutes, each router is responsible for 100 s. The last one has started in between.
+	for second := range 300 {
+		c.at = c.at.Add(time.Second)
+		from := min(second/100, 1)
+		router := tables[second/100]
+		if router.Try([]uint64{deadly}, responsible) {
+			tried++
+			crash(router, deadly)
+		}
+		exchange(tables[from : from+2]...)
+	}
+	// After 10 s, 40 s and 160 s.
+	is.Equal(tried, 3)
+}
+
+// Guards against a part that stays blocked for long because of trials from which nothing was learned.
+func TestCancelledTrialsAreNotTold(t *testing.T) {
+	is := is.New(t)
+	c, tables := newTables(2)
+	for range blockDepth {
+		crash(tables[0], deadly)
+	}
+	c.at = c.at.Add(trialPeriod)
+	is.True(tables[0].Try([]uint64{deadly}, responsible))
+	exchange(tables...)
+	tables[0].CancelTrial([]uint64{deadly})
+	exchange(tables...)
+	is.True(tables[1].Try([]uint64{deadly}, responsible))
+	is.True(tables[0].Try([]uint64{deadly}, responsible))
+}
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -68,7 +68,8 @@
 	crashedAt time.Time
 	// changedAt is when this table last learned something about the part.
 	changedAt time.Time
-	// trials is the number of requests that this router has sent while the part was blocked, triedAt the time of the last.
+	// trials is the number of requests that the routers have sent while the part was blocked, triedAt the time of this
+	// router's last.
 	trials  int
 	triedAt time.Time
 	// triedBefore is the time of the trial before that.
@@ -260,6 +261,14 @@
 	return p.crashedAt
 }
 
+// endedTrials returns the number of trials without one of this router that may be under way.
+func (p *part) endedTrials() int {
+	if p.triedAt.After(p.crashedAt) {
+		return p.trials - 1
+	}
+	return p.trials
+}
+
 // explains reports whether a request with the given parts is held to cause one of the crashes of a part among them: all
 // other parts that may have caused it are among them too.
 func (t *Table) explains(id uint64, parts []uint64) bool {
