Look for alternatives of a suspected part in one pass

In an outage in which engines crash one after the other, routers became slow for all requests: each request whose parts include a blocked one, and each crash, held the lock of the table of suspects for milliseconds.

Cause: for each of up to 32 crashes of the part, all suspected parts were searched for the crash, and once more for the log.

Change: one pass over the parts marks which crashes others explain, and ends once all are. TestAlternativesAgreeWithTheirDefinition compares this with the definition.

--- a/gateway/poison/outage_test.go
+++ b/gateway/poison/outage_test.go
@@ -1,10 +1,12 @@
 package poison
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 const (
@@ -106,3 +108,78 @@
 	is.True(tables[1].Try([]uint64{deadly}, responsible))
 	is.True(tables[0].Try([]uint64{deadly}, responsible))
 }
+
+// Guards against routers that spend their time on looking for the cause of crashes: in an outage in which engines crash one
+// after the other for half a minute, thousands of parts are suspected, and each request asks about its own.
+func TestManySuspectsDoNotSlowRequestsDown(t *testing.T) {
+	const (
+		crashesPerSecond, seconds = 8, 40
+		inFlight                  = 12
+		documents, pages          = 300, 3000
+		requests, limit           = 1000, 500 * time.Millisecond
+	)
+	is := is.New(t)
+	c, table := newTable()
+	n := uint64(0)
+	next := func() []uint64 {
+		n++
+		return []uint64{guide, 100 + n%documents, 10000 + n%pages}
+	}
+	for range seconds {
+		c.at = c.at.Add(time.Second)
+		for range crashesPerSecond {
+			var attempts []*Attempt
+			for range inFlight {
+				attempts = append(attempts, table.Begin(next()))
+			}
+			crashes++
+			table.RecordCrash(crashes, attempts)
+		}
+	}
+	begin := time.Now()
+	for range requests {
+		table.Blocked(next())
+	}
+	took := time.Since(begin)
+	t.Logf("%d suspects, %v for %d requests", len(table.parts), took, requests)
+	is.True(len(table.parts) > pages)
+	is.True(took < limit)
+}
+
+// Guards against a request that is refused, or sent, for other crashes than those which its parts explain: the search for
+// alternatives is compared with its definition.
+func TestAlternativesAgreeWithTheirDefinition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const parts = 6
+		_, table := newTable()
+		for id := range uint64(parts) {
+			p := &part{depth: blockDepth}
+			for _, crash := range rapid.SliceOfN(rapid.Uint32Range(1, 2*maxCrashes), 0, 2*maxCrashes).Draw(t, "crashes") {
+				p.addCrash(crash)
+			}
+			table.parts[id] = p
+		}
+		request := rapid.SliceOfNDistinct(rapid.Uint64Range(0, parts-1), 1, parts, rapid.ID).Draw(t, "request")
+		explained, fewest := false, parts
+		for _, crash := range table.parts[request[0]].crashes {
+			alternatives, outside := 0, 0
+			for other, p := range table.parts {
+				if other == request[0] || len(p.crashes) < minRepeated || !slices.Contains(p.crashes, crash) {
+					continue
+				}
+				alternatives++
+				if !slices.Contains(request, other) {
+					outside++
+				}
+			}
+			explained = explained || outside == 0
+			fewest = min(fewest, alternatives)
+		}
+		if got := table.explains(request[0], request); got != explained {
+			t.Fatalf("explains is %v, want %v", got, explained)
+		}
+		if got := len(table.fewestAlternatives(request[0])); fewest < parts && got != fewest {
+			t.Fatalf("%d alternatives, want %d", got, fewest)
+		}
+	})
+}
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -26,6 +26,7 @@
 package poison
 
 import (
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -272,23 +273,46 @@
 // explains reports whether a request with the given parts is held to cause one of the crashes of a part among them: all
 // other parts that may have caused it are among them too.
 func (t *Table) explains(id uint64, parts []uint64) bool {
-	for _, crash := range t.parts[id].crashes {
-		outside := func(other uint64) bool { return !slices.Contains(parts, other) }
-		if !slices.ContainsFunc(t.alternatives(id, crash), outside) {
-			return true
+	crashes := t.parts[id].crashes
+	unexplained := uint32(1)<<len(crashes) - 1
+	for other, p := range t.parts {
+		if unexplained == 0 {
+			return false
+		}
+		if other != id && p.isRepeated() && !slices.Contains(parts, other) {
+			unexplained &^= sharedCrashes(crashes, p.crashes)
 		}
 	}
-	return false
+	return unexplained != 0
 }
 
-// alternatives returns the other parts that may have caused a crash of a part.
-func (t *Table) alternatives(id uint64, crash uint32) []uint64 {
+// fewestAlternatives returns the other parts that may have caused a crash of a part, for the crash with the fewest of them.
+func (t *Table) fewestAlternatives(id uint64) []uint64 {
+	crashes := t.parts[id].crashes
+	var counts [maxCrashes]int
+	for other, p := range t.parts {
+		if other == id || !p.isRepeated() {
+			continue
+		}
+		for shared := sharedCrashes(crashes, p.crashes); shared != 0; shared &= shared - 1 {
+			counts[bits.TrailingZeros32(shared)]++
+		}
+	}
+	fewest := 0
+	for n := range crashes {
+		if counts[n] < counts[fewest] {
+			fewest = n
+		}
+	}
+	if len(crashes) == 0 || counts[fewest] == 0 {
+		return nil
+	}
 	var out []uint64
 	for other, p := range t.parts {
-		if other == id || len(p.crashes) < minRepeated {
+		if other == id || !p.isRepeated() {
 			continue
 		}
-		if _, there := slices.BinarySearch(p.crashes, crash); there {
+		if _, there := slices.BinarySearch(p.crashes, crashes[fewest]); there {
 			out = append(out, other)
 		}
 	}
@@ -296,6 +320,25 @@
 	return out
 }
 
+// isRepeated reports whether the part may explain the crashes of another one.
+func (p *part) isRepeated() bool { return len(p.crashes) >= minRepeated }
+
+// sharedCrashes returns a bit for each crash of a that is one of b too. Both are in numerical order, a has maxCrashes at most.
+func sharedCrashes(a, b []uint32) (shared uint32) {
+	for i, j := 0, 0; i < len(a) && j < len(b); {
+		switch {
+		case a[i] < b[j]:
+			i++
+		case a[i] > b[j]:
+			j++
+		default:
+			shared |= 1 << i
+			i, j = i+1, j+1
+		}
+	}
+	return shared
+}
+
 // blockedUntil returns the time from which on any router may send one request with the part, zero if it is not blocked.
 func (p *part) blockedUntil() time.Time {
 	if p.depth < blockDepth {
@@ -324,13 +367,7 @@
 // suspicion describes a part.
 func (t *Table) suspicion(id uint64) Suspicion {
 	p := t.parts[id]
-	s := Suspicion{Part: id, Depth: int(p.depth), Until: p.blockedUntil()}
-	for n, crash := range p.crashes {
-		if a := t.alternatives(id, crash); n == 0 || len(a) < len(s.Alternatives) {
-			s.Alternatives = a
-		}
-	}
-	return s
+	return Suspicion{Part: id, Depth: int(p.depth), Alternatives: t.fewestAlternatives(id), Until: p.blockedUntil()}
 }
 
 // expire forgets parts that were last suspected or cleared long ago. A part that was blocked is remembered for longer, so
