--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -140,6 +140,7 @@
 	g.connections = backend.NewPool()
 	g.log = slog.New(slog.DiscardHandler)
 	g.env.Protocol = plainProtocol{}
+	g.poison = poison.NewTable()
 	s := newWaitingRequest(g)
 	s.route, s.request = &routes.Route{}, httptest.NewRequest(http.MethodPost, "/", nil)
 	s.target = "/"
