Spare connections that are idle already when the idle limit gets shorter

Callers would see a request end with its connection just after a change of the configuration that shortens the idle limit.

All connections that had been idle for longer than the new limit were closed at the next check, while their callers may use them for as long as the limit allowed under which they became idle. A request that was on its way then met a closed connection.

TestShorterIdleLimitSparesConnectionsThatAreIdleAlready sends a request after half of the old limit, with a shorter limit in force since.

A connection now keeps the limit that was in force when its last response ended, unless the limit gets longer. After its next response the shorter one holds.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -205,6 +205,8 @@
 	activeCount int
 	// draining is set once no connection is kept after its response.
 	draining bool
+	// idleLimit is the limit that CloseIdle was last given.
+	idleLimit time.Duration
 }
 
 type connState struct {
@@ -212,6 +214,8 @@
 	since time.Time
 	// reads is the number of reads of the connection when it got the state.
 	reads uint64
+	// idleLimit is the one of the tracker then.
+	idleLimit time.Duration
 }
 
 // NewTracker returns a tracker that knows no connections.
@@ -231,7 +235,7 @@
 	case http.StateActive:
 		c.activeCount++
 	}
-	next := connState{state: state, since: time.Now()}
+	next := connState{state: state, since: time.Now(), idleLimit: c.idleLimit}
 	if own, ok := conn.(*tracked); ok && state == http.StateIdle {
 		next.reads = own.idle(c.draining)
 	}
@@ -242,16 +246,18 @@
 const idleMargin = time.Second
 
 // CloseIdle closes connections that have been idle for longer than the limit, which may change while the server runs; 0
-// sets no limit.
+// sets no limit. A shorter limit holds for a connection after its next response, because its caller may use it for as long
+// as the limit before allows.
 func (c *Tracker) CloseIdle(limit time.Duration) {
-	if limit <= 0 {
-		return
-	}
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.idleLimit = limit
+	if limit <= 0 {
+		return
+	}
 	for conn, s := range c.conns {
-		if own, ok := conn.(*tracked); ok && s.state == http.StateIdle && now.Sub(s.since) > limit+idleMargin {
+		if own, ok := conn.(*tracked); ok && s.state == http.StateIdle && now.Sub(s.since) > max(limit, s.idleLimit)+idleMargin {
 			own.retire(s.reads)
 		}
 	}
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -317,3 +317,49 @@
 	conns.Track(conn, http.StateClosed)
 	is.Equal(conns.Total(), 0)
 }
+
+// Guards against a request that ends with its connection because a new configuration shortens the idle limit: the caller
+// uses a connection for as long as the limit allowed when its last response ended.
+func TestShorterIdleLimitSparesConnectionsThatAreIdleAlready(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	conns := NewTracker()
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: conns.Track}
+	defer server.Close()
+	go func() { _ = server.Serve(&Listener{Listener: inner}) }()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	reader := bufio.NewReader(caller)
+	// idleFor sends a request and lets its connection be idle for a time after the response.
+	idleFor := func(d time.Duration) {
+		_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		for idle := false; !idle; time.Sleep(time.Millisecond) {
+			conns.mu.Lock()
+			for conn, s := range conns.conns {
+				own := conn.(*tracked)
+				own.mu.Lock()
+				idle = s.state == http.StateIdle && own.waiting
+				own.mu.Unlock()
+				if idle {
+					s.since = s.since.Add(-d)
+					conns.conns[conn] = s
+				}
+			}
+			conns.mu.Unlock()
+		}
+	}
+	const long, short = 20 * time.Second, 2 * time.Second
+	conns.CloseIdle(long)
+	idleFor(long / 2)
+	conns.CloseIdle(short)
+	idleFor(long / 2) // the request before it is answered, and the next limit is the shorter one
+	conns.CloseIdle(short)
+	_, err = reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
