Report connections of callers that are closed as unused

An operator who looks for a lost request sees a connection that ended without an answer. Nothing told whether the router had closed it as unused, with a request that crossed the close, or had lost the request: no log line and no counter knew of such closes.

The metric "connections" now counts connections that were closed as idle (callers_closed_idle) and during a planned stop (callers_closed_stopping). The log line "idle connections closed" names the number, the limit, the configuration and the addresses of up to 8 callers.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -273,9 +273,24 @@
 		g.instances.SetRank(rank)
 		g.admission.refresh()
 		g.budgets.refresh(1+g.registry.PeerCount(), maintenanceInterval)
-		if t := g.table.Load(); t != nil {
-			g.callers.CloseIdle(t.Limits.IdleTimeout)
-		}
+		g.closeIdleCallers()
+	}
+}
+
+// maxLoggedCallers bounds the addresses in a log line about closed connections.
+const maxLoggedCallers = 8
+
+// closeIdleCallers closes idle connections of callers. The log names their addresses, because a caller whose request has
+// crossed the close sees the same as one whose request was lost.
+func (g *Gateway) closeIdleCallers() {
+	t := g.table.Load()
+	if t == nil {
+		return
+	}
+	closed := g.callers.CloseIdle(t.Limits.IdleTimeout)
+	if len(closed) > 0 {
+		g.log.InfoContext(failedContext, "idle connections closed", "count", len(closed), "limit_ms", t.Limits.IdleTimeout.Milliseconds(),
+			"config", t.Version, "callers", closed[:min(len(closed), maxLoggedCallers)])
 	}
 }
 
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -126,7 +126,9 @@
 	})
 	c.Func("connections", func() any {
 		idle, dialled := g.connections.Stats()
-		return map[string]any{"idle": idle, "dialled": dialled, "callers": g.callers.Total()}
+		closed := g.callers.UnusedClosed()
+		return map[string]any{"idle": idle, "dialled": dialled, "callers": g.callers.Total(),
+			"callers_closed_idle": closed.Idle, "callers_closed_stopping": closed.Stopping}
 	})
 	c.Func("buffered_bytes", func() any { return g.buffers.Used() })
 	c.Func("blocked_prompt_parts", func() any { return g.poison.BlockedParts() })
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -197,12 +197,20 @@
 	return unused
 }
 
+// isRetired reports whether the connection was closed as unused.
+func (c *tracked) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
 // Tracker knows the state of each caller's connection. Its Track must be the ConnState hook of the server, and the
 // server's listener a Listener. It is safe for concurrent use.
 type Tracker struct {
 	mu          sync.Mutex
 	conns       map[net.Conn]connState
 	activeCount int
+	unused      UnusedClosed
 	// draining is set once no connection is kept after its response.
 	draining bool
 	// idleLimit is the limit that CloseIdle was last given.
@@ -218,6 +226,12 @@
 	idleLimit time.Duration
 }
 
+// UnusedClosed counts the connections that were closed as unused: no request was lost with them.
+type UnusedClosed struct {
+	// Idle is the number of those that were idle for longer than the limit, Stopping that of those of a planned stop.
+	Idle, Stopping int
+}
+
 // NewTracker returns a tracker that knows no connections.
 func NewTracker() *Tracker { return &Tracker{conns: make(map[net.Conn]connState)} }
 
@@ -230,6 +244,7 @@
 	}
 	switch state {
 	case http.StateClosed, http.StateHijacked:
+		c.countUnused(conn)
 		delete(c.conns, conn)
 		return
 	case http.StateActive:
@@ -242,25 +257,45 @@
 	c.conns[conn] = next
 }
 
+// countUnused counts a connection that has ended, if it was closed as unused. The caller holds mu.
+func (c *Tracker) countUnused(conn net.Conn) {
+	own, ok := conn.(*tracked)
+	switch {
+	case !ok || !own.isRetired():
+	case c.draining:
+		c.unused.Stopping++
+	default:
+		c.unused.Idle++
+	}
+}
+
+// UnusedClosed returns the number of connections that were closed as unused.
+func (c *Tracker) UnusedClosed() UnusedClosed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unused
+}
+
 // idleMargin is added to the limit, because callers may use a connection until just before it.
 const idleMargin = time.Second
 
 // CloseIdle closes connections that have been idle for longer than the limit, which may change while the server runs; 0
 // sets no limit. A shorter limit holds for a connection after its next response, because its caller may use it for as long
-// as the limit before allows.
-func (c *Tracker) CloseIdle(limit time.Duration) {
+// as the limit before allows. It returns the callers' addresses of the connections that it has closed.
+func (c *Tracker) CloseIdle(limit time.Duration) (closed []string) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleLimit = limit
 	if limit <= 0 {
-		return
+		return nil
 	}
 	for conn, s := range c.conns {
-		if own, ok := conn.(*tracked); ok && s.state == http.StateIdle && now.Sub(s.since) > max(limit, s.idleLimit)+idleMargin {
-			own.retire(s.reads)
+		if own, ok := conn.(*tracked); ok && s.state == http.StateIdle && now.Sub(s.since) > max(limit, s.idleLimit)+idleMargin && own.retire(s.reads) {
+			closed = append(closed, conn.RemoteAddr().String())
 		}
 	}
+	return closed
 }
 
 // closeUnused closes the connections on which no request has begun and returns the number of those left.
