Answer requests whose body stops arriving

Callers whose request body stops on its way got no answer: not at the time limit of the request, which was held for as long as the connection lasted, and not at a planned stop, where the connection ended with the process.

The wait for the body had no limit. The context of the request, which ends at its time limit and when the process must exit, was not known to the read from the caller's connection.

TestRequestsWhoseBodyStopsAreAnswered sends half of a body. It failed before at the time limit and at a stop: "i/o timeout" 2 s later.

The end of the context now ends the read. The caller gets 503, since the request has not run, and the connection is closed, since the rest of the body may still come.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -101,16 +101,16 @@
 		s.rejectUnread(err)
 		return
 	}
-	if err := s.readBody(); err != nil {
-		s.reject(err)
-		return
-	}
 	ctx := r.Context()
 	if !s.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, s.deadline)
 		defer cancel()
 	}
+	if err := s.readBody(ctx); err != nil {
+		s.reject(err)
+		return
+	}
 	if err := s.run(ctx); err != nil {
 		s.fail(err)
 	}
@@ -176,13 +176,18 @@
 }
 
 // readBody reads the whole body, so that it can be sent again and never reaches a backend server truncated,
-// and computes the fingerprint.
-func (s *requestState) readBody() *verdict.Error {
+// and computes the fingerprint. It waits for the body no longer than ctx lasts.
+func (s *requestState) readBody(ctx context.Context) *verdict.Error {
+	release := s.interruptReads(ctx)
 	body, err := requestbody.Read(s.writer, s.request, s.table.Limits.BodyBytes)
+	release()
 	var tooLarge *requestbody.TooLargeError
 	if errors.As(err, &tooLarge) {
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, tooLarge.Error())
 	}
+	if err != nil && ctx.Err() != nil {
+		return s.contextError(ctx, verdict.NotRun)
+	}
 	if err != nil {
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonCancelled, err)
 	}
@@ -196,6 +201,23 @@
 	return nil
 }
 
+// interruptReads makes reads from the caller fail once ctx ends, until release is called. The connection is then closed after
+// the response.
+func (s *requestState) interruptReads(ctx context.Context) (release func()) {
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		// A failure means that the connection has ended.
+		_ = http.NewResponseController(s.writer).SetReadDeadline(time.Now())
+	})
+	return func() {
+		if !stop() {
+			<-interrupted
+			s.writer.Header().Set("Connection", "close")
+		}
+	}
+}
+
 // headerSize returns the size of the request line and the header fields in bytes.
 func headerSize(r *http.Request) int64 {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + 10
