End the waits of routers that are gone

What callers see: an instance of a plain service has one place less for up to two minutes, for each request that waited for one there when its router was lost or restarted, so that requests are refused or wait while it has room.

Cause: a keeper dropped the places of a router that is gone, but not its waits. Such a wait was granted a place afterwards, which was counted for a router that would never give it back. The sequence numbers of a restarted router begin anew, so that the place could also be taken for one of its next requests.

Evidence: TestRequestsOfGoneRoutersDoNotWaitForPlaces failed before, for a router that is lost and for one that has restarted: "the router that is gone has 1 reservations; 8 places are taken, want 7".

Change: with the places of a router that is gone or has restarted, its waits end, and what they were granted meanwhile.

--- a/gateway/places.go
+++ b/gateway/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -165,6 +166,20 @@
 	}
 }
 
+// releaseAll does the same for all requests of some routers, and returns them.
+func (p *places) releaseAll(routers []string) (released []placeHolder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for h, entry := range p.requests {
+		if slices.Contains(routers, h.router) {
+			delete(p.requests, h)
+			entry.end()
+			released = append(released, h)
+		}
+	}
+	return released
+}
+
 // end gives the place back, or ends the wait for it. The caller holds the lock of places.
 func (r *placeRequest) end() {
 	r.cancel()
--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/internal/rendezvous"
@@ -31,8 +32,9 @@
 
 // SetFleet sets the routers that are alive, this one included, and by them the keeper of each instance. It drops the
 // reservations of routers that are gone or have restarted since the last call. Those of routers that are leaving stay, until
-// they are released or their time is over: the requests are still in flight.
-func (r *Registry) SetFleet(self string, routers []Router, leaving ...Router) {
+// they are released or their time is over: the requests are still in flight. It returns the names
+// of those that are gone or have restarted.
+func (r *Registry) SetFleet(self string, routers []Router, leaving ...Router) (gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self = self
@@ -45,18 +47,19 @@
 	for _, router := range leaving {
 		incarnations[router.Name] = router.Incarnation
 	}
-	gone := func(h holder) bool {
-		// A router that was not known before is not gone: its first reservations may come before its membership.
-		before, known := r.incarnations[h.router]
-		incarnation, ok := incarnations[h.router]
-		return known && (!ok || incarnation != before)
+	// A router that was not known before is not gone: its first reservations may come before its membership.
+	for name, before := range r.incarnations {
+		if incarnation, ok := incarnations[name]; !ok || incarnation != before {
+			gone = append(gone, name)
+		}
 	}
 	for _, m := range r.members {
 		r.setKeeper(m)
-		maps.DeleteFunc(m.holds, func(h holder, _ time.Time) bool { return gone(h) })
+		maps.DeleteFunc(m.holds, func(h holder, _ time.Time) bool { return slices.Contains(gone, h.router) })
 	}
-	maps.DeleteFunc(r.early, func(h holder, _ earlyHold) bool { return gone(h) })
+	maps.DeleteFunc(r.early, func(h holder, _ earlyHold) bool { return slices.Contains(gone, h.router) })
 	r.incarnations = incarnations
+	return gone
 }
 
 // SetLost sets the number of routers that cannot be reached, which may have stopped or be cut off from this one.
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -139,3 +140,39 @@
 		clear(g.reservations.open)
 	}
 }
+
+// Guards against a place that stays taken until the time limit of a request whose router is gone: the request waited for it
+// when the router was lost or restarted.
+func TestRequestsOfGoneRoutersDoNotWaitForPlaces(t *testing.T) {
+	self, asker := &peerpb.Member{Node: "r-000"}, &peerpb.Member{Node: "asker", Incarnation: 1}
+	for name, alive := range map[string][]*peerpb.Member{"lost": {self}, "restarted": {self, {Node: "asker", Incarnation: 2}}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				workers := plainWorkers(16)
+				keeper := newPlainFleet(1, workers)[0]
+				keeper.settings.Node, keeper.settings.FirstStart = "r-000", true
+				keeper.MembersChanged([]*peerpb.Member{self, asker}, nil, 0)
+				kept := slices.IndexFunc(workers, func(w pool.Instance) bool { return keeper.keeps(pool.KeyOf(w.ID)) })
+				instance := pool.KeyOf(workers[kept].ID)
+				controller, _ := keeper.placesAt(instance)
+				capacity := placeCapacity(workerSlots)
+				for n := range capacity {
+					if err := keeper.places.wait(keeper.places.enter(t.Context(), placeHolder{sequence: uint64(n)}), controller, placeRequestOf(0, 0, 0, time.Second)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				keeper.Reserve("asker", &peerpb.Reserve{Sequence: 7, Instance: uint32(instance), WaitMs: 100, TtlMs: 60_000}, func(*peerpb.Reserved) {})
+				synctest.Wait()
+				if waiting := controller.Load().Waiting; waiting != 1 {
+					t.Fatalf("%d requests wait, want 1", waiting)
+				}
+				keeper.MembersChanged(alive, nil, 0)
+				keeper.places.release(placeHolder{sequence: 0})
+				synctest.Wait()
+				if holds, taken := keeper.ReservedPlaces(), controller.Load().InFlight; holds != 0 || taken != capacity-1 {
+					t.Errorf("the router that is gone has %d reservations; %d places are taken, want %d", holds, taken, capacity-1)
+				}
+			})
+		})
+	}
+}
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -52,7 +52,11 @@
 	for _, m := range leaving {
 		finishing = append(finishing, pool.Router{Name: m.GetNode(), Incarnation: m.GetIncarnation()})
 	}
-	g.registry.SetFleet(g.settings.Node, routers, finishing...)
+	gone := g.registry.SetFleet(g.settings.Node, routers, finishing...)
+	for _, h := range g.places.releaseAll(gone) {
+		// Its place may have been granted and counted since.
+		g.registry.EndReservation(h.router, h.sequence, pool.Abandoned)
+	}
 	g.registry.SetLost(lost)
 	g.reservations.moveToKeepers()
 	if !g.settings.FirstStart && startedTogether(g.settings.Node, routers) {
