Tell the keepers again after a router was taken for lost

What callers see: an instance gets more requests than its load bound allows (LIMIT) after a router was frozen or cut off for a moment.

Cause: a router that cannot be reached is declared lost, and all keepers give back its places. If it is alive it refutes that and is a member again, but its requests, which are still in flight, were not counted any more: from its side no keeper had changed.

Evidence: TestRouterThatWasTakenForLostTellsItsKeepersAgain failed before: "the keeper counts 0 requests after the router was taken for lost, want 14".

Requests that wait for their place are left out: a keeper takes a place that it is told of for one that is taken.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"jacinthfork.example/jacinthfork/gateway/buffer"
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/peer"
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
@@ -74,9 +75,11 @@
 	keepers       keeperLink
 	reservations  *reservations
 	places        *places
-	callers       *callerconn.Tracker
-	metrics       *metrics
-	pauses        pauseDetector
+	// self is this router as MembersChanged was told of it last. A later version means that it was taken for lost.
+	self    *peerpb.Member
+	callers *callerconn.Tracker
+	metrics *metrics
+	pauses  pauseDetector
 
 	// started is closed once the router is ready for the first time, or StartHold after its start.
 	started chan struct{}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -120,6 +120,7 @@
 		return nil, nil, errKeeperChanged
 	}
 	if lease.Confirm(answer) {
+		s.g.reservations.granted(r)
 		s.g.metrics.reservations.Add("granted", 1)
 		return r, nil, nil
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -45,9 +45,10 @@
 	instance pool.Key
 	// keeper changes with the fleet. Its name is "" if it is this router. It is guarded by the lock of reservations.
 	keeper pool.Router
-	// untold is set while the keeper does not know of a place that is taken, for want of a link. It has the same lock.
-	untold bool
-	until  time.Time
+	// taken is set once the request has its place, and untold while the keeper does not know of it, for want of a link or
+	// because it has given the place back. They have the same lock.
+	taken, untold bool
+	until         time.Time
 	// moved is set once the keeper has changed.
 	moved bool
 	// local is set for a place at an instance of a plain service that this router kept when it was granted.
@@ -144,6 +145,7 @@
 			return lease, r
 		}
 		if lease.Confirm(answer) {
+			s.g.reservations.granted(r)
 			s.g.metrics.reservations.Add("granted", 1)
 			return lease, r
 		}
@@ -230,10 +232,18 @@
 	defer r.mu.Unlock()
 	// Otherwise its keeper was told of the end.
 	if r.open[res.sequence] == res {
+		res.taken = true
 		r.tell(res)
 	}
 }
 
+// granted records that the keeper has granted the place.
+func (r *reservations) granted(res *reservation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res.taken = true
+}
+
 // tell tells the keeper of a place that is taken, if there is a link. The caller holds mu: a link queues what it is told,
 // and a request that ends now is told to its keeper after that.
 func (r *reservations) tell(res *reservation) {
@@ -241,12 +251,21 @@
 	res.untold = keeper != "" && !r.fleet.Tell(keeper, &peerpb.Message{Reserve: res.message(true)})
 }
 
-// tellKeepers tells the keepers of the places that they could not be told of before.
+// forgotten records that the keepers have given back all places of this router, which they took for lost.
+func (r *reservations) forgotten() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, res := range r.open {
+		res.untold = res.keeper.Name != ""
+	}
+}
+
+// tellKeepers tells the keepers of the places that they could not be told of before, or have given back.
 func (r *reservations) tellKeepers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, res := range r.open {
-		if res.untold {
+		if res.untold && res.taken {
 			r.tell(res)
 		}
 	}
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -176,3 +176,44 @@
 		})
 	}
 }
+
+// Guards against instances that get more than their load bound after a router was taken for lost, when it was frozen or cut
+// off for a moment: its keepers have given back its places, and its requests are still in flight. It also guards against a
+// request that waits for its place being taken for one that has it.
+func TestRouterThatWasTakenForLostTellsItsKeepersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newPlainFleet(2, plainWorkers(16))
+		asker, keeper := fleet[0], fleet[1]
+		for n, g := range fleet {
+			g.settings.Node, g.settings.FirstStart = fmt.Sprintf("r-%03d", n), true
+		}
+		both := []*peerpb.Member{{Node: "r-000"}, {Node: "r-001"}}
+		asker.MembersChanged(both, nil, 0)
+		const requests = 32
+		held := 0
+		for range requests {
+			lease, place := (&requestState{g: asker, table: asker.table.Load(), pool: "plain", start: time.Now()}).reserve(context.Background())
+			if keeper.keeps(place.instance) {
+				held++
+			}
+			defer asker.reservations.end(place, pool.Served)
+			defer lease.Release(pool.Served)
+		}
+		if got := keeper.ReservedPlaces(); got != held || held == 0 {
+			t.Fatalf("%d places, want %d", got, held)
+		}
+		waits := asker.reservations.begin(asker.registry.Acquire(&pool.Request{Pool: "plain"}), time.Minute)
+		for waits.keeper.Name == "" {
+			waits = asker.reservations.begin(asker.registry.Acquire(&pool.Request{Pool: "plain"}), time.Minute)
+		}
+		keeper.MembersChanged(both[1:], nil, 1)
+		refuted := []*peerpb.Member{{Node: "r-000", Version: 1}, both[1]}
+		asker.MembersChanged(refuted, nil, 0)
+		keeper.MembersChanged(refuted, nil, 0)
+		asker.reservations.tellKeepers()
+		time.Sleep(5 * linkDelay)
+		if got := keeper.ReservedPlaces(); got != held {
+			t.Errorf("the keeper counts %d requests after the router was taken for lost, want %d", got, held)
+		}
+	})
+}
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -59,6 +59,12 @@
 	}
 	g.registry.SetLost(lost)
 	g.reservations.moveToKeepers()
+	if own := findMember(alive, g.settings.Node); own != nil {
+		if g.self != nil && (own.GetIncarnation() != g.self.GetIncarnation() || own.GetVersion() != g.self.GetVersion()) {
+			g.reservations.forgotten()
+		}
+		g.self = own
+	}
 	if !g.settings.FirstStart && startedTogether(g.settings.Node, routers) {
 		for _, f := range g.followers() {
 			f.follower.EndStartWait()
@@ -66,6 +72,14 @@
 	}
 }
 
+func findMember(list []*peerpb.Member, node string) *peerpb.Member {
+	i := slices.IndexFunc(list, func(m *peerpb.Member) bool { return m.GetNode() == node })
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
+
 // togetherWindow is the difference of the start times within which two routers are taken to have started together. Their
 // clocks differ a little.
 const togetherWindow = time.Second
