End the wait for a place at an instance that takes no more requests

A request that waited for a place at an instance of a plain service went on waiting, up to half of its objective, after that instance had announced its departure, turned this router away for a time, or been published as leaving. Its caller was refused although another instance had a place meanwhile, or was told late that there is none.

Cause: whether an instance may still be used was looked at when a place had become free there, not during the wait.

Change: Lease.OnUnusable calls a function when what the instance or its entry says makes the lease unusable. The wait for a place, at this router or at another keeper, ends then, and the request takes another instance.

TestWaitEndsWhenTheInstanceTakesNoMore failed before in its eight cases ("not true: time.Since(begin) < 2*waits"; those of the entry were run without the call for entries) and passes now, with package gateway under the race detector, package pool and the tests of announcements, refusals, places and fleets in platform. TestRefusalAfterAWaitSaysWhenAHeldOffPoolReturns now lets the keeper hear of the end: the wait ends sooner than the simulated fleet delivers it, and the test ended with a goroutine left.

--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -155,6 +155,75 @@
 	is.True(g.registry.HeldOff("plain") > 0)
 }
 
+// Guards against a request that goes on waiting for a place at an instance which takes no more: another instance has one,
+// or there is no other and its caller can be told at once.
+func TestWaitEndsWhenTheInstanceTakesNoMore(t *testing.T) {
+	const waits = objective / 10
+	leaving := func(_ *Gateway, l *pool.Lease) { l.RecordLeaving() }
+	holdOff := func(_ *Gateway, l *pool.Lease) { l.RecordHoldOff(time.Minute) }
+	entry := func(g *Gateway, l *pool.Lease) {
+		i := l.Instance
+		i.Sequence, i.Leaving = i.Sequence+1, true
+		g.registry.ApplyEntry(i)
+	}
+	for name, c := range map[string]struct {
+		// router is 0 for the keeper of the instance.
+		router   int
+		announce func(g *Gateway, l *pool.Lease)
+		// joins is set if another instance joins the service meanwhile.
+		joins bool
+	}{
+		"keeper, departure":                         {0, leaving, false},
+		"keeper, entry":                             {0, entry, false},
+		"keeper, hold-off":                          {0, holdOff, false},
+		"keeper, hold-off, another instance":        {0, holdOff, true},
+		"other gateway, departure":                  {1, leaving, false},
+		"other gateway, entry":                      {1, entry, false},
+		"other gateway, hold-off":                   {1, holdOff, false},
+		"other gateway, hold-off, another instance": {1, holdOff, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				instance := pool.Instance{ID: "w-0", Pool: "plain", Slots: 1, StartedAt: 1, Sequence: 1}
+				other := pool.Instance{ID: "w-1", Pool: "plain", Slots: 1, StartedAt: 1, Sequence: 1}
+				fleet := newPlainFleet(2, []pool.Instance{instance})
+				if _, kept := fleet[0].registry.Kept(pool.KeyOf(instance.ID)); !kept {
+					fleet[0], fleet[1] = fleet[1], fleet[0]
+				}
+				g := fleet[c.router]
+				var running []*pool.Lease
+				for range placeCapacity(instance.Slots) {
+					lease, _, err := newWaitingRequest(g).acquire(context.Background())
+					is.NoErr(err)
+					running = append(running, lease)
+				}
+				time.AfterFunc(waits, func() {
+					if c.joins {
+						for _, g := range fleet {
+							g.registry.ApplyEntry(other)
+						}
+					}
+					c.announce(g, running[0])
+				})
+				begin := time.Now()
+				lease, place, err := newWaitingRequest(g).acquire(context.Background())
+				is.True(time.Since(begin) < 2*waits)
+				is.NoErr(err)
+				is.Equal(lease != nil, c.joins)
+				if lease != nil {
+					is.Equal(lease.Instance.ID, other.ID)
+					lease.Release(pool.Served)
+					g.reservations.end(place, pool.Served)
+				}
+				time.Sleep(time.Second)
+				is.Equal(g.registry.Summary("plain").Own, len(running))
+				is.Equal(fleet[0].registry.HoldCount()+fleet[1].registry.HoldCount(), c.router*len(running))
+			})
+		})
+	}
+}
+
 // Guards against a caller that is told to come back sooner than its pool takes requests again, because its request waited
 // for a place when the last instance turned requests away.
 func TestRefusalAfterAWaitSaysWhenAHeldOffPoolReturns(t *testing.T) {
@@ -179,6 +248,7 @@
 				time.AfterFunc(objective/10, func() { running[0].RecordHoldOff(holdOff) })
 				err := newWaitingRequest(g).tryInstances(context.Background())
 				is.True(verdict.As(err).RetryAfter >= holdOff-objective)
+				time.Sleep(time.Second) // the keeper is told of the end
 			})
 		})
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -25,6 +25,9 @@
 // errKeeperChanged is the error of a request whose keeper gave up its wait because another router keeps the instance now.
 var errKeeperChanged = errors.New("the instance has another keeper")
 
+// errUnusable is the error of a request whose instance takes no more requests.
+var errUnusable = errors.New("the instance takes no more requests")
+
 // plain reports whether the request's pool is a plain service.
 func (s *requestState) plain() bool {
 	p := s.table.Pools[s.pool]
@@ -52,8 +55,10 @@
 		if last {
 			wait = max(0, time.Until(waitUntil))
 		}
-		place, refusal, err := s.askForPlace(ctx, lease, wait, last)
+		place, refusal, err := s.waitForPlace(ctx, lease, wait, last)
 		switch {
+		case errors.Is(err, errUnusable):
+			// The next lease is for another instance.
 		case errors.Is(err, errKeeperChanged) && time.Now().Before(waitUntil):
 			// The next lease names the new keeper.
 		case errors.Is(err, errKeeperChanged):
@@ -77,6 +82,21 @@
 	}
 }
 
+// waitForPlace is askForPlace with a wait that ends with errUnusable when the instance takes no more requests.
+func (s *requestState) waitForPlace(ctx context.Context, lease *pool.Lease, wait time.Duration, last bool) (*reservation, *pool.Answer, error) {
+	if wait == 0 {
+		return s.askForPlace(ctx, lease, wait, last)
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer lease.OnUnusable(cancel)()
+	place, refusal, err := s.askForPlace(waiting, lease, wait, last)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		err = errUnusable
+	}
+	return place, refusal, err
+}
+
 // askForPlace asks the keeper of a lease's instance for a place, or this router's own places. A refusal withdraws the
 // lease. A keeper that does not answer in time counts as one that refuses, because it may be slow for the requests that
 // the service gets; if it is the last one, the request is sent unless the service is full. The error is that of ctx, or
--- a/gateway/pool/announce.go
+++ b/gateway/pool/announce.go
@@ -60,6 +60,7 @@
 	a := r.announcement(l.Instance, r.now())
 	first = !a.leaving
 	a.leaving = true
+	r.endWaits(l.Instance)
 	return first
 }
 
@@ -73,6 +74,7 @@
 	a := r.announcement(l.Instance, now)
 	first = !now.Before(a.heldOffUntil)
 	a.holdOff(now, now.Add(d))
+	r.endWaits(l.Instance)
 	if m := r.members[l.Instance.ID]; m != nil && m.StartedAt != l.Instance.StartedAt {
 		r.inheritHoldOff(m.Instance, now)
 	}
@@ -120,6 +122,38 @@
 	return !r.announcements[l.Instance.incarnation()].turnsAway(r.now()) && !r.closed(l.member)
 }
 
+// OnUnusable calls f, at most once, when the lease is or becomes unusable because of what the instance or its entry says. f
+// must not use the registry. stop must be called when it is not to be called any more.
+func (l *Lease) OnUnusable(f func()) (stop func()) {
+	r := l.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := l.Instance.incarnation()
+	if r.announcements[i].turnsAway(r.now()) || r.closed(l.member) {
+		f()
+		return func() {}
+	}
+	if r.waits[i] == nil {
+		r.waits[i] = make(map[*Lease]func())
+	}
+	r.waits[i][l] = f
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if delete(r.waits[i], l); len(r.waits[i]) == 0 {
+			delete(r.waits, i)
+		}
+	}
+}
+
+// endWaits calls the functions of OnUnusable for an instance.
+func (r *Registry) endWaits(i Instance) {
+	for _, f := range r.waits[i.incarnation()] {
+		f()
+	}
+	delete(r.waits, i.incarnation())
+}
+
 // sweepAnnouncements forgets what instances have said that are gone.
 func (r *Registry) sweepAnnouncements(now time.Time) {
 	for i, a := range r.announcements {
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -108,6 +108,8 @@
 	tombstones map[string]tombstone
 	// announcements hold what instances have said of themselves in their responses.
 	announcements map[incarnation]*announcement
+	// waits holds the functions of OnUnusable.
+	waits map[incarnation]map[*Lease]func()
 	// replaced holds the ends of the times for which places at instances whose addresses belong to others are refused.
 	replaced map[Key]time.Time
 	// directory names the instances that hold a document, for those documents that are in this router's directory.
@@ -139,6 +141,7 @@
 		early:           make(earlyHolds),
 		tombstones:      make(map[string]tombstone),
 		announcements:   make(map[incarnation]*announcement),
+		waits:           make(map[incarnation]map[*Lease]func()),
 		directory:       newDirectory(),
 		replaced:        make(map[Key]time.Time),
 		cacheTokens:     make(map[string]int),
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -66,6 +66,7 @@
 	leaving := i.Leaving && !m.Leaving
 	m.Instance = i
 	if leaving {
+		r.endWaits(i)
 		return Leaving
 	}
 	return Updated
