Tell new suspicions beside many parts that were blocked long ago

A part that crashes engines was not blocked as long as its crashes were seen by different routers, if two dozen other parts had been suspected of more crashes before, for example in an outage. With many routers of few requests each, every one of them needed three crashes of its own. A router that started was never told of more than 24 blocked parts either, and sent requests with the others.

Cause: a message holds 24 parts, ordered by the number of crashes and whether or not they were news.

Evidence: TestOldSuspectsDoNotDisplaceNewOnes failed before, the part was not blocked after three crashes; and so did TestNewRoutersLearnAllOfManyBlockedParts, with 24 of 48 parts.

Change: news, which are crashes of the last 6 s and clearances that this router has learned of within 3 s, go first, by the number of crashes as before. Up to 8 places are kept for the others, which are drawn at random so that each is told in time.

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,12 +12,15 @@
 const (
 	// newsPeriod is how long each change is told. Routers exchange their states several times in it.
 	newsPeriod = 3 * time.Second
-	// maxTold bounds the parts in one message.
+	// maxNewsAge is the age from which on a crash is no news to a router that learns of it.
+	maxNewsAge = 2 * newsPeriod
+	// maxTold bounds the parts in one message, and maxOld those of them that are no news while there are more news than fit.
 	maxTold = 24
+	maxOld  = 8
 )
 
-// Export returns the parts for a message to another router: those that are suspected of more than one crash, in every
-// message, and those of which this table has learned something within newsPeriod.
+// Export returns the parts for a message to another router: those of which this table has learned something within
+// newsPeriod, and others that are suspected of more than one crash. If these do not all fit, each message has some of them.
 func (t *Table) Export() []*peerpb.SuspectPart {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -25,23 +29,35 @@
 	}
 	now := t.now()
 	t.expire(now)
-	var told []uint64
+	var news, old []uint64
 	for id, p := range t.parts {
-		if p.depth >= minRepeated || now.Sub(p.changedAt) <= newsPeriod {
-			told = append(told, id)
+		switch {
+		case p.isNews(now):
+			news = append(news, id)
+		case p.depth >= minRepeated:
+			old = append(old, id)
 		}
 	}
-	slices.SortFunc(told, func(a, b uint64) int {
+	slices.SortFunc(news, func(a, b uint64) int {
 		p, q := t.parts[a], t.parts[b]
 		return cmp.Or(cmp.Compare(max(q.depth, q.clearedDepth), max(p.depth, p.clearedDepth)), q.changedAt.Compare(p.changedAt), cmp.Compare(a, b))
 	})
-	out := make([]*peerpb.SuspectPart, 0, min(maxTold, len(told)))
-	for _, id := range told[:min(maxTold, len(told))] {
+	rand.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+	told := news[:min(len(news), maxTold-min(len(old), maxOld))]
+	told = append(told, old[:min(len(old), maxTold-len(told))]...)
+	out := make([]*peerpb.SuspectPart, 0, len(told))
+	for _, id := range told {
 		out = append(out, t.parts[id].encode(id, now))
 	}
 	return out
 }
 
+// isNews reports whether others may not know yet what this table knows about the part.
+func (p *part) isNews(now time.Time) bool {
+	cleared := p.depth == 0
+	return now.Sub(p.changedAt) <= newsPeriod && (cleared || now.Sub(p.crashedAt) <= maxNewsAge)
+}
+
 // encode returns a part as told to other routers.
 func (p *part) encode(id uint64, now time.Time) *peerpb.SuspectPart {
 	m := &peerpb.SuspectPart{Part: id, Generation: p.generation, Depth: p.depth, Crashes: slices.Clone(p.crashes)}
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -151,3 +151,41 @@
 		is.Equal(s.Alternatives, []uint64{guide + deadly - s.Part})
 	}
 }
+
+// Guards against a part that crashes engines at all routers because what each knows of it does not fit into messages beside
+// the parts that were blocked long ago, such as those of an outage.
+func TestOldSuspectsDoNotDisplaceNewOnes(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(blockDepth)
+	blockMany(all[0])
+	c.at = c.at.Add(time.Minute)
+	for i := range blockDepth {
+		crash(all[i], deadly)
+		exchange(all...)
+	}
+	for _, table := range all {
+		is.True(blocked(table, deadly))
+	}
+}
+
+// Guards against a router that has just started and is never told of some of the blocked parts, because they do not all fit
+// into one message.
+func TestNewRoutersLearnAllOfManyBlockedParts(t *testing.T) {
+	is := is.New(t)
+	c, all := newTables(2)
+	blockMany(all[0])
+	c.at = c.at.Add(time.Minute)
+	for range 60 {
+		exchange(all...)
+	}
+	is.Equal(all[1].BlockedParts(), all[0].BlockedParts())
+}
+
+// blockMany blocks more parts than a message holds.
+func blockMany(t *Table) {
+	for i := range uint64(2 * maxTold) {
+		for range blockDepth {
+			crash(t, 1000+i)
+		}
+	}
+}
