Bound what the engines that are left get while others turn requests away

While most engines of a pool turned a router away for a time, the few that were left got all of its prompts, up to 258 at once at an engine with 64 slots and a mean of 8 to 17. Callers waited there until their deadlines had passed, and the engine stayed slow for seconds after the others were back.

Cause: a keeper refuses a place at a full engine, but a lease is forced if no other engine is eligible. That excess is small as long as admission compares requests with the slots of a pool in which all engines can be used.

Change: while an engine of the pool turns this router away, the others are eligible for prompts only while they have a free slot, by what the router knows. Further requests are refused at once and told to come back.

TestHeldOffPoolDoesNotOverloadTheInstancesThatAreLeft, a replay, failed before ("not true: count <= slots+fleetRouters") and passes now, with packages pool and gateway.

The tests of announcements, refusals, offers, fleets and prompts in platform passed in four of six runs beside a load of 40 on 8 processors. In one of the others TestHeldOffInstanceIsLeftAlone found requests that took more than 0.5 s; what failed in the other was not kept.

--- a/gateway/pool/announce_test.go
+++ b/gateway/pool/announce_test.go
@@ -205,6 +205,49 @@
 	is.Equal(r.Acquire(&Request{Pool: "llm"}).Instance.ID, testInstance(1).ID)
 }
 
+// Replays a second in which most engines of a pool turn all routers away for a time, while prompts arrive as before. Guards
+// against the few that are left getting all of them, far beyond their slots, so that callers wait there until their
+// deadlines pass.
+func TestHeldOffPoolDoesNotOverloadTheInstancesThatAreLeft(t *testing.T) {
+	const engines, left, requests = 12, 2, 400
+	is := is.New(t)
+	f := newFleet(engines)
+	for _, r := range f.routers {
+		for n := left; n < engines; n++ {
+			l := r.Acquire(only(n, engines))
+			l.RecordHoldOff(time.Second)
+			l.Release(Refused)
+		}
+	}
+	running := make(map[string]int)
+	refused := 0
+	var all []*held
+	for n := range requests {
+		f.clock.advance(time.Second / (requests + 1))
+		h := f.acquire(n%fleetRouters, testPrompt(uint64(n%40)))
+		if h == nil {
+			refused++
+			continue
+		}
+		all = append(all, h)
+		running[h.Instance.ID]++
+	}
+	slots := testInstance(0).Slots
+	is.Equal(len(running), left)
+	for n := range left {
+		count := running[testInstance(n).ID]
+		is.True(count >= slots-fleetRouters) // they are used
+		is.True(count <= slots+fleetRouters)
+	}
+	is.Equal(refused+len(all), requests)
+	f.clock.advance(time.Second)
+	is.True(f.acquire(0, testPrompt(1)) != nil) // the others are back
+	for _, h := range all {
+		f.release(h, Served)
+	}
+	is.Equal(f.routers[0].HeldOff("llm"), time.Duration(0))
+}
+
 // Guards against test connections to an instance that has turned this router away, and against a keeper that refuses other
 // routers for it.
 func TestHoldOffIsForOneRouter(t *testing.T) {
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -60,12 +60,23 @@
 
 // candidates returns the eligible members of the best class that is not empty: healthy ones, then those that have just
 // refused a request or whose keeper has just refused a reservation, then degraded ones, then ejected ones.
+//
+// It answers a load pattern: most engines of a pool turn this router away for a time, while requests arrive as before. The
+// engines that are left are then eligible only while they have a free slot, so that they do not get all requests.
 func (r *Registry) candidates(q *Request, now time.Time) []*member {
 	var healthy, full, degraded, unavailable []*member
+	var e loadEstimate
+	bounded := len(q.Parts) > 0 && r.holdsOff(q.Pool, now)
+	if bounded {
+		e = r.estimateLoad(q.Pool, now)
+	}
 	for _, m := range r.pools[q.Pool] {
 		if r.closed(m) || m.announced.turnsAway(now) || slices.Contains(q.Exclude, m.ID) || r.coldFull(m, now) || (q.ExcludeCold && r.cold(m, now)) {
 			continue
 		}
+		if bounded && m.Slots > 0 && e.load(m, now) >= float64(m.Slots) {
+			continue
+		}
 		switch {
 		case m.unavailable(now):
 			unavailable = append(unavailable, m)
@@ -85,6 +96,16 @@
 	return unavailable
 }
 
+// holdsOff reports whether an instance of a pool turns this router away for a time.
+func (r *Registry) holdsOff(pool string, now time.Time) bool {
+	for _, m := range r.pools[pool] {
+		if !r.closed(m) && m.announced.turnsAway(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // degraded reports whether an instance has stalled, its entry has expired, or its keeper has ejected it.
 func (r *Registry) degraded(m *member, now time.Time) bool {
 	return m.ejectedByKeeper(now) || m.stalled(now, r.settings.StallTimeout) || !m.expiredAt.IsZero()
