Count the places that are taken when a plain service's instance changes its keeper

What callers see: after the keeper of an instance of a plain service has changed, the instance holds up to twice what it has places for, so that answers miss their latency objective for as long as requests take.

Cause: the places at an instance are counted by a controller of its keeper. The next keeper counted the requests in flight for the load of the instance, whoever told it of them, but its controller began empty and gave away all places once more. A request that was sent because its keeper had not answered in time had no place either, and lost the one that it was granted late.

Evidence: TestNextKeeperKnowsThePlacesThatAreTaken failed before, whichever router had sent the requests: "the worker held 16 requests, want 8 at most". TestPlacesTakenBeforeTheInstanceIsKnownCount failed before: "a place was granted that is taken".

Change: a request that a keeper is told of takes a place, whatever the capacity. When a router begins to keep an instance, so do the requests that it counts there already, its own included.

Result: both tests pass. The tests of packages gateway, with the race detector, and admission pass.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -127,6 +127,13 @@
 	return c.awaitResult(ctx, w)
 }
 
+// Count returns a grant for a request that runs already, whatever the capacity. The caller must call Done on it.
+func (c *Controller) Count(req Request) *Grant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newGrant(c.activeOrganisation(req.Organisation), &req, req.Work())
+}
+
 // asError returns a nil interface for a nil pointer, so that callers can compare the result with nil.
 func asError(err *verdict.Error) error {
 	if err == nil {
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -178,3 +178,17 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against capacity that is given away although requests use it that were admitted elsewhere.
+func TestCountedRequestsTakeCapacity(t *testing.T) {
+	is := is.New(t)
+	c := newController(t, func(s *Settings) { s.CapacityRequests = 2 }, SingleMember{}, nil)
+	running := []*Grant{c.Count(Request{DecodeTokens: 1}), c.Count(Request{DecodeTokens: 1}), c.Count(Request{DecodeTokens: 1})}
+	is.Equal(c.Load().InFlight, 3)
+	now := Request{Organisation: "a", DecodeTokens: 1, MaxWait: -1}
+	for n, g := range running {
+		_, err := c.Admit(t.Context(), now)
+		is.Equal(err == nil, n >= 2)
+		g.Done()
+	}
+}
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -80,8 +80,9 @@
 // placeCapacity returns the number of places at an instance.
 func placeCapacity(slots int) int { return max(1, slots) + max(1, slots/extraPlacesDivisor) }
 
-// at returns the places at an instance. wait bounds the time in the queue.
-func (p *places) at(instance pool.Key, slots int, wait time.Duration) *admission.Controller {
+// at returns the places at an instance. wait bounds the time in the queue. running returns the requests that this router
+// counts there from before, if it did not keep the instance then: they have their places.
+func (p *places) at(instance pool.Key, slots int, wait time.Duration, running func() []placeHolder) *admission.Controller {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := p.instances[instance]
@@ -97,6 +98,9 @@
 		}
 		i = &instancePlaces{controller: controller}
 		p.instances[instance] = i
+		for _, h := range running() {
+			p.take(h, controller)
+		}
 	}
 	if capacity := placeCapacity(slots); capacity != i.capacity {
 		i.capacity = capacity
@@ -156,6 +160,30 @@
 	return a
 }
 
+// take gives a request a place that it has anyway, or moves the one that it has to another controller. The caller holds the
+// lock.
+func (p *places) take(h placeHolder, controller *admission.Controller) {
+	if entry := p.requests[h]; entry != nil {
+		entry.end()
+	}
+	p.requests[h] = &placeRequest{
+		holder: h, cancel: func() {}, grant: controller.Count(placeRequestOf(0, 0, 0, 0)), counted: true,
+	}
+}
+
+// countTaken makes the registry count a request whose place is taken, whatever the capacity of the instance. It may have been
+// granted the place before, or wait for it.
+func (p *places) countTaken(h placeHolder, controller *admission.Controller, reserve func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reserve()
+	if entry := p.requests[h]; entry != nil && entry.grant != nil {
+		entry.counted = true
+		return
+	}
+	p.take(h, controller)
+}
+
 // release gives a place back, or ends the wait for one.
 func (p *places) release(h placeHolder) {
 	p.mu.Lock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -165,7 +165,6 @@
 		s.g.reservations.force(r)
 		return r, nil, nil
 	}
-	r.local = true
 	req := placeRequestOf(organisationHash(s.organisation), s.priority, wait, s.timeLeft())
 	err := s.g.places.wait(s.g.places.enter(ctx, placeHolder{sequence: r.sequence}), controller, req)
 	switch {
@@ -192,7 +191,20 @@
 	if p := t.Pools[i.Pool]; p == nil || p.Engine != nil {
 		return nil, false
 	}
-	return g.places.at(instance, i.Slots, g.admission.placeWait(i.Pool)), true
+	return g.places.at(instance, i.Slots, g.admission.placeWait(i.Pool), func() []placeHolder { return g.running(instance) }), true
+}
+
+// running returns the requests of all routers that this one counts at an instance that it keeps. It is called with the
+// lock of places.
+func (g *Gateway) running(instance pool.Key) []placeHolder {
+	var out []placeHolder
+	for _, h := range g.registry.Held(instance) {
+		out = append(out, placeHolder{h.Router, h.Sequence})
+	}
+	for _, sequence := range g.reservations.own(instance) {
+		out = append(out, placeHolder{sequence: sequence})
+	}
+	return out
 }
 
 // reservePlace decides on a reservation of another router at an instance of a plain service, whose wait entry is. It
--- a/gateway/pool/keeper.go
+++ b/gateway/pool/keeper.go
@@ -149,6 +149,18 @@
 	return false
 }
 
+// Held returns the reservations of other routers at an instance.
+func (r *Registry) Held(instance Key) (held []Reservation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.byKey[instance] {
+		for h := range m.holds {
+			held = append(held, Reservation{Router: h.router, Sequence: h.sequence, Instance: instance})
+		}
+	}
+	return held
+}
+
 func (m *member) hold(h holder, until time.Time) {
 	if m.holds == nil {
 		m.holds = make(map[holder]time.Time)
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -51,8 +51,6 @@
 	until         time.Time
 	// moved is set once the keeper has changed.
 	moved bool
-	// local is set for a place at an instance of a plain service that this router kept when it was granted.
-	local bool
 }
 
 func newReservations(registry *pool.Registry, fleet keeperLink, places *places) *reservations {
@@ -251,6 +249,19 @@
 	res.untold = keeper != "" && !r.fleet.Tell(keeper, &peerpb.Message{Reserve: res.message(true)})
 }
 
+// own returns the sequence numbers of this router's requests that have their place at an instance that it keeps.
+func (r *reservations) own(instance pool.Key) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []uint64
+	for _, res := range r.open {
+		if res.instance == instance && res.taken && res.keeper.Name == "" {
+			out = append(out, res.sequence)
+		}
+	}
+	return out
+}
+
 // forgotten records that the keepers have given back all places of this router, which they took for lost.
 func (r *reservations) forgotten() {
 	r.mu.Lock()
@@ -276,13 +287,12 @@
 	if res == nil {
 		return
 	}
-	if res.local {
-		r.places.release(placeHolder{sequence: res.sequence})
-	}
 	r.mu.Lock()
 	keeper := res.keeper
 	delete(r.open, res.sequence)
 	r.mu.Unlock()
+	// It has one at an instance of a plain service that this router keeps, or has kept.
+	r.places.release(placeHolder{sequence: res.sequence})
 	if keeper.Name != "" {
 		r.fleet.Tell(keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: encodeOutcome(o)})
 	}
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -217,3 +217,94 @@
 		}
 	})
 }
+
+// Guards against an instance of a plain service that holds twice what it has places for after its keeper has changed: the next
+// one, which may be any router, gave away the places of the requests in flight.
+func TestNextKeeperKnowsThePlacesThatAreTaken(t *testing.T) {
+	for sender := range 3 {
+		t.Run(fmt.Sprintf("sent by router %d", sender), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := plainWorkers(1)[0]
+				fleet := newPlainFleet(3, []pool.Instance{worker})
+				keeper, _ := keeperOf(fleet, pool.KeyOf(worker.ID))
+				var mu sync.Mutex
+				inFlight, most := 0, 0
+				var requests sync.WaitGroup
+				send := func(g *Gateway, n int) {
+					for range n {
+						requests.Go(func() {
+							_ = g.sendPlain("", func(string) {
+								mu.Lock()
+								inFlight++
+								most = max(most, inFlight)
+								mu.Unlock()
+								time.Sleep(objective)
+								mu.Lock()
+								inFlight--
+								mu.Unlock()
+							})
+						})
+					}
+				}
+				capacity := placeCapacity(workerSlots)
+				send(fleet[sender], capacity)
+				time.Sleep(5 * linkDelay)
+				mu.Lock()
+				before := inFlight
+				mu.Unlock()
+				if before != capacity {
+					t.Fatalf("%d requests run, want %d", before, capacity)
+				}
+				var left []pool.Router
+				for n, g := range fleet {
+					if g != keeper {
+						left = append(left, pool.Router{Name: fmt.Sprintf("r-%03d", n)})
+					}
+				}
+				for n, g := range fleet {
+					g.setFleet(fmt.Sprintf("r-%03d", n), left)
+				}
+				time.Sleep(5 * linkDelay)
+				for _, g := range fleet {
+					send(g, capacity)
+				}
+				requests.Wait()
+				if most != capacity {
+					t.Errorf("the worker held %d requests, want %d at most", most, capacity)
+				}
+				time.Sleep(5 * linkDelay)
+				for n, g := range fleet {
+					if holds, entries := g.ReservedPlaces(), len(g.places.requests); holds != 0 || entries != 0 {
+						t.Errorf("router %d has %d reservations and %d places at the end", n, holds, entries)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against the same at a router that has just started: it is told of the requests in flight before it knows the
+// instance.
+func TestPlacesTakenBeforeTheInstanceIsKnownCount(t *testing.T) {
+	worker := plainWorkers(1)[0]
+	keeper := newPlainFleet(1, nil)[0]
+	capacity := placeCapacity(workerSlots)
+	ask := func(sequence uint64, forced bool) (granted bool) {
+		keeper.Reserve("asker", &peerpb.Reserve{Sequence: sequence, Instance: uint32(pool.KeyOf(worker.ID)), Forced: forced, TtlMs: 60_000}, func(a *peerpb.Reserved) { granted = a.GetGranted() })
+		return granted
+	}
+	for n := range capacity - 1 {
+		ask(uint64(1+n), true)
+	}
+	keeper.registry.ApplyEntry(worker)
+	if !ask(100, false) {
+		t.Error("the last place was refused")
+	}
+	if ask(101, false) {
+		t.Error("a place was granted that is taken")
+	}
+	keeper.Release("asker", 1, peerpb.Outcome_SERVED)
+	if !ask(102, false) {
+		t.Error("a place that was given back was refused")
+	}
+}
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -104,9 +104,13 @@
 	controller, plain := g.placesAt(q.Instance)
 	switch {
 	case r.GetForced():
-		// It may wait for a place.
-		g.places.release(placeHolder{node, q.Sequence})
-		g.registry.Reserve(q)
+		if plain {
+			g.places.countTaken(placeHolder{node, q.Sequence}, controller, func() { g.registry.Reserve(q) })
+		} else {
+			// It may wait for a place.
+			g.places.release(placeHolder{node, q.Sequence})
+			g.registry.Reserve(q)
+		}
 		g.metrics.keeperDecisions.Add(decisionLabel(true, true), 1)
 	case !plain:
 		g.answer(q, g.registry.Reserve(q), reply)
