Leave requests of routers that were taken for lost unanswered

What callers see: a refusal although the service has room, if the router was taken for lost while the request waited for a place.

Cause: since the waits of routers that are gone end, the keeper answered them as refused. A router that is alive after all took the refusal for that of a full service.

Evidence: TestRequestsOfGoneRoutersDoNotWaitForPlaces, with a condition for it, failed before: "the request was refused, whose router may have been taken for lost by mistake". Found by reading.

Change: such a request gets no answer. Its router, if it is alive, decides alone at the end of the wait, as it does when a keeper is lost.

--- a/gateway/places.go
+++ b/gateway/places.go
@@ -57,6 +57,8 @@
 	grant *admission.Grant
 	// counted is set once the registry counts the request.
 	counted bool
+	// forgotten is set if the request's router was gone.
+	forgotten bool
 }
 
 func newPlaces() *places {
@@ -201,6 +203,7 @@
 	for h, entry := range p.requests {
 		if slices.Contains(routers, h.router) {
 			delete(p.requests, h)
+			entry.forgotten = true
 			entry.end()
 			released = append(released, h)
 		}
@@ -208,6 +211,14 @@
 	return released
 }
 
+// forgot reports whether a request's router was gone before the request was answered. If it is alive after all, it decides alone
+// rather than being refused a place that may be free.
+func (p *places) forgot(entry *placeRequest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return entry.forgotten
+}
+
 // end gives the place back, or ends the wait for it. The caller holds the lock of places.
 func (r *placeRequest) end() {
 	r.cancel()
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -142,7 +142,7 @@
 }
 
 // Guards against a place that stays taken until the time limit of a request whose router is gone: the request waited for it
-// when the router was lost or restarted.
+// when the router was lost or restarted. It also guards against a refusal where the service has room, if it was not lost.
 func TestRequestsOfGoneRoutersDoNotWaitForPlaces(t *testing.T) {
 	self, asker := &peerpb.Member{Node: "r-000"}, &peerpb.Member{Node: "asker", Incarnation: 1}
 	for name, alive := range map[string][]*peerpb.Member{"lost": {self}, "restarted": {self, {Node: "asker", Incarnation: 2}}} {
@@ -161,7 +161,8 @@
 						t.Fatal(err)
 					}
 				}
-				keeper.Reserve("asker", &peerpb.Reserve{Sequence: 7, Instance: uint32(instance), WaitMs: 100, TtlMs: 60_000}, func(*peerpb.Reserved) {})
+				answered := false
+				keeper.Reserve("asker", &peerpb.Reserve{Sequence: 7, Instance: uint32(instance), WaitMs: 100, TtlMs: 60_000}, func(*peerpb.Reserved) { answered = true })
 				synctest.Wait()
 				if waiting := controller.Load().Waiting; waiting != 1 {
 					t.Fatalf("%d requests wait, want 1", waiting)
@@ -172,6 +173,9 @@
 				if holds, taken := keeper.ReservedPlaces(), controller.Load().InFlight; holds != 0 || taken != capacity-1 {
 					t.Errorf("the router that is gone has %d reservations; %d places are taken, want %d", holds, taken, capacity-1)
 				}
+				if answered {
+					t.Error("the request was refused, whose router may have been taken for lost by mistake")
+				}
 			})
 		})
 	}
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -120,7 +120,12 @@
 			g.answer(q, g.reservePlace(controller, q, r, entry), reply)
 			return
 		}
-		go func() { g.answer(q, g.reservePlace(controller, q, r, entry), reply) }()
+		go func() {
+			a := g.reservePlace(controller, q, r, entry)
+			if !g.places.forgot(entry) {
+				g.answer(q, a, reply)
+			}
+		}()
 	}
 }
 
