Count the requests in flight at an instance whose entry lapsed

What callers see: an instance gets more requests than its load bound allows (LIMIT) after its entry has lapsed and come back while it ran, for example because it was frozen, or cut off from the store, for some seconds.

Cause: with the entry went the member that counts the requests in flight, this router's own and those of others. The entry came back with a new member that counted none.

Change: the tombstone keeps the member for its minute, and a publication of the same incarnation brings it back, with its load and its cache and without what was known of its health. Ends of requests during the lapse are applied, and an instance that has restarted begins with nothing.

--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -57,6 +57,9 @@
 		r.setKeeper(m)
 		maps.DeleteFunc(m.holds, func(h holder, _ time.Time) bool { return slices.Contains(gone, h.router) })
 	}
+	for _, t := range r.tombstones {
+		maps.DeleteFunc(t.member.holds, func(h holder, _ time.Time) bool { return slices.Contains(gone, h.router) })
+	}
 	maps.DeleteFunc(r.early, func(h holder, _ earlyHold) bool { return slices.Contains(gone, h.router) })
 	r.incarnations = incarnations
 	return gone
--- a/gateway/pool/keeper.go
+++ b/gateway/pool/keeper.go
@@ -203,6 +203,9 @@
 	defer r.mu.Unlock()
 	h := holder{router, sequence}
 	delete(r.early, h)
+	for _, t := range r.tombstones {
+		delete(t.member.holds, h)
+	}
 	for _, m := range r.members {
 		if _, ok := m.holds[h]; !ok {
 			continue
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -51,6 +51,14 @@
 	cache      *promptCache
 }
 
+// returned makes a member of the same incarnation ready to be used again. Its load and its cache stay.
+func (m *member) returned(i Instance, now time.Time) *member {
+	m.Instance, m.coldUntil, m.expiredAt = i, now.Add(i.ColdLeft), time.Time{}
+	m.health, m.failedBy, m.probeRunning = health{}, "", false
+	m.deniedUntil, m.ejectedByKeeperUntil = time.Time{}, time.Time{}
+	return m
+}
+
 // others returns the number of requests that the other routers have in flight, as far as this router knows.
 func (m *member) others() int {
 	if m.keeper == "" {
--- a/gateway/pool/peers_test.go
+++ b/gateway/pool/peers_test.go
@@ -244,3 +244,41 @@
 	r.SetFleet("a", []Router{{"a", 1}, {"b", 2}})
 	is.Equal(holds(), []int{0, 0})
 }
+
+// Guards against an instance that gets more than its bound because its entry lapsed and came back while it ran: the requests in
+// flight there were not counted any more. It also guards against counting those that have ended meanwhile.
+func TestRequestsInFlightCountAfterALapse(t *testing.T) {
+	is := is.New(t)
+	r, _ := testRegistry()
+	r.SetFleet("a", []Router{{"a", 1}})
+	i := testInstance(0)
+	r.ApplyEntry(i)
+	var open []*Lease
+	for n := range uint64(3) {
+		open = append(open, r.Acquire(testPrompt(1)))
+		is.True(r.Reserve(&Reservation{Router: "b", Sequence: n, Instance: KeyOf(i.ID), TTL: time.Minute}).Granted)
+	}
+	is.Equal(r.Remove(i.ID), Removed)
+	open[0].Release(Served)
+	r.EndReservation("b", 0, Served)
+	r.Reserve(&Reservation{Router: "b", Sequence: 7, Instance: KeyOf(i.ID), TTL: time.Minute, Forced: true})
+	i.Sequence++
+	is.Equal(r.ApplyEntry(i), Joined)
+	is.Equal(r.members[i.ID].inFlight(), 2+3)
+	for _, l := range open[1:] {
+		l.Release(Served)
+	}
+	for _, n := range []uint64{1, 2, 7} {
+		r.EndReservation("b", n, Served)
+	}
+	is.Equal(r.members[i.ID].inFlight(), 0)
+
+	l := r.Acquire(testPrompt(1))
+	r.Reserve(&Reservation{Router: "b", Sequence: 8, Instance: KeyOf(i.ID), TTL: time.Minute})
+	is.Equal(r.Remove(i.ID), Removed)
+	i.StartedAt++ // it has restarted
+	is.Equal(r.ApplyEntry(i), Joined)
+	is.Equal(r.members[i.ID].inFlight(), 0)
+	l.Release(Served)
+	is.Equal(r.members[i.ID].inFlight(), 0)
+}
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -35,14 +35,19 @@
 func (r *Registry) ApplyEntry(i Instance) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t, ok := r.tombstones[i.ID]; ok && older(i, t.last) {
+	t, ok := r.tombstones[i.ID]
+	if ok && older(i, t.last) {
 		return Stale
 	}
 	m, ok := r.members[i.ID]
 	if !ok {
 		delete(r.tombstones, i.ID)
 		delete(r.replaced, KeyOf(i.ID))
-		r.add(i)
+		if t.member != nil && t.last.StartedAt == i.StartedAt && t.last.Address == i.Address && t.last.Pool == i.Pool {
+			r.insert(t.member.returned(i, r.now()))
+		} else {
+			r.add(i)
+		}
 		return Joined
 	}
 	if older(i, m.Instance) {
@@ -97,14 +102,18 @@
 }
 
 func (r *Registry) add(i Instance) {
-	m := &member{Instance: i, hash: rendezvous.Hash(i.ID), coldUntil: r.now().Add(i.ColdLeft), cache: newPromptCache(r.cacheTokens[i.Pool])}
-	r.inheritHoldOff(i, r.now())
-	m.announced = r.announcements[i.incarnation()]
-	r.members[i.ID] = m
-	r.pools[i.Pool] = append(r.pools[i.Pool], m)
+	r.insert(&member{Instance: i, hash: rendezvous.Hash(i.ID), coldUntil: r.now().Add(i.ColdLeft), cache: newPromptCache(r.cacheTokens[i.Pool])})
+}
+
+func (r *Registry) insert(m *member) {
+	r.inheritHoldOff(m.Instance, r.now())
+	m.announced = r.announcements[m.incarnation()]
+	m.cache.capacity = r.cacheTokens[m.Pool]
+	r.members[m.ID] = m
+	r.pools[m.Pool] = append(r.pools[m.Pool], m)
 	key := keyOf(m.hash)
 	r.byKey[key] = append(r.byKey[key], m)
-	r.byAddress[i.Address] = append(r.byAddress[i.Address], m)
+	r.byAddress[m.Address] = append(r.byAddress[m.Address], m)
 	r.early.move(m)
 	r.setKeeper(m)
 }
@@ -146,7 +155,7 @@
 
 func (r *Registry) evict(m *member, now time.Time) {
 	r.drop(m)
-	r.tombstones[m.ID] = tombstone{last: m.Instance, removedAt: now}
+	r.tombstones[m.ID] = tombstone{last: m.Instance, member: m, removedAt: now}
 }
 
 // RemoveMissing removes all instances whose IDs are not in ids, the keys of a complete snapshot of the store.
@@ -197,6 +206,7 @@
 		}
 	}
 	for id, t := range r.tombstones {
+		t.member.sweepHolds(now)
 		if now.Sub(t.removedAt) > tombstoneTTL {
 			delete(r.tombstones, id)
 		}
@@ -227,9 +237,11 @@
 	return i == o
 }
 
-// tombstone is the last publication of a removed instance.
+// tombstone is the last publication of a removed instance, and the member that counts the requests in flight there: an
+// instance whose entry has lapsed while it ran still has them when it is back.
 type tombstone struct {
 	last      Instance
+	member    *member
 	removedAt time.Time
 }
 
