Find the keeper of an instance whose entry has lapsed

What callers see: an instance gets more requests than its load bound allows (LIMIT) if the membership changes while its entry has lapsed at a router that has requests in flight there.

Cause: the keeper of an instance that is not known counted as this router, so that a change of the membership told the real keeper that the requests had ended. It was not told otherwise when the entry came back.

Evidence: TestPlacesStayTakenWhenTheFleetChangesDuringALapse failed before: "the keeper counts 0 requests, want 14".

Change: the keeper is determined by the ID of the instance, which needs no entry.

Result: the test passes, as do the tests of package gateway.

--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -87,15 +87,12 @@
 	m.keeper = keeper
 }
 
-// KeeperOf returns the router that keeps an instance and its incarnation, or "" if it is this one or the instance is
-// not known.
-func (r *Registry) KeeperOf(instance Key) Router {
+// KeeperOf returns the router that keeps an instance and its incarnation. The name is "" if it is this one.
+func (r *Registry) KeeperOf(id string) Router {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range r.byKey[instance] {
-		return Router{Name: m.keeper, Incarnation: r.incarnations[m.keeper]}
-	}
-	return Router{}
+	keeper := r.firstRouter(rendezvous.Hash(id))
+	return Router{Name: keeper, Incarnation: r.incarnations[keeper]}
 }
 
 // PoolLoad is what one or all routers have in one pool.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -43,6 +43,8 @@
 type reservation struct {
 	sequence uint64
 	instance pool.Key
+	// id is that of the instance.
+	id string
 	// keeper changes with the fleet. Its name is "" if it is this router. It is guarded by the lock of reservations.
 	keeper pool.Router
 	// taken is set once the request has its place, and untold while the keeper does not know of it, for want of a link or
@@ -173,14 +175,14 @@
 
 // prepare returns a reservation that is not registered yet.
 func (r *reservations) prepare(lease *pool.Lease, ttl time.Duration) *reservation {
-	return &reservation{sequence: r.fleet.NextSequence(), instance: pool.KeyOf(lease.Instance.ID), until: time.Now().Add(ttl)}
+	return &reservation{sequence: r.fleet.NextSequence(), id: lease.Instance.ID, instance: pool.KeyOf(lease.Instance.ID), until: time.Now().Add(ttl)}
 }
 
 func (r *reservations) register(res *reservation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// A change of the keeper after this finds the reservation in open.
-	res.keeper = r.registry.KeeperOf(res.instance)
+	res.keeper = r.registry.KeeperOf(res.id)
 	r.open[res.sequence] = res
 }
 
@@ -304,7 +306,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, res := range r.open {
-		keeper := r.registry.KeeperOf(res.instance)
+		keeper := r.registry.KeeperOf(res.id)
 		if keeper == res.keeper {
 			continue
 		}
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -133,7 +133,7 @@
 		g.setFleet("r-000", all[:2+round%3])
 		beginning.Wait()
 		for _, r := range g.reservations.open {
-			if want := g.registry.KeeperOf(r.instance); r.keeper != want {
+			if want := g.registry.KeeperOf(r.id); r.keeper != want {
 				t.Fatalf("round %d: a reservation is with %q, its keeper is %q", round, r.keeper.Name, want.Name)
 			}
 		}
@@ -312,3 +312,34 @@
 		t.Error("a place that was given back was refused")
 	}
 }
+
+// Guards against a place that its keeper does not count any more, because the membership changed while the entry of the instance
+// had lapsed at the router whose request is in flight there.
+func TestPlacesStayTakenWhenTheFleetChangesDuringALapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := plainWorkers(16)
+		fleet := newPlainFleet(2, workers)
+		asker, keeper := fleet[0], fleet[1]
+		both := []pool.Router{{Name: "r-000"}, {Name: "r-001"}}
+		held := 0
+		for range 32 {
+			lease, place := (&requestState{g: asker, table: asker.table.Load(), pool: "plain", start: time.Now()}).reserve(context.Background())
+			if keeper.keeps(place.instance) {
+				held++
+			}
+			defer asker.reservations.end(place, pool.Served)
+			defer lease.Release(pool.Served)
+		}
+		for _, w := range workers {
+			asker.registry.Remove(w.ID)
+		}
+		asker.setFleet("r-000", both)
+		for _, w := range workers {
+			asker.registry.ApplyEntry(w)
+		}
+		time.Sleep(5 * linkDelay)
+		if got := keeper.ReservedPlaces(); got != held || held == 0 {
+			t.Errorf("the keeper counts %d requests, want %d", got, held)
+		}
+	})
+}
