Tell keepers of ends that they could not be told of

What callers see: an instance has fewer places than it could run, for up to the time limits of requests that ended while there was no link to its keeper, so that others wait or are refused.

Cause: the news of an end is dropped if there is no link: after a keeper was silent twice, after its queue was full, or while it is cut off. The keeper counted the request until its time limit had passed, up to two minutes. Places that are taken are told later in such a case.

Evidence: TestEndsWithoutALinkAreToldLater failed before: "after it: the keeper counts 14 requests, want 13".

Change: ends are kept until there is a link, as long as the keeper counts the request, 4096 of them at most. A place that is told to a keeper anew cancels what is kept for it.

Result: the test passes, as do the tests of package gateway with the race detector.

--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -16,6 +16,8 @@
 	// reservation for a request without one. A keeper that is not told of the end forgets the reservation then.
 	reservationMargin     = time.Second
 	defaultReservationTTL = 2 * time.Minute
+	// maxUntoldEnds bounds the ends that keepers could not be told of.
+	maxUntoldEnds = 4096
 )
 
 // keeperLink is how a router reaches keepers and directories. Package peer implements it.
@@ -37,6 +39,14 @@
 	places   *places
 	mu       sync.Mutex
 	open     map[uint64]*reservation
+	// untoldEnds are the ends that keepers could not be told of, for want of a link.
+	untoldEnds map[placeHolder]untoldEnd
+}
+
+// untoldEnd is the end of a reservation that its keeper, the router in the key, counts until a time.
+type untoldEnd struct {
+	outcome peerpb.Outcome
+	until   time.Time
 }
 
 // reservation is the place of one request at one instance.
@@ -56,7 +66,7 @@
 }
 
 func newReservations(registry *pool.Registry, fleet keeperLink, places *places) *reservations {
-	return &reservations{registry: registry, fleet: fleet, places: places, open: make(map[uint64]*reservation)}
+	return &reservations{registry: registry, fleet: fleet, places: places, open: make(map[uint64]*reservation), untoldEnds: make(map[placeHolder]untoldEnd)}
 }
 
 // acquire chooses an instance for the request, and another one from which it copies what it lacks of the prompt. The
@@ -248,6 +258,7 @@
 // and a request that ends now is told to its keeper after that.
 func (r *reservations) tell(res *reservation) {
 	keeper := res.keeper.Name
+	delete(r.untoldEnds, placeHolder{keeper, res.sequence})
 	res.untold = keeper != "" && !r.fleet.Tell(keeper, &peerpb.Message{Reserve: res.message(true)})
 }
 
@@ -273,7 +284,8 @@
 	}
 }
 
-// tellKeepers tells the keepers of the places that they could not be told of before, or have given back.
+// tellKeepers tells the keepers of the places that they could not be told of before, or have given back, and of the ends of
+// others.
 func (r *reservations) tellKeepers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -282,6 +294,13 @@
 			r.tell(res)
 		}
 	}
+	for h, e := range r.untoldEnds {
+		if time.Now().After(e.until) {
+			delete(r.untoldEnds, h)
+			continue
+		}
+		r.tellEnd(h, e)
+	}
 }
 
 // end gives the place back and tells the keeper the outcome of the request. A nil reservation is allowed.
@@ -290,13 +309,21 @@
 		return
 	}
 	r.mu.Lock()
-	keeper := res.keeper
 	delete(r.open, res.sequence)
+	r.tellEnd(placeHolder{res.keeper.Name, res.sequence}, untoldEnd{encodeOutcome(o), res.until})
 	r.mu.Unlock()
 	// It has one at an instance of a plain service that this router keeps, or has kept.
 	r.places.release(placeHolder{sequence: res.sequence})
-	if keeper.Name != "" {
-		r.fleet.Tell(keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: encodeOutcome(o)})
+}
+
+// tellEnd tells a keeper of the end of a reservation, now or once there is a link to it. The caller holds mu.
+func (r *reservations) tellEnd(h placeHolder, e untoldEnd) {
+	if h.router == "" || r.fleet.Tell(h.router, &peerpb.Message{Released: h.sequence, Outcome: e.outcome}) {
+		delete(r.untoldEnds, h)
+		return
+	}
+	if len(r.untoldEnds) < maxUntoldEnds {
+		r.untoldEnds[h] = e
 	}
 }
 
@@ -310,8 +337,8 @@
 		if keeper == res.keeper {
 			continue
 		}
-		if res.keeper.Name != "" && res.keeper.Name != keeper.Name {
-			r.fleet.Tell(res.keeper.Name, &peerpb.Message{Released: res.sequence, Outcome: peerpb.Outcome_UNKNOWN})
+		if res.keeper.Name != keeper.Name {
+			r.tellEnd(placeHolder{res.keeper.Name, res.sequence}, untoldEnd{peerpb.Outcome_UNKNOWN, res.until})
 		}
 		res.keeper, res.moved = keeper, true
 		r.tell(res)
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -343,3 +343,56 @@
 		}
 	})
 }
+
+// cutLink is a link that can be cut.
+type cutLink struct {
+	keeperLink
+	cut bool
+}
+
+func (l *cutLink) Tell(node string, m *peerpb.Message) (sent bool) {
+	return !l.cut && l.keeperLink.Tell(node, m)
+}
+
+// Guards against places that stay taken until the time limits of their requests, because there was no link to the keeper when
+// they ended, and against the late news of an end that gives back the place of a request that has returned to its keeper.
+func TestEndsWithoutALinkAreToldLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newPlainFleet(2, plainWorkers(16))
+		asker, keeper := fleet[0], fleet[1]
+		link := &cutLink{keeperLink: asker.keepers}
+		asker.reservations.fleet = link
+		both := []pool.Router{{Name: "r-000"}, {Name: "r-001"}}
+		var places []*reservation
+		for range 32 {
+			_, place := (&requestState{g: asker, table: asker.table.Load(), pool: "plain", start: time.Now()}).reserve(context.Background())
+			if keeper.keeps(place.instance) {
+				places = append(places, place)
+			}
+		}
+		check := func(when string, want int) {
+			t.Helper()
+			asker.reservations.tellKeepers()
+			time.Sleep(5 * linkDelay)
+			if got := keeper.ReservedPlaces(); got != want {
+				t.Errorf("%s: the keeper counts %d requests, want %d", when, got, want)
+			}
+		}
+		held := len(places)
+		link.cut = true
+		asker.reservations.end(places[0], pool.Served)
+		check("while the link is cut", held)
+		link.cut = false
+		check("after it", held-1)
+		link.cut = true
+		asker.setFleet("r-000", both[:1])
+		asker.reservations.end(places[1], pool.Served)
+		asker.setFleet("r-000", both)
+		link.cut = false
+		check("after the keeper was lost and is back", held-2)
+		for _, place := range places[2:] {
+			asker.reservations.end(place, pool.Served)
+		}
+		check("at the end", 0)
+	})
+}
