Drop what a router sent before its restart

What callers see: an instance has one place less for up to two minutes, or gets one request more than its load bound allows, after a router has restarted while its peer was short of processor time or frozen.

Cause: the link of a router that has restarted is read on beside its new one until its end is noticed. Places asked for on the old link counted as those of the new incarnation, which does not know of them, and as its sequence numbers begin anew, an end that was read late gave back the place of another request.

Evidence: TestMessagesFromBeforeARestartAreDropped failed before ("1 != 2": the late end gave back the place of the new incarnation). Found by reading.

Change: when a router is known to have restarted, the links that were opened before are closed, and what is still read from them asks for no place and ends none. A message that is handled in that very moment is not covered.

--- a/gateway/peer/link.go
+++ b/gateway/peer/link.go
@@ -36,16 +36,26 @@
 // link is an open stream to another router. One goroutine reads it and one writes it.
 type link struct {
 	node string
-	out  chan *peerpb.Message
+	// incarnation is that of the hello.
+	incarnation uint64
+	out         chan *peerpb.Message
 	// ctx is done once close was called, which ends both goroutines.
 	ctx   context.Context
 	close context.CancelFunc
 	// timeouts is the number of questions in a row that were not answered in time.
 	timeouts atomic.Int32
+	// outdated is set once the router is known to have restarted: what is still to be read is from before that.
+	outdated atomic.Bool
 	// sentMembersAt is when the whole membership was last sent. It is guarded by the fleet's lock.
 	sentMembersAt time.Time
 }
 
+// newLink returns a link to a router whose hello has been received. The caller must close it.
+func newLink(ctx context.Context, hello *peerpb.Member) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	return &link{node: hello.GetNode(), incarnation: hello.GetIncarnation(), out: make(chan *peerpb.Message, linkQueue), ctx: ctx, close: cancel}
+}
+
 // send queues a message, or closes the link if it is too slow.
 func (l *link) send(m *peerpb.Message) {
 	select {
@@ -78,9 +88,8 @@
 
 // serve runs a link whose hello has been received, until it ends. opened is called once it can be used.
 func (f *Fleet) serve(ctx context.Context, s stream, hello *peerpb.Member, opened func()) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	l := &link{node: hello.GetNode(), out: make(chan *peerpb.Message, linkQueue), ctx: ctx, close: cancel}
+	l := newLink(ctx, hello)
+	defer l.close()
 	if !f.addLink(l, hello) {
 		return errOwnLink
 	}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -526,6 +526,12 @@
 			continue
 		}
 		changed = true
+		for _, l := range f.links[in.GetNode()] {
+			if l.incarnation < in.GetIncarnation() {
+				l.outdated.Store(true)
+				l.close()
+			}
+		}
 		refuted = refuted || in.GetNode() == f.node
 		f.news = append(f.news, news)
 		wasAlive := before != nil && before.GetStatus() == peerpb.Status_ALIVE
--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -299,11 +299,32 @@
 		close(done)
 	}()
 	<-merged
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	l := &link{node: "node-001", out: make(chan *peerpb.Message, linkQueue), ctx: ctx, close: cancel}
-	is.True(h.fleet.addLink(l, description(6)))
+	is.True(h.fleet.addLink(newLink(t.Context(), description(6)), description(6)))
 	is.Equal(h.get(func() int { return int(h.incarnations["node-001"]) }), 6)
 	close(told)
 	<-done
 }
+
+// Guards against places that nobody gives back, and against those of one request that another one gives back: what a router
+// sent before it restarted is read after its restart is known, and its sequence numbers repeat.
+func TestMessagesFromBeforeARestartAreDropped(t *testing.T) {
+	is := is.New(t)
+	h := start(t, 0, listenAddress())
+	open := func(incarnation uint64) *link {
+		hello := &peerpb.Member{Node: "node-001", Address: "192.0.2.1:1", Incarnation: incarnation}
+		l := newLink(t.Context(), hello)
+		is.True(h.fleet.addLink(l, hello))
+		return l
+	}
+	held := func() int { return h.get(func() int { return len(h.held) }) }
+	before := open(5)
+	h.fleet.receive(before, &peerpb.Message{Reserve: &peerpb.Reserve{Sequence: 1}})
+	is.Equal(held(), 1)
+	after := open(6)
+	h.fleet.receive(after, &peerpb.Message{Reserve: &peerpb.Reserve{Sequence: 2}})
+	is.Equal(held(), 2)
+	h.fleet.receive(before, &peerpb.Message{Released: 2})
+	is.Equal(held(), 2)
+	h.fleet.receive(before, &peerpb.Message{Reserve: &peerpb.Reserve{Sequence: 3}})
+	is.Equal(held(), 2)
+}
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -318,6 +318,9 @@
 	if s := m.GetState(); s != nil {
 		f.receiveState(l, s)
 	}
+	if l.outdated.Load() {
+		return
+	}
 	if r := m.GetReserve(); r != nil {
 		f.handler.Reserve(l.node, r, func(answer *peerpb.Reserved) { l.send(&peerpb.Message{Reserved: answer}) })
 	}
