Read a request that has arrived before its deadline is noticed

Callers would see a request end with its connection, which is reset, beside a freeze of a router: the connection had waited for a request for about as long as it may (10 s after it was made at a gateway, 2 min after a response at a router).

The wait for a request ends by a read deadline. If a request arrives while the process does not run, and the deadline passes too, the process may notice the deadline first; the server then closes the connection although the request is there.

TestRequestThatArrivesBeforeADeadlineIsNoticedIsRead failed before: "i/o timeout" with data there.

After the deadline the data with which a request begins is read once, if it has arrived. A request that trickles in does not last longer.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -129,6 +130,9 @@
 		return !c.waiting
 	})
 	c.setWaiting(false)
+	if errors.Is(failure, os.ErrDeadlineExceeded) && len(p) > readAheadBytes {
+		n, err, failure = c.readArrived(p, failure)
+	}
 	if failure == nil {
 		failure = err
 	}
@@ -138,6 +142,24 @@
 	return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failure}
 }
 
+// readArrived reads after the deadline the data with which a request begins, if it has arrived. Both may have happened while
+// the process did not run, and the deadline is noticed first. Without such data, failure is that of the deadline.
+func (c *tracked) readArrived(p []byte, deadline error) (n int, err, failure error) {
+	failure = c.raw.Control(func(fd uintptr) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.reads != c.idleReads || c.retired {
+			err = deadline
+			return
+		}
+		n, err = socket.ReadNow(fd, p)
+		if n, err = c.count(len(p), n, err); errors.Is(err, syscall.EAGAIN) {
+			err = deadline
+		}
+	})
+	return n, err, failure
+}
+
 func (c *tracked) setWaiting(waiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
 // startRead starts a read and returns once it waits for data. The channel receives the number of bytes read.
@@ -363,3 +366,46 @@
 	_, err = reader.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// Guards against a request that ends with its connection because its server notices that the wait for it is over before
+// it notices the request: both have happened while the process did not run.
+func TestRequestThatArrivesBeforeADeadlineIsNoticedIsRead(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	accepted, err := inner.Accept()
+	is.NoErr(err)
+	conn := newTracked(accepted)
+	defer conn.Close()
+	buffer := make([]byte, 8)
+	for range 2 { // the first request, and one after a response
+		_, err = caller.Write([]byte("GET"))
+		is.NoErr(err)
+		for arrived := false; !arrived; time.Sleep(time.Millisecond) {
+			arrived, err = socket.Readable(conn.Conn)
+			is.NoErr(err)
+		}
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(-time.Second)))
+		n, err := conn.Read(buffer)
+		is.NoErr(err)
+		is.Equal(n, 3)
+		_, err = conn.Read(buffer)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded)) // the rest is late
+		_, err = caller.Write([]byte("slow"))
+		is.NoErr(err)
+		time.Sleep(5 * time.Millisecond)
+		_, err = conn.Read(buffer)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded)) // a request that trickles in does not last longer
+		is.NoErr(conn.SetReadDeadline(time.Time{}))
+		_, err = conn.Read(buffer)
+		is.NoErr(err)
+		conn.idle(false)
+	}
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(-time.Second)))
+	_, err = conn.Read(buffer)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
