Let responses that have begun go on when a pause shortens a stop

Callers would see a stream cut off by a planned stop although the process had time for it.

Since the grace period counts from the beginning of a pause that ended up to 300 ms before the signal was noticed, a signal that came after the pause shortened the stop for all requests.

A shorter stop now ends only requests whose response has not begun: they get an error response where the process may be killed before it can send one. To the caller of a response that has begun, being cut off early and being killed are the same, so it goes on until the whole grace period has passed. The pause must have ended no more than 100 ms before the signal is noticed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,8 +87,11 @@
 	// refusing is set when it is too late in a stop for a request that has just been read.
 	refusing atomic.Bool
 	// requests is the context of all callers' requests. endRequests cancels it with errStopped.
-	requests       context.Context
-	endRequests    context.CancelCauseFunc
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	// unanswered is the same for requests whose response has not begun.
+	unanswered     context.Context
+	endUnanswered  context.CancelCauseFunc
 	callerServer   *http.Server
 	readyServer    *http.Server
 	callerListener *callerconn.Listener
@@ -126,6 +129,7 @@
 		started:     make(chan struct{}),
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
+	g.unanswered, g.endUnanswered = context.WithCancelCause(g.requests)
 	g.crashes = newCrashDetector(g.recordCrash)
 	g.admission = newAdmissionControllers(g.registry)
 	g.configuration = feed.NewFollower(feed.Configuration, env.Source, &configurationSink{g: g}, settings.ConfigurationPollPolicy)
@@ -331,8 +335,9 @@
 
 // Stop shuts down gracefully: it fails health checks, keeps serving requests and connections that still
 // arrive, closes connections as they become idle, and returns when no request is in flight or GracePeriod is
-// nearly over. Requests that are then left get an error response, unless their response has begun. A pause of the process
-// just before counts as part of GracePeriod.
+// nearly over. Requests that are then left get an error response, unless their response has begun. If the process was paused
+// just before, GracePeriod may have begun earlier: they get it as much earlier. A response that has begun goes on all the
+// same, because its caller would see no difference.
 func (g *Gateway) Stop() {
 	begin := time.Now()
 	signalled := g.pauses.earliestSignal(begin, g.settings.GracePeriod)
@@ -341,8 +346,10 @@
 	g.log.Info("stopping", "in_flight", g.callers.Active(), "paused_ms", begin.Sub(signalled).Milliseconds())
 	g.peers.AnnounceLeave()
 	time.Sleep(min(g.settings.DrainDelay, end.Sub(begin)/2))
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.settings.GracePeriod-stopMargin))
 	defer cancel()
+	answering := time.AfterFunc(time.Until(end.Add(-stopMargin)), func() { g.endUnanswered(errStopped) })
+	defer answering.Stop()
 	refusal := time.AfterFunc(lateArrival, func() { g.refusing.Store(true) })
 	defer refusal.Stop()
 	err := callerconn.Drain(ctx, g.callerServer, g.callerListener, g.callers)
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -12,7 +12,7 @@
 	// minPause is the time without a note from which on the process counts as paused. Shorter pauses fit in stopMargin.
 	minPause = 200 * time.Millisecond
 	// noticeDelay is how long after a pause a signal may be noticed that was sent during it.
-	noticeDelay = 300 * time.Millisecond
+	noticeDelay = 100 * time.Millisecond
 	// minStopTime is what a pause leaves of the grace period.
 	minStopTime = time.Second
 )
@@ -37,9 +37,7 @@
 func (p *pauseDetector) note(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	paused := !p.ranAt.IsZero() && now.Sub(p.ranAt) >= minPause
-	// A process that is paused again at once has hardly run in between.
-	if paused && now.Sub(p.until) > noticeDelay {
+	if !p.ranAt.IsZero() && now.Sub(p.ranAt) >= minPause {
 		p.from, p.until = p.ranAt, now
 	}
 	p.ranAt = now
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,6 +59,8 @@
 	// the last event of a stream that the caller has.
 	responseStarted bool
 	lastEventID     string
+	// spare is called when the response begins. The request does not end with those that are unanswered from then on.
+	spare func() bool
 	// plainStarted is set as well if the response is not a stream of events, so that nothing can follow it.
 	plainStarted bool
 	// budget is the retry budget of the pool. retryReserved is set when the next retry was already withdrawn
@@ -101,7 +103,10 @@
 		s.rejectUnread(err)
 		return
 	}
-	ctx := r.Context()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	s.spare = context.AfterFunc(g.unanswered, func() { cancel(errStopped) })
+	defer s.spare()
 	if !s.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, s.deadline)
