Take back the limit of writes to callers

Callers would see a response cut off beside a pause of the process.

The limit was a deadline of the connection. If the process did not run when the deadline passed, the write after the pause failed at once, though the caller was ready to read: the timer did not know of the caller.

The fault that it was to repair stays: a caller that does not read its response keeps its place at an instance after its time limit. A repair has to tell a caller that does not read from a process that did not run, for example by a write that does not block after the deadline.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -116,7 +116,6 @@
 		s.reject(err)
 		return
 	}
-	defer s.limitWrites(ctx)()
 	if err := s.run(ctx); err != nil {
 		s.fail(err)
 	}
@@ -224,29 +223,6 @@
 	}
 }
 
-// unreadTime is how long after the end of a request its caller may take to read what was written.
-const unreadTime = 500 * time.Millisecond
-
-// limitWrites makes writes to the caller fail unreadTime after ctx ends, until release is called: a caller that does not read
-// would keep its place at the instance. There is no limit for a caller of HTTP/1.0, to whom a response that is cut off may
-// look complete.
-func (s *requestState) limitWrites(ctx context.Context) (release func()) {
-	if !s.request.ProtoAtLeast(1, 1) {
-		return func() {}
-	}
-	limited := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(limited)
-		// A failure means that the connection has ended. net/http removes the limit after the response.
-		_ = http.NewResponseController(s.writer).SetWriteDeadline(time.Now().Add(unreadTime))
-	})
-	return func() {
-		if !stop() {
-			<-limited
-		}
-	}
-}
-
 // headerSize returns the size of the request line and the header fields in bytes.
 func headerSize(r *http.Request) int64 {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + 10
