Read what has arrived of a body when the time of its request is over

Callers would see the connection reset, and might lose the refusal with it, if a gateway did not run while the rest of the body arrived and the time limit of the request passed.

The end of the request's context ended the read of the body at once, also when the body was there: a process that has not run may notice its timer first. Closing a connection with unread data resets it.

Reads go on for 50 ms after the end of the context.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -206,6 +206,10 @@
 	return nil
 }
 
+// arrivedTime is how long after the end of a request what has arrived of its body is read. If the process did not run, that
+// may be all of it, and closing a connection with unread data would reset it.
+const arrivedTime = 50 * time.Millisecond
+
 // interruptReads makes reads from the caller fail once ctx ends, until release is called. The connection is then closed after
 // the response.
 func (s *requestState) interruptReads(ctx context.Context) (release func()) {
@@ -213,7 +217,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		defer close(interrupted)
 		// A failure means that the connection has ended.
-		_ = http.NewResponseController(s.writer).SetReadDeadline(time.Now())
+		_ = http.NewResponseController(s.writer).SetReadDeadline(time.Now().Add(arrivedTime))
 	})
 	return func() {
 		if !stop() {
