Do not blame a request alone for crashes while it was answered

A sound request that had been interrupted by two crashes of engines was refused for at least five minutes when it came again: a stream that goes on at another engine, for example, while a prompt part crashes one after the other. In a fleet with many routers nearly each request is the only one of its router at an instance, and so was held to be alone at the crash.

Cause: the table of suspects counted all requests in flight at a crash alike, and two crashes are enough for a request that was alone. That an engine had been answering it did not count.

Change: a crash during the answer counts as one with other requests in flight, of which three are needed. A request that was not answered is refused after two as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -375,7 +375,7 @@
 
 // reportFailedConnection tells the crash detector that the connection of an attempt broke.
 func (s *requestState) reportFailedConnection(lease *pool.Lease) {
-	r := failedRequest{fingerprint: s.fingerprint}
+	r := failedRequest{fingerprint: s.fingerprint, answered: s.answered}
 	if !s.answered && len(s.parts) > 0 {
 		r.unanswered = s.sentParts
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -36,6 +36,8 @@
 // failedRequest is a request whose connection broke.
 type failedRequest struct {
 	fingerprint uint64
+	// answered is set if the backend server had begun to answer the request.
+	answered bool
 	// unanswered is set if the backend server had not begun to answer the request's prompt.
 	unanswered *poison.Attempt
 }
@@ -79,11 +81,15 @@
 // recordCrash records the crash of a backend server that had requests of this router in flight.
 func (g *Gateway) recordCrash(i pool.Instance, failed []failedRequest) {
 	g.connections.CloseIdle(connectionKey(i))
-	fingerprints := make([]uint64, 0, len(failed))
+	var fingerprints, answered []uint64
 	var attempts []*poison.Attempt
 	var unanswered []string
 	for _, r := range failed {
-		fingerprints = append(fingerprints, r.fingerprint)
+		if r.answered {
+			answered = append(answered, r.fingerprint)
+		} else {
+			fingerprints = append(fingerprints, r.fingerprint)
+		}
 		if r.unanswered == nil {
 			continue
 		}
@@ -92,13 +98,13 @@
 			unanswered = append(unanswered, formatParts(r.unanswered.Parts()))
 		}
 	}
-	known := g.suspects.RecordCrashOf(fingerprints)
+	known := g.suspects.RecordCrashWhileAnswering(fingerprints, answered)
 	if suspicions := g.poison.RecordCrash(crashID(i), attempts); len(suspicions) > 0 {
 		g.logBlocked(suspicions, i.ID)
 		g.peers.Changed()
 	}
 	g.metrics.crashes.Add(1)
-	g.log.Warn("backend server crashed", "instance", i.ID, "in_flight", len(fingerprints), "suspects", known, "unanswered_prompts", unanswered)
+	g.log.Warn("backend server crashed", "instance", i.ID, "in_flight", len(failed), "suspects", known, "unanswered_prompts", unanswered)
 }
 
 // crashID identifies the crash of one incarnation of an instance at all routers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,14 +103,7 @@
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
-	limits := suspect.DefaultSettings()
-	// Exposure sets are enforced by sidecars; 0 turns them off. Retention must not be less than ExcuseAfter; as
-	// both are equal, a crash counts against a request until its entry is dropped.
-	limits.ExposureGroup, limits.ExposureFingerprint = 0, 0
-	limits.RefuseCrowded = ambiguousCrashLimit
-	limits.Retention = suspectRetention
-	limits.ExcuseAfter = suspectRetention
-	suspects, err := suspect.NewTable("", uint64(time.Now().UnixNano()), limits)
+	suspects, err := newSuspects()
 	if err != nil {
 		return nil, err
 	}
@@ -149,6 +142,18 @@
 	return g, nil
 }
 
+// newSuspects returns the table of requests that are suspected of crashes.
+func newSuspects() (*suspect.Table, error) {
+	limits := suspect.DefaultSettings()
+	// Exposure sets are enforced by sidecars; 0 turns them off. Retention must not be less than ExcuseAfter; as
+	// both are equal, a crash counts against a request until its entry is dropped.
+	limits.ExposureGroup, limits.ExposureFingerprint = 0, 0
+	limits.RefuseCrowded = ambiguousCrashLimit
+	limits.Retention = suspectRetention
+	limits.ExcuseAfter = suspectRetention
+	return suspect.NewTable("", uint64(time.Now().UnixNano()), limits)
+}
+
 // Ready reports whether the health check passes: the router knows a configuration and an instance, and is not
 // leaving. A leaving router still serves requests.
 func (g *Gateway) Ready() bool {
--- a/suspect/direct.go
+++ b/suspect/direct.go
@@ -4,14 +4,26 @@
 // flight on it. It is for routers that send work to backend servers directly. Each router reports the same
 // crash separately, with its own requests only. The result is the number of fingerprints in the table.
 func (t *Table) RecordCrashOf(fingerprints []uint64) int {
+	return t.RecordCrashWhileAnswering(fingerprints, nil)
+}
+
+// RecordCrashWhileAnswering records the same crash for requests that the backend server was already answering as well. They
+// are not its likely cause, so that it never counts as one of theirs alone.
+func (t *Table) RecordCrashWhileAnswering(fingerprints, answered []uint64) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	t.crashSeq++
 	id := t.crashID()
-	for _, fingerprint := range fingerprints {
+	record := func(fingerprint uint64, alone bool) {
 		e := t.getOrCreate(fingerprint, now)
-		t.mergeEvidence(e, []crash{{id: id, alone: len(fingerprints) == 1}}, now, now)
+		t.mergeEvidence(e, []crash{{id: id, alone: alone}}, now, now)
+	}
+	for _, fingerprint := range fingerprints {
+		record(fingerprint, len(fingerprints)+len(answered) == 1)
+	}
+	for _, fingerprint := range answered {
+		record(fingerprint, false)
 	}
 	t.excuseExplained()
 	return len(t.entries)
