Clear a part with an answer that ends with its connection

A sound part of prompts stayed blocked, or suspected, where engines answer with neither a length nor chunks: the request that was sent to find out whether the part is sound was answered, and the part remained blocked for 40 s more, then 160 s, and up to an hour. This held for answers that are not streams and for streams of one event.

Cause: the end of such an answer may be a crash, so that it was reported to the crash detector and not as an answer. When the detector found that the backend server was still there, nobody was told.

Change: once the test connection is accepted, the answer counts as one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -375,11 +375,25 @@
 
 // reportFailedConnection tells the crash detector that the connection of an attempt broke.
 func (s *requestState) reportFailedConnection(lease *pool.Lease) {
+	s.g.crashes.connectionFailed(lease.Instance, s.failedRequest())
+}
+
+// reportUnframedEnd tells the crash detector that the connection of an attempt ended, and with it a response which is whole
+// unless the instance has crashed.
+func (s *requestState) reportUnframedEnd(lease *pool.Lease) {
+	r := s.failedRequest()
+	g, parts, id := s.g, s.parts, s.call.ID
+	r.onSurvival = func() { g.recordResponse(parts, id) }
+	g.crashes.connectionFailed(lease.Instance, r)
+}
+
+// failedRequest describes the current attempt for the crash detector.
+func (s *requestState) failedRequest() failedRequest {
 	r := failedRequest{fingerprint: s.fingerprint, answered: s.answered}
 	if !s.answered && len(s.parts) > 0 {
 		r.unanswered = s.sentParts
 	}
-	s.g.crashes.connectionFailed(lease.Instance, r)
+	return r
 }
 
 // contextError returns the error of a request whose caller disconnected, whose deadline passed or which the router does
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -40,6 +40,8 @@
 	answered bool
 	// unanswered is set if the backend server had not begun to answer the request's prompt.
 	unanswered *poison.Attempt
+	// onSurvival, if set, is called if the backend server has not crashed.
+	onSurvival func()
 }
 
 func newCrashDetector(onCrash func(pool.Instance, []failedRequest)) *crashDetector {
@@ -64,6 +66,12 @@
 	d.mu.Unlock()
 	if !reachable(i.Address) {
 		d.onCrash(i, failed)
+		return
+	}
+	for _, r := range failed {
+		if r.onSurvival != nil {
+			r.onSurvival()
+		}
 	}
 }
 
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -75,12 +75,17 @@
 		return
 	}
 	s.answered = true
-	unblocked := s.g.poison.RecordResponse(s.parts)
+	s.g.recordResponse(s.parts, s.call.ID)
+}
+
+// recordResponse records that an instance has answered a request with the given parts.
+func (g *Gateway) recordResponse(parts []uint64, id string) {
+	unblocked := g.poison.RecordResponse(parts)
 	if len(unblocked) == 0 {
 		return
 	}
-	s.g.log.Info("prompt parts unblocked", "parts", formatParts(unblocked), "id", s.call.ID)
-	s.g.peers.Changed()
+	g.log.Info("prompt parts unblocked", "parts", formatParts(unblocked), "id", id)
+	g.peers.Changed()
 }
 
 // formatParts returns the IDs of parts as in the header of requests.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -132,12 +132,15 @@
 		return s.relayUnbuffered(ctx, resp, body)
 	}
 	switch {
-	case !framed(resp.Response):
-		if len(s.parts) > 0 {
-			s.reportFailedConnection(lease)
+	case framed(resp.Response):
+		if succeeded {
+			s.recordAnswer()
 		}
+	case len(s.parts) == 0:
 	case succeeded:
-		s.recordAnswer()
+		s.reportUnframedEnd(lease)
+	default:
+		s.reportFailedConnection(lease)
 	}
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	if failed && s.retriesErrorResponse() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,6 +140,8 @@
 func (s *requestState) endAnswer(lease *pool.Lease, resp *backend.Response, events int) {
 	switch {
 	case s.answered || len(s.parts) == 0:
+	case !framed(resp.Response) && events > 0:
+		s.reportUnframedEnd(lease)
 	case !framed(resp.Response):
 		s.reportFailedConnection(lease)
 	case events > 0:
