--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -191,15 +191,6 @@
 	sending sync.Mutex
 }
 
-// dialState is the state of the attempts to reach one address.
-type dialState struct {
-	running  bool
-	failures int
-	nextAt   time.Time
-	// done is closed when the attempt in progress has succeeded or failed.
-	done chan struct{}
-}
-
 // New returns a fleet of which only this router is known. address is where it listens. advertised is the address at
 // which others reach it, and defaults to address. meter counts its traffic.
 func New(node, address, advertised string, handler Handler, meter *traffic.Meter) *Fleet {
@@ -452,63 +443,6 @@
 	return nil
 }
 
-// connect starts an attempt to reach an address unless one is in progress or the last one has failed just before. It
-// returns the state of the attempt in progress, or nil. The caller holds mu. node is the router that is expected
-// there, or "".
-func (f *Fleet) connect(node, address string, now time.Time) *dialState {
-	d := f.dials[address]
-	if d == nil {
-		d = &dialState{}
-		f.dials[address] = d
-	}
-	if d.running {
-		return d
-	}
-	if f.runCtx.Err() != nil {
-		return nil
-	}
-	if now.Before(d.nextAt) {
-		return nil
-	}
-	d.running = true
-	d.done = make(chan struct{})
-	go f.dial(f.runCtx, address, func(err error) { f.dialled(d, node, address, err) })
-	return d
-}
-
-// due reports whether an attempt to reach an address may start now. The caller holds mu.
-func (f *Fleet) due(address string, now time.Time) bool {
-	d := f.dials[address]
-	return d == nil || !d.running && !now.Before(d.nextAt)
-}
-
-// dialled records the result of an attempt to reach a router.
-func (f *Fleet) dialled(d *dialState, node, address string, err error) {
-	f.mu.Lock()
-	d.running = false
-	close(d.done)
-	if err == nil {
-		d.failures = 0
-		f.reached[address] = true
-		f.mu.Unlock()
-		return
-	}
-	d.failures++
-	d.nextAt = time.Now().Add(min(maxRedial, minRedial<<min(d.failures-1, 8)))
-	var lost *peerpb.Member
-	if node != "" && d.failures >= lostAfter && f.linkTo(node) == nil && f.runCtx.Err() == nil {
-		if lost = f.members.declareLost(node, time.Now()); lost != nil {
-			f.news = append(f.news, lost)
-		}
-	}
-	f.mu.Unlock()
-	if lost != nil {
-		f.handler.PeerStateChanged(node, false)
-		f.notifyMembers()
-		f.wakeUp()
-	}
-}
-
 // merge applies descriptions of routers and passes on what is new. refuted is set if one said that this router is lost.
 func (f *Fleet) merge(list []*peerpb.Member) (refuted bool) {
 	now := time.Now()
--- /dev/null
+++ b/gateway/plainfleet_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/kernel"
+)
+
+// simulatedLink connects the gateways of a simulated fleet in the virtual time of a test.
+type simulatedLink struct {
+	fleet map[string]*Gateway
+	node  string
+	// unanswered is the share of questions that are not answered in time.
+	unanswered float64
+	// undelivered holds an element for each message of Tell that is not handled yet.
+	undelivered chan struct{}
+	mu          sync.Mutex
+	random      *rand.Rand
+	sequence    uint64
+}
+
+func (l *simulatedLink) lost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.Float64() < l.unanswered
+}
+
+func (l *simulatedLink) NextSequence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	return l.sequence
+}
+
+func (l *simulatedLink) Reserve(ctx context.Context, node string, r *peerpb.Reserve) (*peerpb.Reserved, bool) {
+	if l.lost() {
+		time.Sleep(answerTimeout)
+		return nil, false
+	}
+	time.Sleep(linkDelay)
+	answers := make(chan *peerpb.Reserved, 1)
+	l.fleet[node].Reserve(l.node, r, func(a *peerpb.Reserved) { answers <- a })
+	select {
+	case a := <-answers:
+		time.Sleep(linkDelay)
+		return a, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+func (l *simulatedLink) Locate(context.Context, string, *peerpb.Locate) (*peerpb.Located, bool) {
+	return nil, false
+}
+
+// Tell waits while maxUndelivered messages are not handled yet.
+func (l *simulatedLink) Tell(node string, m *peerpb.Message) (sent bool) {
+	l.undelivered <- struct{}{}
+	time.AfterFunc(linkDelay, func() {
+		defer func() { <-l.undelivered }()
+		if r := m.GetReserve(); r != nil {
+			l.fleet[node].Reserve(l.node, r, nil)
+		}
+		if m.GetReleased() != 0 {
+			l.fleet[node].Release(l.node, m.GetReleased(), m.GetOutcome())
+		}
+	})
+	return true
+}
+
+// newPlainFleet returns gateways before the workers of a plain service. They do no I/O.
+func newPlainFleet(routers int, workers []pool.Instance) []*Gateway {
+	fleet := make(map[string]*Gateway)
+	var names []pool.Router
+	for n := range routers {
+		names = append(names, pool.Router{Name: fmt.Sprintf("r-%03d", n)})
+	}
+	table, err := routes.New(routes.Spec{
+		Version: 1, Pools: []*routes.Pool{{Name: "plain"}},
+		Routes: []*routes.Route{{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "plain", Weight: 1}}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	var out []*Gateway
+	for _, name := range names {
+		g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), places: newPlaces(), metrics: newMetrics(kernel.NewCounters())}
+		g.keepers = &simulatedLink{
+			fleet: fleet, node: name.Name, random: rand.New(rand.NewPCG(61, uint64(len(out)))), undelivered: make(chan struct{}, maxUndelivered),
+		}
+		g.reservations = newReservations(g.registry, g.keepers, g.places)
+		g.admission = newAdmissionControllers(g.registry)
+		g.admission.configure(table)
+		g.table.Store(table)
+		for _, w := range workers {
+			g.registry.ApplyEntry(w)
+		}
+		g.registry.SetFleet(name.Name, names)
+		fleet[name.Name] = g
+		out = append(out, g)
+	}
+	return out
+}
+
+// shareLoads tells all gateways the load of the fleet, as the tree does.
+func shareLoads(fleet []*Gateway) {
+	total := make(map[uint32]pool.PoolLoad)
+	for _, g := range fleet {
+		for hash, load := range g.registry.LocalLoad() {
+			total[hash] = pool.PoolLoad{Requests: total[hash].Requests + load.Requests}
+		}
+	}
+	for _, g := range fleet {
+		g.registry.SetFleetLoad(total)
+	}
+}
