--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -184,7 +184,7 @@
 	}
 	s.writer.WriteHeader(resp.StatusCode)
 	s.responseStarted, s.plainStarted = true, true
-	s.spare()
+	s.leaveUnanswered()
 	rest := int64(maxResponseBytes - begin.Len())
 	_, err := s.writer.Write(begin.Bytes())
 	begin.Close()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,8 +59,8 @@
 	// the last event of a stream that the caller has.
 	responseStarted bool
 	lastEventID     string
-	// spare is called when the response begins. The request does not end with those that are unanswered from then on.
-	spare func() bool
+	// leaveUnanswered is called when the response begins: the request no longer ends with those that are unanswered.
+	leaveUnanswered func() bool
 	// plainStarted is set as well if the response is not a stream of events, so that nothing can follow it.
 	plainStarted bool
 	// budget is the retry budget of the pool. retryReserved is set when the next retry was already withdrawn
@@ -105,8 +105,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	s.spare = context.AfterFunc(g.unanswered, func() { cancel(errStopped) })
-	defer s.spare()
+	s.leaveUnanswered = context.AfterFunc(g.unanswered, func() { cancel(errStopped) })
+	defer s.leaveUnanswered()
 	if !s.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, s.deadline)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -129,7 +129,7 @@
 		return
 	}
 	s.responseStarted = true
-	s.spare()
+	s.leaveUnanswered()
 	s.copyHeader(resp.Response)
 	s.writer.WriteHeader(resp.StatusCode)
 	s.g.metrics.firstByte.observe(time.Since(s.start))
