Wait for the dial attempt that a request has found

What callers see: a request that waits for a link to a keeper may wait for a later attempt to reach it, up to 40 ms, although the one that it found has ended. Under the race detector tests fail: one of 40 runs of the tests of keepers in platform, 20 at a time.

Cause: awaitLink read the channel of the attempt without the lock under which the next attempt replaces it.

Evidence: TestWaitForALinkBelongsToOneAttempt failed in 5 of 5 runs with the race detector before ("DATA RACE", awaitLink and connect) and passes in 8 of 8.

Change: the channel is read under the lock.

--- a/gateway/peer/peer_test.go
+++ b/gateway/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -328,3 +329,32 @@
 	h.fleet.receive(before, &peerpb.Message{Reserve: &peerpb.Reserve{Sequence: 3}})
 	is.Equal(held(), 2)
 }
+
+// Guards against a wait for a link that reads the channel of a dial attempt while the next attempt replaces it: the request
+// then waits for the wrong attempt.
+func TestWaitForALinkBelongsToOneAttempt(t *testing.T) {
+	const requests, attempts = 16, 1500
+	address := listenAddress() // nothing listens there
+	h := start(t, 0, listenAddress())
+	h.fleet.merge([]*peerpb.Member{{Node: "node-001", Address: address, Incarnation: 5}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var waiting sync.WaitGroup
+	for range requests {
+		waiting.Go(func() {
+			for ctx.Err() == nil {
+				h.fleet.awaitLink(ctx, "node-001", nil)
+			}
+		})
+	}
+	for range attempts {
+		h.fleet.mu.Lock()
+		if d := h.fleet.dials[address]; d != nil {
+			d.nextAt = time.Time{}
+		}
+		h.fleet.mu.Unlock()
+		h.fleet.Tell("node-001", &peerpb.Message{})
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	waiting.Wait()
+}
--- a/gateway/peer/reserve.go
+++ b/gateway/peer/reserve.go
@@ -84,12 +84,14 @@
 		return l
 	}
 	d := f.connect(node, m.GetAddress(), now)
-	f.mu.Unlock()
 	if d == nil {
+		f.mu.Unlock()
 		return nil
 	}
+	done := d.done
+	f.mu.Unlock()
 	select {
-	case <-d.done:
+	case <-done:
 	case <-ctx.Done():
 		return nil
 	case <-timeout:
