Read a counter under its lock when a test of package peer gives up

What was seen: in 10 of 24 logs of the tests of gateway/peer, run at once under the race detector on an overloaded machine, a data race of describe, which prints what each router knows when a condition is not met in time. It fails all tests that run at that moment, so that one test that gave up counted as up to eleven.

--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -237,7 +237,7 @@
 	for address, d := range f.dials {
 		out += fmt.Sprintf(" %s[running %v, failures %d, next in %v]", address, d.running, d.failures, time.Until(d.nextAt).Round(time.Millisecond))
 	}
-	return out + fmt.Sprintf("; news %d, informed %v, digest %x, total %d", len(f.news), f.informed, f.members.digest(), h.total)
+	return out + fmt.Sprintf("; news %d, informed %v, digest %x, total %d", len(f.news), f.informed, f.members.digest(), h.get(func() int { return int(h.total) }))
 }
 
 func everywhere(all []*fakeHandler, condition func(h *fakeHandler) bool) bool {
