--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -41,6 +42,8 @@
 	Trouble  bool
 	Store    *standin.Store
 	Gateways []*Gateway
+	// Descriptors is the limit of each gateway that is started from then on, 0 for that of the script.
+	Descriptors int
 
 	folder  string
 	started time.Time
@@ -191,6 +194,9 @@
 	}
 	defer func() { _ = output.Close() }()
 	g.cmd = exec.Command(program)
+	if s.Descriptors > 0 {
+		g.cmd = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec %s", s.Descriptors, program))
+	}
 	g.cmd.Env = append(os.Environ(), "JACINTHFORK_SETTINGS="+file)
 	g.cmd.Stdout, g.cmd.Stderr = output, output
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -207,18 +213,26 @@
 
 func (g *Gateway) awaitReady() error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
-		resp, err := http.Get("http://" + g.ready + "/api/readyz")
-		if err != nil {
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		if g.Ready() {
 			return nil
 		}
 	}
 	return fmt.Errorf("%s is not ready", g.Name)
 }
 
+// Ready asks the gateway whether it is ready, on a connection that is kept.
+func (g *Gateway) Ready() bool {
+	resp, err := readiness.Get("http://" + g.ready + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+var readiness = &http.Client{Timeout: time.Second}
+
 // Ended reports whether the gateway's process has ended.
 func (g *Gateway) Ended() bool {
 	select {
