--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -242,3 +242,6 @@
 
 // Signal sends a signal to the gateway's process.
 func (g *Gateway) Signal(signal syscall.Signal) { _ = g.cmd.Process.Signal(signal) }
+
+// Metrics returns the address of the gateway's counters.
+func (g *Gateway) Metrics() string { return g.metrics }
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -22,12 +22,17 @@
 // slots is the number of requests that a worker runs at once.
 const slots = 6
 
+// queueTime is how long a request may wait at a worker.
+const queueTime = 3 * time.Second
+
 // Worker is a worker of the plain service, with its entry in the store. Each of its starts is a lifetime with an ID of its
 // own at the same address.
 type Worker struct {
 	script  *Script
 	slot    int
 	address string
+	// Reached, if set, is called when a request reaches the worker, before it waits for its turn.
+	Reached func(id string)
 	// run answers the request of a consumer that the worker has begun to run.
 	run    func(w *Worker, out http.ResponseWriter, r *http.Request)
 	places chan struct{}
@@ -39,6 +44,8 @@
 	sequence int
 	server   *http.Server
 	conns    map[net.Conn]bool
+	// left is set once the entry was removed for good.
+	left bool
 }
 
 // StartWorkers starts workers and publishes their entries.
@@ -93,7 +100,7 @@
 func (w *Worker) publish() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.server == nil {
+	if w.server == nil || w.left {
 		return
 	}
 	w.sequence++
@@ -130,6 +137,20 @@
 	time.AfterFunc(back, w.start)
 }
 
+// Leave removes the entry of the worker, which has not reported draining. The worker goes on serving for a time, and then ends.
+func (w *Worker) Leave(end time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = true
+	w.script.Store.Put("keyed.servers", w.id, nil)
+	w.script.Note("the removal of the entry of worker %s is confirmed", w.id)
+	server := w.server
+	time.AfterFunc(end, func() {
+		w.script.Note("worker %s ends", w.ID())
+		_ = server.Close()
+	})
+}
+
 // serve answers a request as PROTOCOL.md says.
 func (w *Worker) serve(out http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
@@ -138,9 +159,12 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.Reached != nil {
+		w.Reached(id)
+	}
 	select {
 	case w.places <- struct{}{}:
-	case <-time.After(time.Second):
+	case <-time.After(queueTime):
 		out.Header().Set("X-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
