--- a/review/removed/main.go
+++ b/review/removed/main.go
@@ -23,7 +23,7 @@
 	duration  = 30 * time.Second
 	// drain is drain-ms, linger how long the worker goes on after its entry was removed.
 	drain  = 2 * time.Second
-	linger = 8 * time.Second
+	linger = 4 * time.Second
 )
 
 func main() {
@@ -33,7 +33,7 @@
 	var leftAt time.Time
 	late := 0
 	run := func(w *harness.Worker, out http.ResponseWriter, r *http.Request) { w.Answer(r.Context(), out, runTime) }
-	s.Configure(1, harness.Route{Prefix: "/report/", Mode: "idempotent", Attempts: 1, Objective: objective, Timeout: deadline})
+	s.Configure(1, harness.Route{Prefix: "/print/", Mode: "non_idempotent", Attempts: 1, Objective: objective, Timeout: deadline})
 	all := s.StartWorkers(workers, run)
 	for _, w := range all {
 		w.Reached = func(id string) {
@@ -59,21 +59,24 @@
 		})
 	}
 	var running sync.WaitGroup
-	served, sent := 0, 0
+	served, sent, lost := 0, 0, 0
 	for ; time.Since(begin) < duration; sent++ {
 		n := sent
 		running.Go(func() {
-			resp := consumer.Send(s.Gateways[n%gateways], fmt.Sprintf("report-%d", n), http.MethodGet, fmt.Sprintf("/report/%d", n), "")
-			if resp.Status == http.StatusOK && strings.HasPrefix(resp.Body, "answered") {
-				mu.Lock()
+			resp := consumer.Send(s.Gateways[n%gateways], fmt.Sprintf("print-%d", n), http.MethodPost, fmt.Sprintf("/print/%d", n), "{}")
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case resp.Status == http.StatusOK && strings.HasPrefix(resp.Body, "answered"):
 				served++
-				mu.Unlock()
+			case resp.Status == http.StatusBadGateway:
+				lost++
 			}
 		})
 		time.Sleep(pause)
 	}
 	running.Wait()
-	s.Note("%d of %d requests were served", served, sent)
+	s.Note("%d of %d requests were served, %d ended with 502", served, sent, lost)
 	if 4*served < sent {
 		s.Fail(fmt.Errorf("%d of %d requests were served", served, sent))
 	}
