--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,12 @@
 // program is what the deploy file starts, seen from the root of the repository.
 const program = "target/jacinthfork-gateway"
 
+// MemoryMB is memory-mb in the settings, and MaxBodyBytes max-body-bytes in the configuration.
+const (
+	MemoryMB     = 284
+	MaxBodyBytes = 4 << 20
+)
+
 // startTimeout bounds the start of a gateway, and pollInterval is the time between two questions whether it is ready.
 const (
 	startTimeout = 15 * time.Second
@@ -179,7 +186,7 @@
 		"zone": "zone-a", "region": "region-a", "zones": map[string]string{"zone-a": "region-a"},
 		"listen":     map[string]string{"front": g.Caller, "ready": g.ready, "control": g.Control},
 		"port-range": []int{firstPort, firstPort}, "seeds": g.seeds, "bootstrap": true,
-		"limits": map[string]any{"cpu-share": 0.304, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
+		"limits": map[string]any{"cpu-share": 0.304, "cores": 1, "memory-mb": MemoryMB, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
 		"bounds": map[string]any{
 			"stable-ms": 3000, "drain-ms": 2000, "grace-s": 8, "config-ms": 2000, "retry-ratio": 0.2, "retry-window-s": 10,
 			"retry-slack": 54, "recover-s": 12, "cap-x": 2,
@@ -243,5 +250,28 @@
 // Signal sends a signal to the gateway's process.
 func (g *Gateway) Signal(signal syscall.Signal) { _ = g.cmd.Process.Signal(signal) }
 
-// Metrics returns the address of the gateway's counters.
-func (g *Gateway) Metrics() string { return g.metrics }
+// Restart starts a gateway whose process has ended, with the settings that it had.
+func (s *Script) Restart(g *Gateway) error {
+	<-g.ended
+	return s.launch(g)
+}
+
+// MemoryMB returns the memory that the gateway's process takes, 0 if it does not run.
+func (g *Gateway) MemoryMB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) < 2 || fields[0] != "VmRSS:" {
+			continue
+		}
+		kilobytes, err := strconv.Atoi(fields[1])
+		if err != nil {
+			return 0
+		}
+		return kilobytes / 1024
+	}
+	return 0
+}
--- a/review/harness/service.go
+++ b/review/harness/service.go
@@ -29,7 +29,7 @@
 	s.Store.PutJSON("keyed.op", "config", map[string]any{
 		"version": version, "routes": list,
 		"backends": []any{map[string]any{"name": Service, "health-path": "/healthz", "max-conns": 100}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": MaxBodyBytes, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants":  []any{map[string]any{"name": "org-1", "api-keys": []string{standin.Key}}},
 	})
 	s.Note("configuration %d confirmed", version)
