--- a/review/uploads/main.go
+++ b/review/uploads/main.go
@@ -24,7 +24,7 @@
 	// runTime is how long a request runs once its body has arrived.
 	runTime = 1500 * time.Millisecond
 	// consumers is the number of consumers of each gateway.
-	consumers = 28
+	consumers = 40
 	// The second gateway is killed at killAt, for downTime.
 	killAt   = 12 * time.Second
 	downTime = 3500 * time.Millisecond
