--- a/review/removed/main.go
+++ b/review/removed/main.go
@@ -13,12 +13,12 @@
 
 const (
 	gateways = 1
-	workers  = 3
+	workers  = 8
 	// runTime is how long a request runs. A worker runs six at once.
 	runTime   = 1500 * time.Millisecond
 	objective = 8 * time.Second
 	deadline  = 15 * time.Second
-	pause     = 45 * time.Millisecond
+	pause     = 17 * time.Millisecond
 	warmUp    = 15 * time.Second
 	duration  = 30 * time.Second
 	// drain is drain-ms, linger how long the worker goes on after its entry was removed.
