Log what tells apart the causes of crash evidence

The log lines of a crash named neither the crash nor the requests that were in flight, so they could not tell whether a request was seen at one gateway or at several, whether two lines are the same crash, and whether a broken connection was reported to the crash detector at all.

`backend server crashed` has the ID of the crash, which is the same at all gateways, and the requests in flight with their fingerprints; `attempt failed` and `request failed` have the fingerprint, the former also whether the crash detector was told.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -142,7 +142,7 @@
 	s.g.log.InfoContext(failedContext, "request failed", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
 		"organisation", s.organisation, "status", code, "reason", string(err.Reason), "verdict", err.Verdict.String(),
 		"detail", err.Detail, "attempts", len(s.triedInstances), "tried", s.triedInstances, "last_event", s.lastEventID,
-		"retry_after_ms", err.RetryAfter.Milliseconds(), "waited_ms", s.admissionWait.Milliseconds(),
+		"fingerprint", formatFingerprint(s.fingerprint), "retry_after_ms", err.RetryAfter.Milliseconds(), "waited_ms", s.admissionWait.Milliseconds(),
 		"took_ms", time.Since(s.start).Milliseconds(), "limit_ms", s.timeLimit.Milliseconds(), "limited_by", s.limitedBy,
 		"config", s.configVersion())
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,7 +77,7 @@
 		}
 		s.g.log.InfoContext(failedContext, "attempt failed", "id", s.call.ID, "instance", lease.Instance.ID, "attempt", attempt,
 			"reason", string(failure.Reason), "verdict", failure.Verdict.String(), "detail", failure.Detail,
-			"took_ms", time.Since(begin).Milliseconds())
+			"fingerprint", formatFingerprint(s.fingerprint), "crash_suspected", s.crashSuspected, "took_ms", time.Since(begin).Milliseconds())
 		last = err
 		if s.offer != nil {
 			// The next attempt has been sent already, and paid for.
@@ -260,7 +260,7 @@
 // recordSending records that the request is about to be sent.
 func (s *requestState) recordSending() {
 	s.attemptsSent++
-	s.answered = false
+	s.answered, s.crashSuspected = false, false
 	s.sentParts = s.g.poison.Begin(s.parts)
 }
 
@@ -375,6 +375,7 @@
 
 // reportFailedConnection tells the crash detector that the connection of an attempt broke.
 func (s *requestState) reportFailedConnection(lease *pool.Lease) {
+	s.crashSuspected = true
 	s.g.crashes.connectionFailed(lease.Instance, s.failedRequest())
 }
 
@@ -389,7 +390,7 @@
 
 // failedRequest describes the current attempt for the crash detector.
 func (s *requestState) failedRequest() failedRequest {
-	r := failedRequest{fingerprint: s.fingerprint, answered: s.answered}
+	r := failedRequest{id: s.call.ID, fingerprint: s.fingerprint, answered: s.answered}
 	if !s.answered && len(s.parts) > 0 {
 		r.unanswered = s.sentParts
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,6 +36,7 @@
 
 // failedRequest is a request whose connection broke.
 type failedRequest struct {
+	id          string
 	fingerprint uint64
 	// answered is set if the backend server had begun to answer the request.
 	answered bool
@@ -91,8 +93,11 @@
 	g.connections.CloseIdle(connectionKey(i))
 	var fingerprints, answered []uint64
 	var attempts []*poison.Attempt
-	var unanswered []string
+	var unanswered, requests []string
 	for _, r := range failed {
+		if len(requests) < maxLoggedRequests {
+			requests = append(requests, r.describe())
+		}
 		if r.answered {
 			answered = append(answered, r.fingerprint)
 		} else {
@@ -112,14 +117,30 @@
 		g.peers.Changed()
 	}
 	g.metrics.crashes.Add(1)
-	g.log.Warn("backend server crashed", "instance", i.ID, "in_flight", len(failed), "suspects", known, "unanswered_prompts", unanswered)
+	g.log.Warn("backend server crashed", "instance", i.ID, "crash", strconv.FormatUint(uint64(crashID(i)), 16), "in_flight", len(failed),
+		"requests", requests, "suspects", known, "unanswered_prompts", unanswered)
+}
+
+// describe returns the ID and the fingerprint of a request for a log line, and whether it was being answered.
+func (r failedRequest) describe() string {
+	text := r.id + " " + formatFingerprint(r.fingerprint)
+	if r.answered {
+		text += " answered"
+	}
+	return text
 }
 
+// formatFingerprint returns a fingerprint as in log lines.
+func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // crashID identifies the crash of one incarnation of an instance at all routers.
 func crashID(i pool.Instance) uint32 { return uint32(xxhash.Sum64String(connectionKey(i))) }
 
-// maxLoggedPrompts bounds the prompts in one log line.
-const maxLoggedPrompts = 8
+// maxLoggedRequests and maxLoggedPrompts bound the requests and the prompts in one log line.
+const (
+	maxLoggedRequests = 16
+	maxLoggedPrompts  = 8
+)
 
 // probeUnreachable makes the test connections that are due, in the background: to instances that this router keeps and
 // that could not be reached.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,8 @@
 	offer *offer
 	// answered is set once the current attempt is known to have been answered without a crash.
 	answered bool
+	// crashSuspected is set if the crash detector was told of the current attempt.
+	crashSuspected bool
 	// parts are the parts of the prompt that other requests may share, which are all but the last. sentParts is what was
 	// known of them when the current attempt was sent.
 	parts     []uint64
