Tell the crash detector of each broken connection

What callers saw: a request that crashes the workers of a plain service as soon as they begin it was never refused.

Cause: a failure within 20 ms of sending on a connection that was used before is taken for a stale connection. It was told to the crash detector only if the request had prompt parts that others may share. Requests to plain services have none, nor has a prompt of one part.

Why this works: the detector tells a crash from a stale connection by itself. It makes a test connection 150 ms later, and a server that resets an idle connection accepts it. How the attempt counts for the health of the instance and for retries is as before.

TestRequestThatCrashesWorkersAtOnceIsRefused failed before in 4 of its 5 cases (plain lookup, plain order, prompt of one part, engine without prompt): 8 of 8 repeats reached workers. TestResetOfIdleConnectionsIsNoCrash passes before and after: it guards the other side.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -362,14 +362,11 @@
 	}
 	// The other idle connections to this instance have probably been dropped too.
 	s.g.connections.CloseIdle(connectionKey(lease.Instance))
+	// The request may have crashed the instance as soon as it arrived, which also looks like a stale connection.
+	s.reportFailedConnection(lease)
 	if stale {
-		if len(s.parts) > 0 {
-			// An engine that has the prompt cached crashes just as soon.
-			s.reportFailedConnection(lease)
-		}
 		return pool.Abandoned, verdict.Wrap(verdict.Unknown, verdict.ReasonConnectionBroken, err)
 	}
-	s.reportFailedConnection(lease)
 	return pool.Broken, verdict.Wrap(verdict.Unknown, verdict.ReasonConnectionBroken, err)
 }
 
