--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -19,7 +19,6 @@
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -118,7 +117,7 @@
 	g := newPlainFleet(1, []pool.Instance{{ID: "w-0", Pool: "plain", Address: listener.Addr().String(), Slots: 1, StartedAt: 1, Sequence: 1}})[0]
 	g.connections = backend.NewPool()
 	g.env.Protocol = plainProtocol{}
-	g.crashes = newCrashDetector(func(pool.Instance, []failedRequest) {})
+	g.crashes = newCrashDetector(func(pool.Instance, time.Time, []failedRequest) {})
 	g.poison = poison.NewTable()
 	s := newWaitingRequest(g)
 	s.route, s.request = &routes.Route{}, httptest.NewRequest(http.MethodPost, "/", nil)
@@ -331,9 +330,7 @@
 	route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "llm", Weight: 1}}}
 	table, err := routes.New(routes.Spec{Version: 1, Pools: []*routes.Pool{{Name: "llm", Engine: &routes.Engine{}}}, Routes: []*routes.Route{route}})
 	is.NoErr(err)
-	suspects, err := suspect.NewTable("", 1, suspect.DefaultSettings())
-	is.NoErr(err)
-	g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), suspects: suspects, poison: poison.NewTable()}
+	g := &Gateway{registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), poison: poison.NewTable()}
 	g.admission = newAdmissionControllers(g.registry)
 	g.admission.configure(table)
 	g.registry.ApplyEntry(pool.Instance{ID: "e-0", Pool: "llm", Slots: 1, StartedAt: 1, Sequence: 1})
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -142,7 +142,7 @@
 	s.g.log.InfoContext(failedContext, "request failed", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
 		"organisation", s.organisation, "status", code, "reason", string(err.Reason), "verdict", err.Verdict.String(),
 		"detail", err.Detail, "attempts", len(s.triedInstances), "tried", s.triedInstances, "last_event", s.lastEventID,
-		"fingerprint", formatFingerprint(s.fingerprint), "retry_after_ms", err.RetryAfter.Milliseconds(), "waited_ms", s.admissionWait.Milliseconds(),
+		"fingerprint", formatID(s.fingerprint), "retry_after_ms", err.RetryAfter.Milliseconds(), "waited_ms", s.admissionWait.Milliseconds(),
 		"took_ms", time.Since(s.start).Milliseconds(), "limit_ms", s.timeLimit.Milliseconds(), "limited_by", s.limitedBy,
 		"config", s.configVersion())
 }
@@ -152,7 +152,6 @@
 	took := time.Since(s.start)
 	s.g.metrics.responseTime.observe(took)
 	s.g.metrics.requests.Add(s.pool, 1)
-	s.g.suspects.RecordCompletion(s.fingerprint)
 	s.g.log.InfoContext(servedContext, "request served", "id", s.call.ID, "route", s.routeName(), "pool", s.pool,
 		"organisation", s.organisation, "instance", lease.Instance.ID, "attempt", attempt, "cached", lease.CachedTokens, "fetched_from", lease.FetchFrom,
 		"load", math.Round(10*lease.Load)/10, "mean", math.Round(10*lease.Mean)/10,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,7 +48,7 @@
 	var last error
 	for s.offer != nil || s.withinLimits() {
 		if s.offer == nil {
-			if err := s.checkParts(); err != nil {
+			if err := s.checkSuspects(); err != nil {
 				return err
 			}
 		}
@@ -77,7 +77,7 @@
 		}
 		s.g.log.InfoContext(failedContext, "attempt failed", "id", s.call.ID, "instance", lease.Instance.ID, "attempt", attempt,
 			"reason", string(failure.Reason), "verdict", failure.Verdict.String(), "detail", failure.Detail,
-			"fingerprint", formatFingerprint(s.fingerprint), "crash_suspected", s.crashSuspected, "took_ms", time.Since(begin).Milliseconds())
+			"fingerprint", formatID(s.fingerprint), "crash_suspected", s.crashSuspected, "took_ms", time.Since(begin).Milliseconds())
 		last = err
 		if s.offer != nil {
 			// The next attempt has been sent already, and paid for.
@@ -183,7 +183,7 @@
 	if o := s.offer; o != nil {
 		s.offer = nil
 		defer o.cancel()
-		s.answered, s.sentParts = false, o.sentParts
+		s.answered, s.sent = false, o.sentAttempt
 		return s.goOn(ctx, o)
 	}
 	conn, outcome, err := s.connect(ctx, lease)
@@ -249,8 +249,8 @@
 		s.retryReserved = true
 		return nil, pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the instance takes no more requests")
 	}
-	// A part may have been blocked while the request waited for its place.
-	if err := s.checkParts(); err != nil {
+	// The request may have been blocked while it waited for its place.
+	if err := s.checkSuspects(); err != nil {
 		_ = conn.Close()
 		return nil, pool.Abandoned, err
 	}
@@ -261,7 +261,7 @@
 func (s *requestState) recordSending() {
 	s.attemptsSent++
 	s.answered, s.crashSuspected = false, false
-	s.sentParts = s.g.poison.Begin(s.parts)
+	s.sent = s.g.poison.Begin(s.content())
 }
 
 // exchangeResult is what came of sending a request on a connection.
@@ -378,20 +378,23 @@
 
 // reportUnframedEnd tells the crash detector that the connection of an attempt ended, and with it a response which is whole
 // unless the instance has crashed.
-func (s *requestState) reportUnframedEnd(lease *pool.Lease) {
+func (s *requestState) reportUnframedEnd(lease *pool.Lease, status int) {
 	r := s.failedRequest()
-	g, parts, id := s.g, s.parts, s.call.ID
-	r.onSurvival = func() { g.recordResponse(parts, id) }
+	g, content, id := s.g, s.content(), s.call.ID
+	r.onSurvival = func() {
+		if answersPrompt(status) {
+			g.recordAnswer(content, id)
+		}
+		if answersRequest(status) {
+			g.recordCompletion(content, id)
+		}
+	}
 	g.crashes.connectionFailed(lease.Instance, r)
 }
 
 // failedRequest describes the current attempt for the crash detector.
 func (s *requestState) failedRequest() failedRequest {
-	r := failedRequest{id: s.call.ID, fingerprint: s.fingerprint, answered: s.answered}
-	if !s.answered && len(s.parts) > 0 {
-		r.unanswered = s.sentParts
-	}
-	return r
+	return failedRequest{id: s.call.ID, fingerprint: s.fingerprint, answered: s.answered, attempt: s.sent}
 }
 
 // contextError returns the error of a request whose caller disconnected, whose deadline passed or which the router does
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -14,12 +13,6 @@
 )
 
 const (
-	// ambiguousCrashLimit is the number of crashes after which a request is refused even though other
-	// requests were in flight at each crash. Two such crashes can be a coincidence when many backend servers
-	// restart.
-	ambiguousCrashLimit = 3
-	// suspectRetention is how long a crash counts against a request. Each further arrival of the request renews it.
-	suspectRetention = 5 * time.Minute
 	// crashWindow is the time within which broken connections to an instance are attributed to one crash.
 	crashWindow = 150 * time.Millisecond
 	// probeTimeout bounds a test connection. Links between failure domains take a few milliseconds.
@@ -29,9 +22,17 @@
 // crashDetector tells crashes of backend servers from broken connections: a crashed backend server accepts no
 // new connection right afterwards. It collects the requests whose connections broke.
 type crashDetector struct {
-	onCrash        func(i pool.Instance, failed []failedRequest)
-	mu             sync.Mutex
-	failedRequests map[string][]failedRequest
+	// onCrash is called with the crashed instance, the time at which the first connection to it broke, and the requests
+	// whose connections broke.
+	onCrash func(i pool.Instance, at time.Time, failed []failedRequest)
+	mu      sync.Mutex
+	reports map[string]*crashReport
+}
+
+// crashReport collects the broken connections to one instance until the test connection is made.
+type crashReport struct {
+	at     time.Time
+	failed []failedRequest
 }
 
 // failedRequest is a request whose connection broke.
@@ -40,37 +41,38 @@
 	fingerprint uint64
 	// answered is set if the backend server had begun to answer the request.
 	answered bool
-	// unanswered is set if the backend server had not begun to answer the request's prompt.
-	unanswered *poison.Attempt
+	attempt  *poison.Attempt
 	// onSurvival, if set, is called if the backend server has not crashed.
 	onSurvival func()
 }
 
-func newCrashDetector(onCrash func(pool.Instance, []failedRequest)) *crashDetector {
-	return &crashDetector{onCrash: onCrash, failedRequests: make(map[string][]failedRequest)}
+func newCrashDetector(onCrash func(i pool.Instance, at time.Time, failed []failedRequest)) *crashDetector {
+	return &crashDetector{onCrash: onCrash, reports: make(map[string]*crashReport)}
 }
 
 // connectionFailed records a request whose connection broke before its response was complete.
 func (d *crashDetector) connectionFailed(i pool.Instance, r failedRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	first := len(d.failedRequests[i.ID]) == 0
-	d.failedRequests[i.ID] = append(d.failedRequests[i.ID], r)
-	if first {
+	report := d.reports[i.ID]
+	if report == nil {
+		report = &crashReport{at: time.Now()}
+		d.reports[i.ID] = report
 		time.AfterFunc(crashWindow, func() { d.probe(i) })
 	}
+	report.failed = append(report.failed, r)
 }
 
 func (d *crashDetector) probe(i pool.Instance) {
 	d.mu.Lock()
-	failed := d.failedRequests[i.ID]
-	delete(d.failedRequests, i.ID)
+	report := d.reports[i.ID]
+	delete(d.reports, i.ID)
 	d.mu.Unlock()
 	if !reachable(i.Address) {
-		d.onCrash(i, failed)
+		d.onCrash(i, report.at, report.failed)
 		return
 	}
-	for _, r := range failed {
+	for _, r := range report.failed {
 		if r.onSurvival != nil {
 			r.onSurvival()
 		}
@@ -89,50 +91,38 @@
 }
 
 // recordCrash records the crash of a backend server that had requests of this router in flight.
-func (g *Gateway) recordCrash(i pool.Instance, failed []failedRequest) {
+func (g *Gateway) recordCrash(i pool.Instance, at time.Time, failed []failedRequest) {
 	g.connections.CloseIdle(connectionKey(i))
-	var fingerprints, answered []uint64
-	var attempts []*poison.Attempt
+	attempts := make([]*poison.Attempt, 0, len(failed))
 	var unanswered, requests []string
 	for _, r := range failed {
 		if len(requests) < maxLoggedRequests {
 			requests = append(requests, r.describe())
 		}
 		if r.answered {
-			answered = append(answered, r.fingerprint)
-		} else {
-			fingerprints = append(fingerprints, r.fingerprint)
-		}
-		if r.unanswered == nil {
+			attempts = append(attempts, r.attempt.Begun())
 			continue
 		}
-		attempts = append(attempts, r.unanswered)
-		if len(unanswered) < maxLoggedPrompts {
-			unanswered = append(unanswered, formatParts(r.unanswered.Parts()))
+		attempts = append(attempts, r.attempt)
+		if parts := r.attempt.Parts(); len(parts) > 0 && len(unanswered) < maxLoggedPrompts {
+			unanswered = append(unanswered, formatParts(parts))
 		}
 	}
-	known := g.suspects.RecordCrashWhileAnswering(fingerprints, answered)
-	if suspicions := g.poison.RecordCrash(crashID(i), attempts); len(suspicions) > 0 {
-		g.logBlocked(suspicions, i.ID)
-		g.peers.Changed()
-	}
+	g.logBlocked(g.poison.RecordCrash(crashID(i), at, attempts), i.ID)
 	g.metrics.crashes.Add(1)
-	g.log.Warn("backend server crashed", "instance", i.ID, "crash", strconv.FormatUint(uint64(crashID(i)), 16), "in_flight", len(failed),
-		"requests", requests, "suspects", known, "unanswered_prompts", unanswered)
+	g.log.Warn("backend server crashed", "instance", i.ID, "crash", formatID(uint64(crashID(i))), "in_flight", len(failed),
+		"requests", requests, "suspects", g.poison.Counts().Suspects, "unanswered_prompts", unanswered)
 }
 
 // describe returns the ID and the fingerprint of a request for a log line, and whether it was being answered.
 func (r failedRequest) describe() string {
-	text := r.id + " " + formatFingerprint(r.fingerprint)
+	text := r.id + " " + formatID(r.fingerprint)
 	if r.answered {
 		text += " answered"
 	}
 	return text
 }
 
-// formatFingerprint returns a fingerprint as in log lines.
-func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
-
 // crashID identifies the crash of one incarnation of an instance at all routers.
 func crashID(i pool.Instance) uint32 { return uint32(xxhash.Sum64String(connectionKey(i))) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,6 @@
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/callerconn"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/traffic"
 )
 
@@ -64,7 +63,6 @@
 	registry      *pool.Registry
 	connections   *backend.Pool
 	buffers       *buffer.Budget
-	suspects      *suspect.Table
 	poison        *poison.Table
 	crashes       *crashDetector
 	admission     *admissionControllers
@@ -103,10 +101,6 @@
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
-	suspects, err := newSuspects()
-	if err != nil {
-		return nil, err
-	}
 	g := &Gateway{
 		settings:    settings,
 		env:         env,
@@ -114,7 +108,6 @@
 		registry:    pool.NewRegistry(settings.Pool, settings.FailureDomain),
 		connections: backend.NewPool(),
 		buffers:     buffer.NewBudget(totalBufferBytes),
-		suspects:    suspects,
 		poison:      poison.NewTable(),
 		budgets:     newRetryBudgets(settings),
 		callers:     callerconn.NewTracker(),
@@ -123,7 +116,10 @@
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.unanswered, g.endUnanswered = context.WithCancelCause(g.requests)
-	g.crashes = newCrashDetector(g.recordCrash)
+	g.crashes = newCrashDetector(func(i pool.Instance, at time.Time, failed []failedRequest) {
+		g.recordCrash(i, at, failed)
+		g.peers.Changed()
+	})
 	g.admission = newAdmissionControllers(g.registry)
 	g.configuration = feed.NewFollower(feed.Configuration, env.Source, &configurationSink{g: g}, settings.ConfigurationPollPolicy)
 	g.instances = feed.NewFollower(feed.Instances, env.Source, &instancesSink{g: g}, settings.InstancesPollPolicy)
@@ -142,18 +138,6 @@
 	return g, nil
 }
 
-// newSuspects returns the table of requests that are suspected of crashes.
-func newSuspects() (*suspect.Table, error) {
-	limits := suspect.DefaultSettings()
-	// Exposure sets are enforced by sidecars; 0 turns them off. Retention must not be less than ExcuseAfter; as
-	// both are equal, a crash counts against a request until its entry is dropped.
-	limits.ExposureGroup, limits.ExposureFingerprint = 0, 0
-	limits.RefuseCrowded = ambiguousCrashLimit
-	limits.Retention = suspectRetention
-	limits.ExcuseAfter = suspectRetention
-	return suspect.NewTable("", uint64(time.Now().UnixNano()), limits)
-}
-
 // Ready reports whether the health check passes: the router knows a configuration and an instance, and is not
 // leaving. A leaving router still serves requests.
 func (g *Gateway) Ready() bool {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -131,7 +131,9 @@
 			"callers_closed_idle": closed.Idle, "callers_closed_stopping": closed.Stopping}
 	})
 	c.Func("buffered_bytes", func() any { return g.buffers.Used() })
-	c.Func("blocked_prompt_parts", func() any { return g.poison.BlockedParts() })
+	c.Func("crash_suspects", func() any { return g.poison.Counts().Suspects })
+	c.Func("blocked_prompt_parts", func() any { return g.poison.Counts().BlockedParts })
+	c.Func("blocked_requests", func() any { return g.poison.Counts().BlockedRequests })
 	c.Func("peers", func() any { return g.peers.Peers() })
 	c.Func("reserved_places", func() any { return g.ReservedPlaces() })
 	c.Func("peer_rank", func() any { return g.peers.Rank() })
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -36,8 +36,9 @@
 	// guarded by the lock of the watch.
 	sentAt    time.Time
 	withdrawn string
-	sentParts *poison.Attempt
-	result    chan exchangeResult
+	// sentAttempt is what was known of the request's suspects when it was sent.
+	sentAttempt *poison.Attempt
+	result      chan exchangeResult
 	// received is the result once it was taken from the channel.
 	received *exchangeResult
 }
@@ -182,7 +183,7 @@
 	w.paid = false
 	s.triedInstances = append(s.triedInstances, lease.Instance.ID)
 	s.recordSending()
-	o.sentParts = s.sentParts
+	o.sentAttempt = s.sent
 	request := s.backendRequest(lease)
 	go func() { o.result <- s.g.exchange(o.ctx, conn, request) }()
 	return ""
--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -14,114 +14,144 @@
 	newsPeriod = 3 * time.Second
 	// maxNewsAge is the age from which on a crash is no news to a router that learns of it.
 	maxNewsAge = 2 * newsPeriod
-	// maxTold bounds the parts in one message, and maxOld those of them that are no news while there are more news than fit.
-	maxTold = 24
-	maxOld  = 8
+	// maxToldParts and maxToldRequests bound the suspects in one message, and maxOld those of each kind that are no news while
+	// there are more news than fit.
+	maxToldParts    = 24
+	maxToldRequests = 16
+	maxOld          = 8
 )
 
-// Export returns the parts for a message to another router: those of which this table has learned something within
+// Export returns the suspects for a message to another router: those of which this table has learned something within
 // newsPeriod, and others that are suspected of more than one crash. If these do not all fit, each message has some of them.
-func (t *Table) Export() []*peerpb.SuspectPart {
+func (t *Table) Export() (parts, requests []*peerpb.Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.parts) == 0 {
-		return nil
+	if len(t.evidence) == 0 {
+		return nil, nil
 	}
 	now := t.now()
 	t.expire(now)
-	var news, old []uint64
-	for id, p := range t.parts {
+	return t.export(now, false, maxToldParts), t.export(now, true, maxToldRequests)
+}
+
+// export returns at most limit suspects of one kind.
+func (t *Table) export(now time.Time, request bool, limit int) []*peerpb.Suspect {
+	var news, old []suspect
+	for s, e := range t.evidence {
 		switch {
-		case p.isNews(now):
-			news = append(news, id)
-		case p.depth >= minRepeated:
-			old = append(old, id)
+		case s.request != request:
+		case e.isNews(now):
+			news = append(news, s)
+		case e.strength(s) >= minRepeated:
+			old = append(old, s)
 		}
 	}
-	slices.SortFunc(news, func(a, b uint64) int {
-		p, q := t.parts[a], t.parts[b]
-		return cmp.Or(cmp.Compare(max(q.depth, q.clearedDepth), max(p.depth, p.clearedDepth)), q.changedAt.Compare(p.changedAt), cmp.Compare(a, b))
+	shuffle(news)
+	shuffle(old)
+	slices.SortStableFunc(news, func(a, b suspect) int {
+		e, f := t.evidence[a], t.evidence[b]
+		return cmp.Or(cmp.Compare(f.toldStrength(b), e.toldStrength(a)), f.changedAt.Compare(e.changedAt))
 	})
-	rand.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
-	told := news[:min(len(news), maxTold-min(len(old), maxOld))]
-	told = append(told, old[:min(len(old), maxTold-len(told))]...)
-	out := make([]*peerpb.SuspectPart, 0, len(told))
-	for _, id := range told {
-		out = append(out, t.parts[id].encode(id, now))
+	told := news[:min(len(news), limit-min(len(old), maxOld))]
+	told = append(told, old[:min(len(old), limit-len(told))]...)
+	out := make([]*peerpb.Suspect, 0, len(told))
+	for _, s := range told {
+		out = append(out, t.evidence[s].encode(s.id, now))
 	}
 	return out
 }
 
-// isNews reports whether others may not know yet what this table knows about the part.
-func (p *part) isNews(now time.Time) bool {
-	cleared := p.depth == 0
-	return now.Sub(p.changedAt) <= newsPeriod && (cleared || now.Sub(p.crashedAt) <= maxNewsAge)
+func shuffle(s []suspect) { rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] }) }
+
+// toldStrength orders what is told first. The clearance of a suspect is as urgent as its crashes were.
+func (e *evidence) toldStrength(s suspect) uint32 { return max(e.strength(s), e.clearedStrength) }
+
+// isNews reports whether others may not know yet what this table knows about the suspect.
+func (e *evidence) isNews(now time.Time) bool {
+	cleared := e.depth == 0
+	return now.Sub(e.changedAt) <= newsPeriod && (cleared || now.Sub(e.crashedAt) <= maxNewsAge)
 }
 
-// encode returns a part as told to other routers.
-func (p *part) encode(id uint64, now time.Time) *peerpb.SuspectPart {
-	m := &peerpb.SuspectPart{Part: id, Generation: p.generation, Depth: p.depth, Crashes: slices.Clone(p.crashes)}
-	if p.depth > 0 {
-		m.AgeMs = uint64(max(0, now.Sub(p.crashedAt).Milliseconds()))
-		m.Trials = uint32(max(0, p.endedTrials()))
+// encode returns the evidence as told to other routers.
+func (e *evidence) encode(id uint64, now time.Time) *peerpb.Suspect {
+	m := &peerpb.Suspect{Id: id, Generation: e.generation, Depth: e.depth, Crashes: slices.Clone(e.crashes), BegunCrashes: slices.Clone(e.begun)}
+	if e.depth > 0 {
+		m.AgeMs = uint64(max(0, now.Sub(e.crashedAt).Milliseconds()))
+		m.Trials = uint32(max(0, e.endedTrials()))
 	}
 	return m
 }
 
-// Merge adds what another router has told. The result does not depend on the order of messages, and a repeated one changes
-// nothing. It returns the parts that are suspected more than before.
-func (t *Table) Merge(told []*peerpb.SuspectPart) []Suspicion {
+// Merge adds the suspects that another router has told. The result does not depend on the order of messages, and a repeated
+// one changes nothing. It returns the suspects that are blocked and were suspected less before, and whether any was suspected
+// less.
+func (t *Table) Merge(parts, requests []*peerpb.Suspect) (blocked []Suspicion, deeper bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	var deeper []uint64
-	for _, m := range told {
-		if t.merge(m, now) {
-			deeper = append(deeper, m.GetPart())
+	var stronger []suspect
+	merge := func(told []*peerpb.Suspect, request bool) {
+		for _, m := range told {
+			s := suspect{id: m.GetId(), request: request}
+			if !t.merge(s, m, now) {
+				continue
+			}
+			deeper = true
+			if t.evidence[s].blocked(s) {
+				stronger = append(stronger, s)
+			}
 		}
 	}
-	// All parts of the message may explain each other.
-	out := make([]Suspicion, 0, len(deeper))
-	for _, id := range deeper {
-		out = append(out, t.suspicion(id))
-	}
-	return out
+	merge(parts, false)
+	merge(requests, true)
+	// All suspects of the message may explain each other.
+	return t.suspicions(stronger), deeper
 }
 
-// merge adds what is told of one part and reports whether it is suspected more than before.
-func (t *Table) merge(m *peerpb.SuspectPart, now time.Time) (deeper bool) {
-	p := t.parts[m.GetPart()]
+// merge adds what is told of one suspect and reports whether it is suspected more than before.
+func (t *Table) merge(s suspect, m *peerpb.Suspect, now time.Time) (deeper bool) {
+	e := t.evidence[s]
 	switch {
-	case p == nil && len(t.parts) >= maxParts:
+	case e == nil && !t.makeRoom():
 		return false
-	case p == nil:
-		p = &part{generation: m.GetGeneration(), changedAt: now}
-		t.parts[m.GetPart()] = p
-	case m.GetGeneration() < p.generation:
+	case e == nil:
+		e = &evidence{generation: m.GetGeneration(), changedAt: now}
+		t.evidence[s] = e
+	case m.GetGeneration() < e.generation:
 		// The other router has missed the clearance.
-		p.changedAt = now
+		e.changedAt = now
 		return false
-	case m.GetGeneration() > p.generation:
-		*p = part{generation: m.GetGeneration(), clearedDepth: max(p.depth, p.clearedDepth), changedAt: now}
+	case m.GetGeneration() > e.generation:
+		*e = evidence{generation: m.GetGeneration(), clearedStrength: e.toldStrength(s), changedAt: now}
 	}
 	if m.GetDepth() == 0 {
 		return false
 	}
-	p.trials = max(p.trials, int(m.GetTrials()))
+	at := now.Add(-min(2*maxBlockPeriod, time.Duration(m.GetAgeMs())*time.Millisecond))
+	if t.answers.clears(s, at) {
+		*e = evidence{generation: e.generation + 1, clearedStrength: max(e.toldStrength(s), m.GetDepth()), changedAt: now}
+		return false
+	}
+	e.trials = max(e.trials, int(m.GetTrials()))
+	before, blockedBefore := e.strength(s), e.blocked(s)
 	changed := false
-	if m.GetDepth() > p.depth {
-		p.depth, deeper, changed = m.GetDepth(), true, true
+	if m.GetDepth() > e.depth {
+		e.depth, changed = m.GetDepth(), true
 	}
 	for _, crash := range m.GetCrashes() {
-		changed = p.addCrash(crash) || changed
+		changed = e.crashes.add(crash) || changed
+	}
+	for _, crash := range m.GetBegunCrashes() {
+		changed = e.begun.add(crash) || changed
 	}
+	deeper = e.strength(s) > before || e.blocked(s) != blockedBefore
 	if !changed {
 		// The age of a crash that is known is longer by the time that the message took.
 		return deeper
 	}
-	p.changedAt = now
-	if at := now.Add(-min(2*maxBlockPeriod, time.Duration(m.GetAgeMs())*time.Millisecond)); at.After(p.crashedAt) {
-		p.crashedAt = at
+	e.changedAt = now
+	if at.After(e.crashedAt) {
+		e.crashedAt = at
 	}
 	return deeper
 }
--- a/gateway/poison/exchange_test.go
+++ b/gateway/poison/exchange_test.go
@@ -11,17 +11,17 @@
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 )
 
-// known is what a table knows about a part, without times.
+// known is what a table knows about a suspect, without times.
 type known struct {
 	generation, depth uint32
-	crashes           []uint32
+	crashes, begun    crashList
 	trials            int
 }
 
-func knowledge(t *Table) map[uint64]known {
-	out := make(map[uint64]known)
-	for id, p := range t.parts {
-		out[id] = known{p.generation, p.depth, append([]uint32{}, p.crashes...), p.trials}
+func knowledge(t *Table) map[suspect]known {
+	out := make(map[suspect]known)
+	for id, p := range t.evidence {
+		out[id] = known{p.generation, p.depth, append(crashList{}, p.crashes...), append(crashList{}, p.begun...), p.trials}
 	}
 	return out
 }
@@ -29,22 +29,24 @@
 // Guards against routers that decide differently because messages reached them in another order or twice.
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		part := rapid.Uint64Range(1, 4)
-		messages := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *peerpb.SuspectPart {
-			m := &peerpb.SuspectPart{
-				Part: part.Draw(t, "part"), Generation: rapid.Uint32Range(0, 2).Draw(t, "generation"), Depth: rapid.Uint32Range(0, 4).Draw(t, "depth"),
+		id := rapid.Uint64Range(1, 4)
+		messages := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *peerpb.Suspect {
+			m := &peerpb.Suspect{
+				Id: id.Draw(t, "id"), Generation: rapid.Uint32Range(0, 2).Draw(t, "generation"), Depth: rapid.Uint32Range(0, 4).Draw(t, "depth"),
 			}
 			if m.Depth > 0 {
 				m.Crashes = rapid.SliceOfN(rapid.Uint32Range(1, 50), 0, 40).Draw(t, "crashes")
+				m.BegunCrashes = rapid.SliceOfN(rapid.Uint32Range(1, 50), 0, 40).Draw(t, "begun crashes")
 				m.Trials = rapid.Uint32Range(0, 3).Draw(t, "trials")
 			}
 			return m
 		}), 0, 12).Draw(t, "messages")
 		order := rapid.Permutation(messages).Draw(t, "order")
 		_, all := newTables(2)
-		all[0].Merge(messages)
-		all[1].Merge(order)
-		all[1].Merge(messages)
+		all[0].Merge(messages, messages)
+		all[1].Merge(order, nil)
+		all[1].Merge(nil, order)
+		all[1].Merge(messages, messages)
 		if a, b := knowledge(all[0]), knowledge(all[1]); !reflect.DeepEqual(a, b) {
 			t.Fatalf("in order: %v, in another order and repeated: %v", a, b)
 		}
@@ -61,7 +63,7 @@
 	}
 	exchange(all...)
 	is.True(blocked(all[1], guide, page))
-	all[0].RecordResponse([]uint64{guide})
+	all[0].RecordAnswer(prompt(guide))
 	c.at = c.at.Add(newsPeriod + time.Second)
 	for range 2 {
 		exchange(all...)
@@ -74,7 +76,7 @@
 	is := is.New(t)
 	c, all := newTables(2)
 	crash(all[0], deadly)
-	all[0].RecordResponse([]uint64{deadly})
+	all[0].RecordAnswer(prompt(deadly))
 	c.at = c.at.Add(newsPeriod + time.Second)
 	for range blockDepth + 1 {
 		crash(all[1], deadly)
@@ -94,10 +96,10 @@
 		crash(all[0], guide)
 	}
 	exchange(all...)
-	for i := range uint64(2 * maxTold) {
+	for i := range uint64(2 * maxToldParts) {
 		crash(all[0], 1000+i)
 	}
-	all[0].RecordResponse([]uint64{guide})
+	all[0].RecordAnswer(prompt(guide))
 	exchange(all...)
 	is.True(!blocked(all[1], guide, page))
 }
@@ -111,15 +113,15 @@
 	}
 	for begin := c.at; c.at.Sub(begin) < blockPeriod; {
 		for i := range all {
-			told := all[i].Export()
+			parts, requests := all[i].Export()
 			c.at = c.at.Add(100 * time.Millisecond)
-			all[1-i].Merge(told)
+			all[1-i].Merge(parts, requests)
 		}
 		c.at = c.at.Add(300 * time.Millisecond)
 	}
-	is.True(all[0].Try([]uint64{guide}, notResponsible))
+	is.True(all[0].Try(prompt(guide), notResponsible))
 	c.at = c.at.Add(time.Second)
-	is.True(all[1].Try([]uint64{guide}, notResponsible))
+	is.True(all[1].Try(prompt(guide), notResponsible))
 }
 
 // Guards against a chain of crashes that does not go on at a router which has started since the last one.
@@ -145,10 +147,10 @@
 	for range blockDepth {
 		crash(all[0], guide, deadly)
 	}
-	suspicions := all[1].Merge(all[0].Export())
+	suspicions, _ := all[1].Merge(all[0].Export())
 	is.Equal(len(suspicions), 2)
 	for _, s := range suspicions {
-		is.Equal(s.Alternatives, []uint64{guide + deadly - s.Part})
+		is.Equal(s.Alternatives, []uint64{guide + deadly - s.ID})
 	}
 }
 
@@ -178,12 +180,12 @@
 	for range 60 {
 		exchange(all...)
 	}
-	is.Equal(all[1].BlockedParts(), all[0].BlockedParts())
+	is.Equal(all[1].Counts().BlockedParts, all[0].Counts().BlockedParts)
 }
 
 // blockMany blocks more parts than a message holds.
 func blockMany(t *Table) {
-	for i := range uint64(2 * maxTold) {
+	for i := range uint64(2 * maxToldParts) {
 		for range blockDepth {
 			crash(t, 1000+i)
 		}
--- a/gateway/poison/load_test.go
+++ b/gateway/poison/load_test.go
@@ -70,14 +70,14 @@
 			key := [2]int{f.router, f.engine}
 			reports[key] = append(reports[key], f.attempt)
 		case !f.crashed && !now.Before(f.answerAt):
-			s.tables[f.router].RecordResponse(f.attempt.Parts())
+			s.tables[f.router].RecordAnswer(f.attempt.request)
 		default:
 			kept = append(kept, f)
 		}
 	}
 	s.flights = kept
 	for key, attempts := range reports {
-		s.tables[key[0]].RecordCrash(s.engines[key[1]].crash, attempts)
+		s.tables[key[0]].RecordCrash(s.engines[key[1]].crash, now.Add(-simulatedDetection), attempts)
 	}
 	if now.UnixMilli()%simulatedExchange.Milliseconds() == 0 {
 		exchange(s.tables...)
@@ -109,7 +109,7 @@
 		s.sentDeadly++
 	}
 	s.flights = append(s.flights, flight{
-		router: router, engine: target, deadly: isDeadly, attempt: s.tables[router].Begin(parts),
+		router: router, engine: target, deadly: isDeadly, attempt: s.tables[router].Begin(prompt(parts...)),
 		answerAt: now.Add(simulatedPrefill/2 + time.Duration(s.random.Int64N(int64(simulatedPrefill)))),
 	})
 }
--- a/gateway/poison/outage_test.go
+++ b/gateway/poison/outage_test.go
@@ -9,9 +9,11 @@
 	"pgregory.net/rapid"
 )
 
-const (
-	responsible    = true
-	notResponsible = false
+var (
+	// responsible is the turn of the first router.
+	responsible = Turn{Rank: 0, Routers: 1000}
+	// notResponsible is the turn of a router so far back in the order that it waits for the end of the block.
+	notResponsible = Turn{Rank: 999, Routers: 1000}
 )
 
 // Guards against a sound part that stays blocked long after an outage in which each engine crashed, whatever it was sent:
@@ -24,10 +26,10 @@
 	}
 	is.True(blocked(table, guide, page))
 	c.at = c.at.Add(trialPeriod)
-	is.True(table.Try([]uint64{guide, page}, responsible))
-	is.True(!table.Try([]uint64{guide, page}, responsible)) // one request at a time
+	is.True(table.Try(prompt(guide, page), responsible))
+	is.True(!table.Try(prompt(guide, page), responsible)) // one request at a time
 	is.True(blocked(table, guide, page))
-	table.RecordResponse([]uint64{guide, page})
+	table.RecordAnswer(prompt(guide, page))
 	is.True(!blocked(table, guide, page))
 }
 
@@ -41,8 +43,8 @@
 	tried := 0
 	for range 3 * 60 {
 		c.at = c.at.Add(time.Second)
-		table.RecordResponse([]uint64{guide})
-		if table.Try([]uint64{guide, deadly}, responsible) {
+		table.RecordAnswer(prompt(guide))
+		if table.Try(prompt(guide, deadly), responsible) {
 			tried++
 			crash(table, guide, deadly)
 		}
@@ -64,8 +66,8 @@
 		crash(table, deadly)
 	}
 	c.at = c.at.Add(time.Second)
-	is.True(!table.Try([]uint64{guide, deadly}, responsible))
-	is.True(table.Try([]uint64{guide, page}, responsible))
+	is.True(!table.Try(prompt(guide, deadly), responsible))
+	is.True(table.Try(prompt(guide, page), responsible))
 }
 
 // Guards against a rolling restart of the routers during which a part crashes an engine every trialPeriod, because each router
@@ -83,7 +85,7 @@
 		c.at = c.at.Add(time.Second)
 		from := min(second/100, 1)
 		router := tables[second/100]
-		if router.Try([]uint64{deadly}, responsible) {
+		if router.Try(prompt(deadly), responsible) {
 			tried++
 			crash(router, deadly)
 		}
@@ -101,12 +103,12 @@
 		crash(tables[0], deadly)
 	}
 	c.at = c.at.Add(trialPeriod)
-	is.True(tables[0].Try([]uint64{deadly}, responsible))
+	is.True(tables[0].Try(prompt(deadly), responsible))
 	exchange(tables...)
-	tables[0].CancelTrial([]uint64{deadly})
+	tables[0].CancelTrial(prompt(deadly))
 	exchange(tables...)
-	is.True(tables[1].Try([]uint64{deadly}, responsible))
-	is.True(tables[0].Try([]uint64{deadly}, responsible))
+	is.True(tables[1].Try(prompt(deadly), responsible))
+	is.True(tables[0].Try(prompt(deadly), responsible))
 }
 
 // Guards against routers that spend their time on looking for the cause of crashes: in an outage in which engines crash one
@@ -132,18 +134,18 @@
 		for range crashesPerSecond {
 			var attempts []*Attempt
 			for range inFlight {
-				attempts = append(attempts, table.Begin(next()))
+				attempts = append(attempts, table.Begin(prompt(next()...)))
 			}
 			crashes++
-			table.RecordCrash(crashes, attempts)
+			table.RecordCrash(crashes, c.at, attempts)
 		}
 	}
-	is.True(len(table.parts) > pages)
+	is.True(len(table.evidence) > pages)
 	repeated := 0
 	begin := time.Now()
 	for range requests {
-		for _, p := range table.parts {
-			if p.isRepeated() {
+		for other, e := range table.evidence {
+			if e.mayExplain(other) {
 				repeated++
 			}
 		}
@@ -151,10 +153,10 @@
 	pass := time.Since(begin) / requests
 	begin = time.Now()
 	for range requests {
-		table.Blocked(next())
+		table.Blocked(prompt(next()...))
 	}
 	took := time.Since(begin) / requests
-	t.Logf("%d suspects, %d repeated, %v for a pass, %v for a request", len(table.parts), repeated/requests, pass, took)
+	t.Logf("%d suspects, %d repeated, %v for a pass, %v for a request", len(table.evidence), repeated/requests, pass, took)
 	is.True(repeated > 0)
 	is.True(took < maxPasses*pass)
 }
@@ -166,32 +168,32 @@
 		const parts = 6
 		_, table := newTable()
 		for id := range uint64(parts) {
-			p := &part{depth: blockDepth}
+			p := &evidence{depth: blockDepth}
 			for _, crash := range rapid.SliceOfN(rapid.Uint32Range(1, 2*maxCrashes), 0, 2*maxCrashes).Draw(t, "crashes") {
-				p.addCrash(crash)
+				p.crashes.add(crash)
 			}
-			table.parts[id] = p
+			table.evidence[suspect{id: id}] = p
 		}
 		request := rapid.SliceOfNDistinct(rapid.Uint64Range(0, parts-1), 1, parts, rapid.ID).Draw(t, "request")
 		explained, fewest := false, parts
-		for _, crash := range table.parts[request[0]].crashes {
+		for _, crash := range table.evidence[suspect{id: request[0]}].crashes {
 			alternatives, outside := 0, 0
-			for other, p := range table.parts {
-				if other == request[0] || len(p.crashes) < minRepeated || !slices.Contains(p.crashes, crash) {
+			for other, p := range table.evidence {
+				if other.id == request[0] || len(p.crashes) < minRepeated || !slices.Contains(p.crashes, crash) {
 					continue
 				}
 				alternatives++
-				if !slices.Contains(request, other) {
+				if !slices.Contains(request, other.id) {
 					outside++
 				}
 			}
 			explained = explained || outside == 0
 			fewest = min(fewest, alternatives)
 		}
-		if got := table.explains(request[0], request); got != explained {
+		if got := table.explains(suspect{id: request[0]}, prompt(request...)); got != explained {
 			t.Fatalf("explains is %v, want %v", got, explained)
 		}
-		if got := len(table.fewestAlternatives(request[0])); fewest < parts && got != fewest {
+		if got := len(table.fewestAlternatives(suspect{id: request[0]})); fewest < parts && got != fewest {
 			t.Fatalf("%d alternatives, want %d", got, fewest)
 		}
 	})
--- a/gateway/poison/table_test.go
+++ b/gateway/poison/table_test.go
@@ -23,12 +23,18 @@
 	c := &clock{at: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}
 	out := make([]*Table, n)
 	for i := range out {
-		out[i] = NewTable()
-		out[i].now = c.now
+		out[i] = newTableAt(c)
 	}
 	return c, out
 }
 
+// newTableAt returns a table with a given clock.
+func newTableAt(c *clock) *Table {
+	t := NewTable()
+	t.now = c.now
+	return t
+}
+
 func newTable() (*clock, *Table) {
 	c, all := newTables(1)
 	return c, all[0]
@@ -39,24 +45,24 @@
 // crash records a crash of its own at which a request with the given parts was in flight.
 func crash(t *Table, parts ...uint64) []Suspicion {
 	crashes++
-	return t.RecordCrash(crashes, []*Attempt{t.Begin(parts)})
+	return t.RecordCrash(crashes, t.now(), []*Attempt{t.Begin(prompt(parts...))})
 }
 
+// prompt returns a request whose prompt has the given parts.
+func prompt(parts ...uint64) Request { return Request{Parts: parts} }
+
 func blocked(t *Table, parts ...uint64) bool {
-	_, ok := t.Blocked(parts)
+	_, ok := t.Blocked(prompt(parts...))
 	return ok
 }
 
 // exchange merges what each table tells into all others.
 func exchange(all ...*Table) {
 	for _, from := range all {
-		told := from.Export()
-		if len(told) == 0 {
-			continue
-		}
+		parts, requests := from.Export()
 		for _, to := range all {
 			if from != to {
-				to.Merge(told)
+				to.Merge(parts, requests)
 			}
 		}
 	}
@@ -70,13 +76,13 @@
 	for range blockDepth {
 		is.True(!blocked(table, guide, page, deadly))
 		crash(table, guide, page, deadly)
-		table.RecordResponse([]uint64{guide, page}) // sound requests go on
+		table.RecordAnswer(prompt(guide, page)) // sound requests go on
 	}
 	is.True(blocked(table, guide, page, deadly))
 	is.True(blocked(table, other, deadly))
 	is.True(!blocked(table, guide, page))
 	is.True(!blocked(table, guide, other))
-	is.Equal(table.BlockedParts(), 1)
+	is.Equal(table.Counts().BlockedParts, 1)
 }
 
 // Guards against a document that is blamed for one of its parts when no request with the document alone has come yet,
@@ -93,7 +99,7 @@
 	crash(table, deadly, other)
 	is.True(blocked(table, deadly, page))
 	is.True(!blocked(table, guide, page))
-	table.RecordResponse([]uint64{guide, page})
+	table.RecordAnswer(prompt(guide, page))
 	is.True(!blocked(table, guide))
 }
 
@@ -103,15 +109,15 @@
 	is := is.New(t)
 	_, all := newTables(3)
 	for range blockDepth {
-		a, b := all[0].Begin([]uint64{guide, deadly}), all[1].Begin([]uint64{guide, page})
+		a, b := all[0].Begin(prompt(guide, deadly)), all[1].Begin(prompt(guide, page))
 		crashes++
-		all[0].RecordCrash(crashes, []*Attempt{a})
-		all[1].RecordCrash(crashes, []*Attempt{b})
+		all[0].RecordCrash(crashes, all[0].now(), []*Attempt{a})
+		all[1].RecordCrash(crashes, all[1].now(), []*Attempt{b})
 		exchange(all...)
 	}
 	is.True(!blocked(all[2], guide, page)) // nor does a router that saw only the bystander know better
 	is.True(!blocked(all[1], guide, page))
-	all[2].RecordResponse([]uint64{guide, page})
+	all[2].RecordAnswer(prompt(guide, page))
 	exchange(all...)
 	for _, table := range all {
 		is.True(blocked(table, other, deadly))
@@ -126,11 +132,11 @@
 	_, table := newTable()
 	var attempts []*Attempt
 	for range 10 {
-		attempts = append(attempts, table.Begin([]uint64{guide, page}))
+		attempts = append(attempts, table.Begin(prompt(guide, page)))
 	}
 	for _, a := range attempts {
 		crashes++
-		table.RecordCrash(crashes, []*Attempt{a})
+		table.RecordCrash(crashes, table.now(), []*Attempt{a})
 	}
 	is.True(!blocked(table, guide, page))
 }
@@ -159,21 +165,23 @@
 	exchange(all...)
 	is.True(blocked(all[1], guide, deadly))
 	is.True(!blocked(all[1], guide, page))
-	is.Equal(len(all[0].Export()), 2)
+	parts, _ := all[0].Export()
+	is.Equal(len(parts), 2)
 }
 
 // Guards against a chain of crashes that goes on after a response has shown that the part is sound.
 func TestResponseEndsTheChain(t *testing.T) {
 	is := is.New(t)
-	_, table := newTable()
+	c, table := newTable()
 	crash(table, guide, page)
 	crash(table, guide, page)
-	before := table.Begin([]uint64{guide, page})
-	table.RecordResponse([]uint64{guide, page})
+	before := table.Begin(prompt(guide, page))
+	table.RecordAnswer(prompt(guide, page))
+	c.at = c.at.Add(answerProtection)
 	crashes++
-	table.RecordCrash(crashes, []*Attempt{before}) // it was sent when two crashes were known
+	table.RecordCrash(crashes, table.now(), []*Attempt{before}) // it was sent when two crashes were known
 	is.True(!blocked(table, guide, page))
-	is.Equal(table.parts[page].depth, uint32(1))
+	is.Equal(table.evidence[suspect{id: page}].depth, uint32(1))
 }
 
 // Guards against a part that crashes engines at all routers at once when the time of its block is over, against one that
@@ -182,7 +190,7 @@
 func TestBlockEndsWithOneTrialAtATime(t *testing.T) {
 	is := is.New(t)
 	c, all := newTables(2)
-	table, request := all[0], []uint64{guide, deadly}
+	table, request := all[0], prompt(guide, deadly)
 	for range blockDepth {
 		crash(table, guide, deadly)
 	}
@@ -206,29 +214,30 @@
 	is.True(!table.Try(request, notResponsible))
 	c.at = c.at.Add(time.Second)
 	is.True(all[1].Try(request, notResponsible))
-	is.Equal(all[1].RecordResponse(request), request)
-	is.Equal(all[1].BlockedParts(), 0)
+	is.Equal(all[1].RecordAnswer(request), request.Parts)
+	is.Equal(all[1].Counts().BlockedParts, 0)
 	exchange(all...)
-	is.Equal(table.BlockedParts(), 0)
+	is.Equal(table.Counts().BlockedParts, 0)
 }
 
 // Guards against a table without bound when each request has parts of its own.
 func TestPartsAreBounded(t *testing.T) {
 	is := is.New(t)
 	c, table := newTable()
-	for i := range uint64(maxParts) {
+	for i := range uint64(maxSuspects) {
 		crash(table, 10*i, 10*i+1)
 	}
-	is.Equal(len(table.parts), maxParts)
-	is.True(len(table.Export()) <= maxTold)
+	is.Equal(len(table.evidence), maxSuspects)
+	parts, _ := table.Export()
+	is.True(len(parts) <= maxToldParts)
 	c.at = c.at.Add(blockPeriod + time.Second)
 	crash(table, guide, deadly)
-	is.Equal(len(table.parts), 2)
+	is.Equal(len(table.evidence), 2)
 
 	for range 2 * maxCrashes {
 		crash(table, guide, deadly)
 	}
-	is.Equal(len(table.parts[deadly].crashes), maxCrashes)
+	is.Equal(len(table.evidence[suspect{id: deadly}].crashes), maxCrashes)
 }
 
 // Guards against a part that is blamed because two others crash engines while requests with it are in flight: neither of
@@ -238,11 +247,11 @@
 	_, table := newTable()
 	for i := range 2 * blockDepth {
 		crashes++
-		table.RecordCrash(crashes, []*Attempt{table.Begin([]uint64{guide, page}), table.Begin([]uint64{other + uint64(i%2), deadly + 10*uint64(i%2)})})
+		table.RecordCrash(crashes, table.now(), []*Attempt{table.Begin(prompt(guide, page)), table.Begin(prompt(other+uint64(i%2), deadly+10*uint64(i%2)))})
 	}
-	is.Equal(table.parts[page].depth, uint32(2*blockDepth))
+	is.Equal(table.evidence[suspect{id: page}].depth, uint32(2*blockDepth))
 	is.True(!blocked(table, guide, page))
-	table.RecordResponse([]uint64{guide, page})
+	table.RecordAnswer(prompt(guide, page))
 	is.True(blocked(table, other, deadly))
 	is.True(blocked(table, other+1, deadly+10))
 }
--- a/gateway/pool/directory.go
+++ b/gateway/pool/directory.go
@@ -69,6 +69,18 @@
 	return r.firstRouter(id)
 }
 
+// RouterRank returns the number of routers before this one in the rendezvous order of a key, and that of all.
+func (r *Registry) RouterRank(key uint64) (rank, routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hashes := make([]uint64, 0, len(r.routers))
+	own := rendezvous.Hash(r.self)
+	for _, router := range r.routers {
+		hashes = append(hashes, router.hash)
+	}
+	return rendezvous.Rank(key, own, hashes), max(1, len(hashes))
+}
+
 // firstRouter returns the first router of the rendezvous order of a key, "" if it is this one.
 func (r *Registry) firstRouter(key uint64) string {
 	first, highest := "", uint64(0)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -118,30 +117,16 @@
 		if ctx.Err() != nil {
 			return pool.Abandoned, s.contextError(ctx, verdict.Ran)
 		}
-		if len(s.parts) > 0 || !errors.Is(err, io.ErrUnexpectedEOF) {
-			s.reportFailedConnection(lease)
-		}
+		s.reportFailedConnection(lease)
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 	}
-	// An error response may come from a backend server that has not run its engine.
-	succeeded := resp.StatusCode < http.StatusMultipleChoices
 	if !complete {
-		if succeeded {
-			s.recordAnswer()
-		}
-		return s.relayUnbuffered(ctx, resp, body)
-	}
-	switch {
-	case framed(resp.Response):
-		if succeeded {
+		if answersPrompt(resp.StatusCode) {
 			s.recordAnswer()
 		}
-	case len(s.parts) == 0:
-	case succeeded:
-		s.reportUnframedEnd(lease)
-	default:
-		s.reportFailedConnection(lease)
+		return s.relayUnbuffered(ctx, lease, resp, body)
 	}
+	s.recordEnd(lease, resp)
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	if failed && s.retriesErrorResponse() {
 		resp.Finish()
@@ -177,7 +162,7 @@
 
 // relayUnbuffered passes on a response that is too long to buffer. If it does not end properly, the caller's
 // response is cut off.
-func (s *requestState) relayUnbuffered(ctx context.Context, resp *backend.Response, begin *buffer.Buffer) (pool.Outcome, error) {
+func (s *requestState) relayUnbuffered(ctx context.Context, lease *pool.Lease, resp *backend.Response, begin *buffer.Buffer) (pool.Outcome, error) {
 	s.copyHeader(resp.Response)
 	if resp.ContentLength >= 0 {
 		s.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
@@ -200,8 +185,10 @@
 		if ctx.Err() != nil {
 			return pool.Abandoned, s.contextError(ctx, verdict.Ran)
 		}
+		s.reportFailedConnection(lease)
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTruncated, err)
 	}
+	s.recordEnd(lease, resp)
 	resp.Finish()
 	return pool.Served, nil
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,7 +13,6 @@
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/requestbody"
-	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -30,8 +29,8 @@
 	priority     int
 	target       string
 	body         []byte
-	// fingerprint is the hash of method, target, key and body that identifies the request in the table of
-	// crash suspects.
+	// fingerprint is the hash of method, target, key and body that identifies the request among those that are suspected
+	// of crashes.
 	fingerprint uint64
 	// deadline is when the caller's or the route's time limit passes. Zero means no limit.
 	deadline time.Time
@@ -51,11 +50,11 @@
 	answered bool
 	// crashSuspected is set if the crash detector was told of the current attempt.
 	crashSuspected bool
-	// parts are the parts of the prompt that other requests may share, which are all but the last. sentParts is what was
-	// known of them when the current attempt was sent.
-	parts     []uint64
-	sentParts *poison.Attempt
-	// trial is set if the request is sent to find out whether a blocked part is sound.
+	// parts are the parts of the prompt that other requests may share, which are all but the last. sent is what was known of
+	// them and of the whole request when the current attempt was sent.
+	parts []uint64
+	sent  *poison.Attempt
+	// trial is set if the request is sent although it is blocked, to find out whether it is sound.
 	trial bool
 	// responseStarted is set once part of the response was written to the caller. lastEventID is the ID of
 	// the last event of a stream that the caller has.
@@ -243,11 +242,8 @@
 // run admits the request and tries instances until one answers. If it returns an error, no response was
 // written yet, unless s.responseStarted is set.
 func (s *requestState) run(ctx context.Context) error {
-	if d := s.g.suspects.Check(suspect.Request{Fingerprint: s.fingerprint}); d.Err != nil {
-		return d.Err
-	}
 	defer s.endTrial()
-	if err := s.checkParts(); err != nil {
+	if err := s.checkSuspects(); err != nil {
 		return err
 	}
 	if err := s.choosePool(); err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -135,17 +135,14 @@
 	s.g.metrics.firstByte.observe(time.Since(s.start))
 }
 
-// endAnswer decides at the end of a stream of a few events whether it was answered. One without a length or chunks ends
-// like that of an instance which crashes.
+// endAnswer decides at the end of a stream whether it was answered. One without a length or chunks ends like that of an
+// instance which crashes.
 func (s *requestState) endAnswer(lease *pool.Lease, resp *backend.Response, events int) {
 	switch {
-	case s.answered || len(s.parts) == 0:
-	case !framed(resp.Response) && events > 0:
-		s.reportUnframedEnd(lease)
+	case events > 0:
+		s.recordEnd(lease, resp)
 	case !framed(resp.Response):
 		s.reportFailedConnection(lease)
-	case events > 0:
-		s.recordAnswer()
 	}
 }
 
--- a/gateway/promptparts_test.go
+++ b/gateway/suspects_test.go
@@ -17,13 +17,12 @@
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/kernel"
-	"jacinthfork.example/jacinthfork/suspect"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
 // blockPart blocks a part of prompts because of three crashes, the last of which is as old as given.
 func blockPart(g *Gateway, part uint64, age time.Duration) {
-	g.poison.Merge([]*peerpb.SuspectPart{{Part: part, Depth: 3, Crashes: []uint32{1, 2, 3}, AgeMs: uint64(age.Milliseconds())}})
+	g.poison.Merge([]*peerpb.Suspect{{Id: part, Depth: 3, Crashes: []uint32{1, 2, 3}, AgeMs: uint64(age.Milliseconds())}}, nil)
 }
 
 // Guards against a request that is sent with a part of a prompt which was found to crash engines while the request waited for
@@ -49,7 +48,7 @@
 	g.log = slog.New(slog.DiscardHandler)
 	g.connections = backend.NewPool()
 	g.env.Protocol = plainProtocol{}
-	g.crashes = newCrashDetector(func(pool.Instance, []failedRequest) {})
+	g.crashes = newCrashDetector(func(pool.Instance, time.Time, []failedRequest) {})
 	g.poison = poison.NewTable()
 	var leases []*pool.Lease
 	var held []*reservation
@@ -85,11 +84,9 @@
 	route := &routes.Route{Name: "r", Host: "h", Prefix: "/", LatencyObjective: objective, MaxAttempts: 1, Targets: []routes.Target{{Pool: "llm", Weight: 1}}}
 	table, err := routes.New(routes.Spec{Version: 1, Pools: []*routes.Pool{{Name: "llm", Engine: &routes.Engine{}}}, Routes: []*routes.Route{route}})
 	is.NoErr(err)
-	suspects, err := suspect.NewTable("", 1, suspect.DefaultSettings())
-	is.NoErr(err)
 	g := &Gateway{
 		registry: pool.NewRegistry(pool.DefaultSettings(), "a"), metrics: newMetrics(kernel.NewCounters()), log: slog.New(slog.DiscardHandler),
-		suspects: suspects, poison: poison.NewTable(),
+		poison: poison.NewTable(),
 	}
 	blockPart(g, part, time.Minute)
 	request := func() *requestState {
@@ -100,6 +97,6 @@
 		is.Equal(failure.Reason, verdict.ReasonNoCandidate)
 	}
 	// One request is tried at a time.
-	is.True(request().checkParts() == nil)
-	is.Equal(request().checkParts().Reason, verdict.ReasonCrashRefused)
+	is.True(request().checkSuspects() == nil)
+	is.Equal(request().checkSuspects().Reason, verdict.ReasonCrashRefused)
 }
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -191,7 +191,7 @@
 	if !w.silent() || !s.g.registry.HasAlternative(s.poolRequest()) {
 		return false
 	}
-	if _, blocked := s.g.poison.Blocked(s.parts); blocked {
+	if _, blocked := s.g.poison.Blocked(s.content()); blocked {
 		return false
 	}
 	w.paid = w.paid || s.budget.Withdraw(now)
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -11,12 +11,10 @@
 	"jacinthfork.example/jacinthfork/gateway/pool"
 )
 
-// maxSuspectsPerMessage bounds the crash suspects in one message.
-const maxSuspectsPerMessage = 8
-
 // State implements peer.Handler.
 func (g *Gateway) State(positions []*peerpb.Position, up, want bool) *peerpb.State {
-	state := &peerpb.State{Suspects: g.suspects.Export(maxSuspectsPerMessage), SuspectParts: g.poison.Export()}
+	state := &peerpb.State{}
+	state.SuspectParts, state.SuspectRequests = g.poison.Export()
 	for _, f := range g.followers() {
 		g.addFeed(state, f, findPosition(positions, f.id), up, want)
 	}
@@ -225,10 +223,8 @@
 
 // MergeState implements peer.Handler.
 func (g *Gateway) MergeState(node string, state *peerpb.State) (news, behind bool) {
-	g.suspects.Merge(state.GetSuspects())
-	suspicions := g.poison.Merge(state.GetSuspectParts())
-	g.logBlocked(suspicions, node)
-	news = len(suspicions) > 0
+	blocked, news := g.poison.Merge(state.GetSuspectParts(), state.GetSuspectRequests())
+	g.logBlocked(blocked, node)
 	for _, position := range state.GetPositions() {
 		for _, f := range g.followers() {
 			if uint32(f.id) != position.GetFeed() {
--- a/suspect/entry.go
+++ b/suspect/entry.go
@@ -26,7 +26,6 @@
 type crash struct {
 	id uint64
 	// alone is set if no request with another fingerprint overlapped the run that ended in the crash.
-	// RecordCrashOf knows only which requests were in flight at the crash itself.
 	alone bool
 	// excused is set once a refused request explains the crash, or the entry entered probation because of its
 	// age.
--- a/suspect/settings.go
+++ b/suspect/settings.go
@@ -16,8 +16,7 @@
 	// fingerprint is refused.
 	RefuseAfter int `toml:"refuse_after" min:"2" max:"4"`
 	// RefuseCrowded is the number of crashes after which a fingerprint is refused although other requests
-	// were in flight at each of them. With 0, such crashes alone never lead to a refusal. Routers that send
-	// work to backend servers directly need it, because they cannot run a request in isolation.
+	// were in flight at each of them. With 0, such crashes alone never lead to a refusal.
 	RefuseCrowded int `toml:"refuse_crowded" min:"0" max:"8"`
 	// Settle must exceed the time in which evidence reaches every sidecar of the pool.
 	Settle time.Duration `toml:"settle" min:"0s"`
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -34,8 +34,7 @@
 	Isolate bool
 }
 
-// Table holds what one sidecar, or a router that sends work directly, knows about requests that crash
-// engines. It is safe for concurrent use.
+// Table holds what one sidecar, or a router in front of sidecars, knows about requests that crash engines. It is safe for concurrent use.
 type Table struct {
 	self        string
 	incarnation uint64
