Try one blocked request at a time in the fleet

What callers would see: a popular request that was blocked with the one that crashes workers stays refused for 40 s, because both are tried when the first worker is back, meet there and are both blamed for its next crash.

Cause: the routers took turns for each suspect by itself, in an order of its own.

Change: the turns are counted from the last crash of any blocked suspect, which all routers know, in one order of the routers, and a router begins no trial within 0.5 s of another one that is under way.

TestOneRequestIsTriedAtATime replays the collision.

--- a/gateway/poison/outage_test.go
+++ b/gateway/poison/outage_test.go
@@ -10,8 +10,8 @@
 )
 
 var (
-	// responsible is the turn of the first router.
-	responsible = Turn{Rank: 0, Routers: 1000}
+	// responsible is the turn of a router whose turn it always is.
+	responsible = Turn{Rank: 0, Routers: 1}
 	// notResponsible is the turn of a router so far back in the order that it waits for the end of the block.
 	notResponsible = Turn{Rank: 999, Routers: 1000}
 )
--- a/gateway/poison/repeats_test.go
+++ b/gateway/poison/repeats_test.go
@@ -110,7 +110,7 @@
 	crash := m.incarnation[worker]*100 + uint32(worker) + 1
 	m.incarnation[worker]++
 	m.downUntil[worker] = now.Add(time.Duration(2000+m.random.IntN(2500)) * time.Millisecond)
-	byRouter := make(map[int][]*Attempt)
+	byRouter := make([][]*Attempt, len(m.tables))
 	var kept, broken []*modelFlight
 	for _, f := range m.flights {
 		if f.worker != worker {
@@ -122,6 +122,9 @@
 	}
 	m.flights = kept
 	for router, attempts := range byRouter {
+		if len(attempts) == 0 {
+			continue
+		}
 		due := now.Add(time.Duration(150+m.random.IntN(300)) * time.Millisecond)
 		m.reports = append(m.reports, modelReport{router: router, crash: crash, at: now, due: due, attempts: attempts})
 	}
@@ -139,7 +142,7 @@
 func (m *repeatModel) step() {
 	m.clock.at = m.clock.at.Add(modelTick)
 	now := m.clock.at
-	crashing := make(map[int]bool)
+	crashing := make([]bool, len(m.downUntil))
 	var kept []*modelFlight
 	for _, f := range m.flights {
 		switch {
@@ -154,8 +157,10 @@
 		}
 	}
 	m.flights = kept
-	for worker := range crashing {
-		m.crash(worker)
+	for worker, crashes := range crashing {
+		if crashes {
+			m.crash(worker)
+		}
 	}
 	var waiting []modelReport
 	for _, r := range m.reports {
@@ -197,7 +202,7 @@
 		crasherPause := time.Duration(rapid.IntRange(100, 6000).Draw(t, "time between crashing requests in ms")) * time.Millisecond
 		popularPause := time.Duration(rapid.IntRange(1, 50).Draw(t, "time between popular requests in 10 ms")) * modelTick
 		burst := rapid.IntRange(1, 8).Draw(t, "popular requests at once")
-		ownPause := time.Duration(rapid.IntRange(1000, 12000).Draw(t, "time between other crashes in ms")) * time.Millisecond
+		ownPause := time.Duration(rapid.IntRange(5, 60).Draw(t, "time between other crashes of a worker in s")) * time.Second / time.Duration(workers)
 		exchangePause := time.Duration(rapid.IntRange(10, 50).Draw(t, "time between exchanges in 10 ms")) * modelTick
 		const warmUp, duration = 2 * time.Second, time.Minute
 		begin := c.at
@@ -286,28 +291,60 @@
 		is.True(blocked)
 	}
 	turn := func(rank int) Turn { return Turn{rank, len(all)} }
+	crashedAt := c.at
 	is.True(!all[0].Try(request, turn(0)))
-	c.at = c.at.Add(firstTrialPeriod)
-	is.True(!all[1].Try(request, turn(1)))
-	is.True(!all[2].Try(request, turn(2)))
-	c.at = c.at.Add(2 * trialSlot)
+	// The time of the first router's turn is over.
+	c.at = crashedAt.Add(2 * trialSlot)
 	is.True(!all[0].Try(request, turn(0)))
 	is.True(!all[1].Try(request, turn(1)))
 	is.True(all[2].Try(request, turn(2)))
 	crashes++
-	crashedAt := c.at
+	crashedAt = c.at
 	all[2].RecordCrash(crashes, crashedAt, []*Attempt{all[2].Begin(request)})
 	// Another router may not have been told when the first one's turn comes.
-	c.at = c.at.Add(trialSlot - trialGuard)
+	c.at = crashedAt.Add(trialSlot - trialGuard)
 	for rank, table := range all {
 		is.True(!table.Try(request, turn(rank)))
 	}
 	exchange(all...)
 	// The second trial follows much later.
 	c.at = crashedAt.Add(trialGrowth*trialPeriod - time.Millisecond)
-	is.True(!all[0].Try(request, turn(0)))
+	for rank, table := range all {
+		is.True(!table.Try(request, turn(rank)))
+	}
 	c.at = c.at.Add(time.Millisecond)
-	is.True(all[0].Try(request, turn(0)))
+	for range len(all) {
+		tried := 0
+		for rank, table := range all {
+			if table.Try(request, turn(rank)) {
+				tried++
+			}
+		}
+		is.Equal(tried, 1)
+		c.at = c.at.Add(trialSlot)
+	}
+}
+
+// Guards against a sound request that stays blocked because its trial met that of the request which crashes workers.
+func TestOneRequestIsTriedAtATime(t *testing.T) {
+	is := is.New(t)
+	c, table := newTable()
+	a, b := Request{Fingerprint: crasher}, Request{Fingerprint: popular}
+	alone := Turn{Rank: 0, Routers: 1}
+	for range blockCrashes {
+		crashes++
+		table.RecordCrash(crashes, c.at, []*Attempt{table.Begin(a), table.Begin(b)})
+	}
+	c.at = c.at.Add(firstTrialPeriod)
+	is.True(table.Try(a, alone))
+	is.True(!table.Try(b, alone))
+	// It reached no server.
+	table.CancelTrial(a)
+	is.True(table.Try(b, alone))
+	is.True(!table.Try(a, alone))
+	// It was answered.
+	is.True(table.RecordCompletion(b))
+	is.True(table.Try(a, alone))
 }
 
 // Guards against a table that is full of requests which were in flight at one crash each, so that a request that crashes one
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -34,8 +34,8 @@
 // that are alike, such as the price of the day, some of which are in flight at most crashes. A whole request is blocked
 // from its second crash on, chained or not, or from the third if its response had begun at some of them.
 //
-// A single blocked request is sent from time to time, at growing intervals. The routers take turns, because only some of them
-// may get such requests. Until a chain shows more, the crashes of a whole request may be those of one outage, and the first
+// A single blocked request is sent from time to time, at growing intervals. The routers take turns in such trials, because only
+// some of them may get the requests, and because two suspects that are tried at once would meet at the same server. Until a chain shows more, the crashes of a whole request may be those of one outage, and the first
 // of these trials follows soon.
 package poison
 
@@ -61,8 +61,8 @@
 	trialPeriod      = 10 * time.Second
 	firstTrialPeriod = time.Second
 	trialGrowth      = 4
-	// trialSlot is the time in which one router after the other, in that order, may begin a trial, and trialGuard the end of
-	// it in which none does: by the next slot the crash of a trial has been found and told.
+	// trialSlot is the time in which one router after the other may begin trials. trialGuard is the time in which the crash of a
+	// trial is found and told: none begins for so long after another one, nor at the end of a slot.
 	trialSlot  = 2 * time.Second
 	trialGuard = 500 * time.Millisecond
 	// maxSuspects bounds the suspects, and maxCrashes the crashes that are remembered of each.
@@ -104,6 +104,8 @@
 	now      func() time.Time
 	evidence map[suspect]*evidence
 	answers  answers
+	// trialBegan is when this router began its last trial, zero if it has ended well.
+	trialBegan time.Time
 }
 
 // evidence is what is known about one suspect.
@@ -158,7 +160,7 @@
 	// Alternatives are the fewest other parts that may have caused one of its crashes instead. A request without one of
 	// them is not blocked.
 	Alternatives []uint64
-	// NextTrial is when the first router in the suspect's order may send one request with it again, Until when any router may.
+	// NextTrial is the time from which on the routers may try one request with the suspect in turn, Until when any router may.
 	NextTrial, Until time.Time
 }
 
@@ -334,6 +336,9 @@
 		return false
 	}
 	unblocked = e.blocked(s)
+	if unblocked {
+		t.trialBegan = time.Time{}
+	}
 	*e = evidence{generation: e.generation + 1, clearedStrength: e.strength(s), changedAt: now}
 	return unblocked
 }
@@ -359,26 +364,30 @@
 	return e != nil && e.blocked(s) && t.explains(s, r)
 }
 
-// Turn is the place of a router in the order in which the routers try a suspect.
+// Turn is the place of a router in the order in which the routers make trials, which is the same for all suspects.
 type Turn struct {
 	// Rank is the number of routers before this one, and Routers the number of all.
 	Rank, Routers int
 }
 
 // Try reports whether a blocked request is to be sent nevertheless, to find out whether it is sound: while all requests with
-// a suspect are refused, no response can clear it. The routers take turns, so that a request which comes at several of them
-// is tried by one.
+// a suspect are refused, no response can clear it. In the fleet one request is tried at a time: two that meet at one server
+// would both be blamed for its crash.
 func (t *Table) Try(r Request, turn Turn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	if now.Sub(t.trialBegan) < trialGuard {
+		return false
+	}
+	lastCrash := t.lastCrash()
 	var tried []*evidence
 	for s := range r.suspects {
 		if !t.blocks(s, r) {
 			continue
 		}
 		e := t.evidence[s]
-		if !e.mayTry(now, turn) {
+		if now.Before(e.blockedUntil()) && (now.Before(e.nextTrial()) || !turn.is(now.Sub(lastCrash))) {
 			return false
 		}
 		tried = append(tried, e)
@@ -387,9 +396,30 @@
 		e.trials++
 		e.triedBefore, e.triedAt = e.triedAt, now
 	}
+	t.trialBegan = now
 	return true
 }
 
+// lastCrash returns the time of the last crash of a blocked suspect, which all routers know.
+func (t *Table) lastCrash() time.Time {
+	var last time.Time
+	for s, e := range t.evidence {
+		if e.blocked(s) && e.crashedAt.After(last) {
+			last = e.crashedAt
+		}
+	}
+	return last
+}
+
+// is reports whether it is the router's turn the given time after the last crash.
+func (t Turn) is(since time.Duration) bool {
+	if t.Routers <= 1 {
+		return true
+	}
+	slot, within := int(since/trialSlot), since%trialSlot
+	return slot%t.Routers == t.Rank && within < trialSlot-trialGuard
+}
+
 // CancelTrial takes back that a request is sent although it is blocked: no backend server has run it.
 func (t *Table) CancelTrial(r Request) {
 	t.mu.Lock()
@@ -399,24 +429,12 @@
 			e := t.evidence[s]
 			e.trials--
 			e.triedAt = e.triedBefore
+			t.trialBegan = time.Time{}
 		}
 	}
 }
 
-// mayTry reports whether a router may send one request with a blocked suspect now.
-func (e *evidence) mayTry(now time.Time, turn Turn) bool {
-	if !now.Before(e.blockedUntil()) {
-		return true
-	}
-	since := now.Sub(e.nextTrial())
-	if since < 0 {
-		return false
-	}
-	slot, within := int(since/trialSlot), since%trialSlot
-	return slot%max(1, turn.Routers) == turn.Rank && (within < trialSlot-trialGuard || turn.Routers <= 1)
-}
-
-// nextTrial returns the time from which on the first router may send one request with a blocked suspect.
+// nextTrial returns the time from which on the routers may try one request with a blocked suspect in turn.
 func (e *evidence) nextTrial() time.Time {
 	if e.trials == 0 && e.depth < blockDepth {
 		return e.lastEvidence().Add(firstTrialPeriod)
--- a/gateway/pool/directory.go
+++ b/gateway/pool/directory.go
@@ -69,16 +69,16 @@
 	return r.firstRouter(id)
 }
 
-// RouterRank returns the number of routers before this one in the rendezvous order of a key, and that of all.
-func (r *Registry) RouterRank(key uint64) (rank, routers int) {
+// RouterRank returns the number of routers before this one in an order that all routers agree on, and the number of all.
+func (r *Registry) RouterRank() (rank, routers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hashes := make([]uint64, 0, len(r.routers))
-	own := rendezvous.Hash(r.self)
 	for _, router := range r.routers {
-		hashes = append(hashes, router.hash)
+		if router.name < r.self {
+			rank++
+		}
 	}
-	return rendezvous.Rank(key, own, hashes), max(1, len(hashes))
+	return rank, max(1, len(r.routers))
 }
 
 // firstRouter returns the first router of the rendezvous order of a key, "" if it is this one.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -61,10 +61,9 @@
 // for another of its suspects.
 const minBlockedRetryAfter = time.Second
 
-// try reports whether the request is sent although it is blocked. The order of the routers is that of the given suspect,
-// the first one that blocks it: if each suspect had its own, none might try a request with two.
+// try reports whether the request is sent although it is blocked, for the given suspect first.
 func (s *requestState) try(first poison.Suspicion) bool {
-	rank, routers := s.g.registry.RouterRank(first.ID)
+	rank, routers := s.g.registry.RouterRank()
 	if !s.g.poison.Try(s.content(), poison.Turn{Rank: rank, Routers: routers}) {
 		return false
 	}
