Refuse requests that a stopping router has not sent yet

Here, requests whose header arrived 2.9 s after the signal or later were refused, but not those which had arrived before and were still waiting then, for the rest of their body or for a place. They were sent however late that came: streams were cut off in the middle, and orders answered 502 at the end of the grace period, so that their callers could not know whether they had run.

Evidence: TestStopSendsNoRequestsLate failed before in its three cases (502, unexpected EOF, 502 instead of 503).

Change: when a router that stops begins to refuse what arrives, it also refuses, with 503 and at once, what it has sent to no instance, if the request's time is not over before the router gives up what is unanswered. Waits for the body, for admission and for a place end, and it is checked once more before a request is sent. Requests that were sent, and their retries, go on as before. Errors of a router that stops close the connection.

Why this works: what was not sent has not run, so the refusal is true and the caller may repeat it at another router; what may be sent after that ends within the grace period by its own time limit.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -126,6 +126,9 @@
 	h := s.writer.Header()
 	s.g.env.Protocol.SetResponseHeader(h, &s.call)
 	h.Set("Content-Type", "application/json")
+	if s.g.leaving.Load() {
+		h.Set("Connection", "close")
+	}
 	if err.Verdict == verdict.NotRun && err.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 2, 64))
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,7 +102,11 @@
 	if s.offer != nil {
 		return s.offer.lease, s.offer.place, nil
 	}
-	lease, place, err := s.acquire(ctx)
+	waiting := s.untilSent(ctx)
+	lease, place, err := s.acquire(waiting)
+	if lease == nil && err == nil && ctx.Err() == nil && waiting.Err() != nil {
+		err = s.contextError(waiting, verdict.NotRun)
+	}
 	if lease != nil {
 		s.triedInstances = append(s.triedInstances, lease.Instance.ID)
 	}
@@ -249,6 +253,10 @@
 		s.retryReserved = true
 		return nil, pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the instance takes no more requests")
 	}
+	if s.attemptsSent == 0 && s.outlivesRouter() {
+		_ = conn.Close()
+		return nil, pool.Abandoned, unavailable(verdict.ReasonLeaving, errStopped.Error(), stopRetryAfter)
+	}
 	// The request may have been blocked while it waited for its place.
 	if err := s.checkSuspects(); err != nil {
 		_ = conn.Close()
@@ -404,7 +412,9 @@
 		return verdict.New(v, verdict.ReasonDeadline, "the time is over")
 	}
 	if errors.Is(context.Cause(ctx), errStopped) {
-		return verdict.Wrap(v, verdict.ReasonLeaving, errStopped)
+		err := verdict.Wrap(v, verdict.ReasonLeaving, errStopped)
+		err.RetryAfter = stopRetryAfter
+		return err
 	}
 	return verdict.New(v, verdict.ReasonCancelled, "the caller left")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,11 @@
 	leaving atomic.Bool
 	// refusing is set when it is too late in a stop for a request that has just been read.
 	refusing atomic.Bool
+	// lastAnswer is when a router that stops gives up the requests that are not answered. It is nil until requests are refused
+	// that were sent to no instance yet and may last longer: unsent is then cancelled with errStopped.
+	lastAnswer atomic.Pointer[time.Time]
+	unsent     context.Context
+	endUnsent  context.CancelCauseFunc
 	// requests is the context of all callers' requests. endRequests cancels it with errStopped.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -116,6 +121,7 @@
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.unanswered, g.endUnanswered = context.WithCancelCause(g.requests)
+	g.unsent, g.endUnsent = context.WithCancelCause(g.requests)
 	g.crashes = newCrashDetector(func(i pool.Instance, at time.Time, failed []failedRequest) {
 		g.recordCrash(i, at, failed)
 		g.peers.Changed()
@@ -337,9 +343,14 @@
 	time.Sleep(min(g.settings.DrainDelay, end.Sub(begin)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.settings.GracePeriod-stopMargin))
 	defer cancel()
-	answering := time.AfterFunc(time.Until(end.Add(-stopMargin)), func() { g.endUnanswered(errStopped) })
+	lastAnswer := end.Add(-stopMargin)
+	answering := time.AfterFunc(time.Until(lastAnswer), func() { g.endUnanswered(errStopped) })
 	defer answering.Stop()
-	refusal := time.AfterFunc(lateArrival, func() { g.refusing.Store(true) })
+	refusal := time.AfterFunc(lateArrival, func() {
+		g.refusing.Store(true)
+		g.lastAnswer.Store(&lastAnswer)
+		g.endUnsent(errStopped)
+	})
 	defer refusal.Stop()
 	err := callerconn.Drain(ctx, g.callerServer, g.callerListener, g.callers)
 	if err != nil {
@@ -359,7 +370,8 @@
 }
 
 // lateArrival is how long after the drain delay requests are still served that were sent on connections made before. Later
-// ones could be cut off when the process is killed.
+// ones could be cut off when the process is killed, and so could those that have been waiting for a place, or for the rest
+// of their body, since.
 const lateArrival = 400 * time.Millisecond
 
 const (
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -62,6 +62,8 @@
 	lastEventID     string
 	// leaveUnanswered is called when the response begins: the request no longer ends with those that are unanswered.
 	leaveUnanswered func() bool
+	// unsent ends with the request, or when a router that stops refuses it because it was sent to no instance yet.
+	unsent context.Context
 	// plainStarted is set as well if the response is not a stream of events, so that nothing can follow it.
 	plainStarted bool
 	// budget is the retry budget of the pool. retryReserved is set when the next retry was already withdrawn
@@ -113,7 +115,9 @@
 		ctx, cancel = context.WithDeadline(ctx, s.deadline)
 		defer cancel()
 	}
-	if err := s.readBody(ctx); err != nil {
+	release := s.refuseWhenStopping(ctx)
+	defer release()
+	if err := s.readBody(s.unsent); err != nil {
 		s.reject(err)
 		return
 	}
@@ -125,6 +129,27 @@
 // stopRetryAfter is the Retry-After value of a router that stops. The caller reaches another one.
 const stopRetryAfter = 50 * time.Millisecond
 
+// refuseWhenStopping sets unsent.
+func (s *requestState) refuseWhenStopping(ctx context.Context) (release func()) {
+	unsent, cancel := context.WithCancelCause(ctx)
+	s.unsent = unsent
+	stop := context.AfterFunc(s.g.unsent, func() {
+		if s.outlivesRouter() {
+			cancel(errStopped)
+		}
+	})
+	return func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// outlivesRouter reports whether the router stops and may exit before the request's time is over.
+func (s *requestState) outlivesRouter() bool {
+	end := s.g.lastAnswer.Load()
+	return end != nil && (s.deadline.IsZero() || s.deadline.After(*end))
+}
+
 // refuseLate refuses a request that was read too late in a stop.
 func (s *requestState) refuseLate() {
 	// Without a valid header the response names no request.
@@ -252,9 +277,12 @@
 	if s.g.registry.HeldOff(s.pool) > 0 {
 		return s.noInstance()
 	}
-	grant, err := s.g.admission.admit(ctx, s.table.Pools[s.pool], s.organisation, s.priority)
+	grant, err := s.g.admission.admit(s.untilSent(ctx), s.table.Pools[s.pool], s.organisation, s.priority)
 	s.admissionWait = time.Since(s.start)
 	s.g.metrics.admissionWait.observe(s.admissionWait)
+	if err != nil && ctx.Err() == nil && s.untilSent(ctx).Err() != nil {
+		return s.contextError(s.unsent, verdict.NotRun)
+	}
 	if err != nil {
 		return s.exhausted(err)
 	}
@@ -265,6 +293,14 @@
 	return s.tryInstances(ctx)
 }
 
+// untilSent returns the context for a wait before the next attempt: that of the request, or unsent before the first one.
+func (s *requestState) untilSent(ctx context.Context) context.Context {
+	if s.attemptsSent > 0 || s.unsent == nil {
+		return ctx
+	}
+	return s.unsent
+}
+
 // choosePool selects the first pool of the route that has an instance that is not leaving, even if it is ejected. A pool
 // whose instances all turn requests away follows the others; if there is no other, the first one to come back is selected.
 func (s *requestState) choosePool() *verdict.Error {
