Do not take a refusal without a sign for an answer of a request

A 408 or 429 of a backend server does not show that it has run the request, so it no longer clears one that is suspected of crashes. A trial that became needless holds no other one back.

--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -35,8 +35,8 @@
 // from its second crash on, chained or not, or from the third if its response had begun at some of them.
 //
 // A single blocked request is sent from time to time, at growing intervals. The routers take turns in such trials, because only
-// some of them may get the requests, and because two suspects that are tried at once would meet at the same server. Until a chain shows more, the crashes of a whole request may be those of one outage, and the first
-// of these trials follows soon.
+// some of them may get the requests, and because two suspects that are tried at once would meet at the same server. Until a
+// chain shows more, the crashes of a whole request may be those of one outage, and the first of its trials follows soon.
 package poison
 
 import (
@@ -392,11 +392,13 @@
 		}
 		tried = append(tried, e)
 	}
+	if len(tried) > 0 {
+		t.trialBegan = now
+	}
 	for _, e := range tried {
 		e.trials++
 		e.triedBefore, e.triedAt = e.triedAt, now
 	}
-	t.trialBegan = now
 	return true
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -88,8 +88,10 @@
 func answersPrompt(status int) bool { return status < http.StatusMultipleChoices }
 
 // answersRequest reports whether a response with the given status is the answer of a backend server that has run the request.
-// One that fails may not have come as far as the request's harm.
-func answersRequest(status int) bool { return status < http.StatusInternalServerError }
+// One that fails, or turns the request away, may not have come as far as the request's harm.
+func answersRequest(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
+}
 
 // recordAnswer records that the instance has begun to answer the request, and is still there.
 func (s *requestState) recordAnswer() {
