--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -1,7 +1,7 @@
 // Package soak runs the gateways of a fleet as separate processes against stand-ins of the platform, injects
 // faults from outside the processes and checks invariants on what callers and backend servers observe.
 //
-//	go test ./internal/soak -run 'TestSoak|TestChanges' -soak.seed=7 -soak.count=50 -soak.faults=12
+//	go test ./internal/soak -run 'TestSoak|TestChanges|TestCrashes' -soak.seed=7 -soak.count=50 -soak.faults=12
 //
 // A seed determines the sequence of faults and of requests, but not their timing relative to each other.
 // Seeds that have failed stay in regressions, with the cause.
