Tell few of the blocked requests that are no news

After an outage many requests may be blocked for minutes, and each message would carry 16 of them, 6 KB/s on each link of a small fleet by their size (computed, 60 bytes each every 150 ms; 5 KB/s are allowed). TestManyBlockedRequestsAreToldSlowly.

--- a/gateway/poison/exchange.go
+++ b/gateway/poison/exchange.go
@@ -14,11 +14,13 @@
 	newsPeriod = 3 * time.Second
 	// maxNewsAge is the age from which on a crash is no news to a router that learns of it.
 	maxNewsAge = 2 * newsPeriod
-	// maxToldParts and maxToldRequests bound the suspects in one message, and maxOld those of each kind that are no news while
-	// there are more news than fit.
+	// maxToldParts and maxToldRequests bound the suspects in one message, maxOld those of each kind that are no news while there
+	// are more news than fit, and maxOldRequests whole requests that are no news at any time: after an outage there may be many
+	// for minutes.
 	maxToldParts    = 24
 	maxToldRequests = 16
 	maxOld          = 8
+	maxOldRequests  = 4
 )
 
 // Export returns the suspects for a message to another router: those of which this table has learned something within
@@ -31,11 +33,11 @@
 	}
 	now := t.now()
 	t.expire(now)
-	return t.export(now, false, maxToldParts), t.export(now, true, maxToldRequests)
+	return t.export(now, false, maxToldParts, maxToldParts), t.export(now, true, maxToldRequests, maxOldRequests)
 }
 
-// export returns at most limit suspects of one kind.
-func (t *Table) export(now time.Time, request bool, limit int) []*peerpb.Suspect {
+// export returns at most limit suspects of one kind, and at most oldLimit that are no news.
+func (t *Table) export(now time.Time, request bool, limit, oldLimit int) []*peerpb.Suspect {
 	var news, old []suspect
 	for s, e := range t.evidence {
 		switch {
@@ -52,6 +54,7 @@
 		e, f := t.evidence[a], t.evidence[b]
 		return cmp.Or(cmp.Compare(f.toldStrength(b), e.toldStrength(a)), f.changedAt.Compare(e.changedAt))
 	})
+	old = old[:min(len(old), oldLimit)]
 	told := news[:min(len(news), limit-min(len(old), maxOld))]
 	told = append(told, old[:min(len(old), limit-len(told))]...)
 	out := make([]*peerpb.Suspect, 0, len(told))
--- a/gateway/poison/repeats_test.go
+++ b/gateway/poison/repeats_test.go
@@ -366,6 +366,27 @@
 	is.True(len(table.evidence) <= maxSuspects)
 }
 
+// Guards against control traffic that stays high for minutes after an outage, and against a router that has just started and is
+// never told of some of the requests that are blocked since.
+func TestManyBlockedRequestsAreToldSlowly(t *testing.T) {
+	const blockedRequests = 100
+	is := is.New(t)
+	c, all := newTables(2)
+	for i := range uint64(blockedRequests) {
+		for range blockCrashes {
+			crashes++
+			all[0].RecordCrash(crashes, c.at, []*Attempt{all[0].Begin(Request{Fingerprint: 1000 + i})})
+		}
+	}
+	c.at = c.at.Add(time.Minute)
+	_, requests := all[0].Export()
+	is.Equal(len(requests), maxOldRequests)
+	for range 4 * blockedRequests {
+		exchange(all...)
+	}
+	is.Equal(all[1].Counts().BlockedRequests, blockedRequests)
+}
+
 // Guards against two requests in flight at the same crashes that excuse each other, so that the one which crashes workers is
 // never refused.
 func TestWholeRequestsDoNotExplainEachOther(t *testing.T) {
