--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"jacinthfork.example/jacinthfork/gateway/buffer"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
+	"jacinthfork.example/jacinthfork/internal/callerconn"
 	"jacinthfork.example/jacinthfork/retry"
 	"jacinthfork.example/jacinthfork/verdict"
 )
@@ -270,6 +271,10 @@
 		_ = conn.Close()
 		return nil, pool.Abandoned, unavailable(verdict.ReasonLeaving, errStopped.Error(), stopRetryAfter)
 	}
+	if callerconn.CallerLeft(s.request.Context()) {
+		_ = conn.Close()
+		return nil, pool.Abandoned, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the caller left before the request was sent")
+	}
 	// The request may have been blocked while it waited for its place.
 	if err := s.checkSuspects(); err != nil {
 		_ = conn.Close()
--- a/internal/callerconn/limits.go
+++ b/internal/callerconn/limits.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// CallerLeft reports whether the caller of a request, whose context it gets, has closed the connection. The context ends only
+// once the server's reader has run, which takes seconds in a process that is short of processor time.
+func CallerLeft(ctx context.Context) bool {
+	own, ok := ctx.Value(connKey{}).(*tracked)
+	return ok && socket.Ended(own.Conn)
+}
+
 // hasRequest reports whether a request is served.
 func (c *tracked) hasRequest() bool {
 	c.mu.Lock()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -15,20 +15,33 @@
 // closed the connection. It may be called while a read is in progress. A connection that is not one of the operating
 // system is never readable. It fails if the connection is closed.
 func Readable(conn net.Conn) (bool, error) {
+	_, failure, err := peek(conn)
+	return !errors.Is(failure, syscall.EAGAIN), err
+}
+
+// Ended reports whether the other side has closed or reset the connection and nothing is left to be read before that. It may
+// be called while a read is in progress, and knows before a reader that has not run yet.
+func Ended(conn net.Conn) bool {
+	n, failure, err := peek(conn)
+	return err == nil && (n == 0 && failure == nil || errors.Is(failure, syscall.ECONNRESET))
+}
+
+// peek looks for one byte without reading it. failure is that of the system call, EAGAIN if there is no data or the connection
+// is not one of the operating system, and err says that the connection is closed.
+func peek(conn net.Conn) (n int, failure, err error) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return false, nil
+		return 0, syscall.EAGAIN, nil
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false, err
+		return 0, syscall.EAGAIN, err
 	}
-	var failure error
 	err = control.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return !errors.Is(failure, syscall.EAGAIN), err
+	return n, failure, err
 }
 
 // ReadNow reads from a non-blocking descriptor. The error is io.EOF at the end of the data, and syscall.EAGAIN if there is
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -91,3 +91,28 @@
 	_, err = AcceptPending(listener)
 	is.True(err != nil)
 }
+
+// Guards against a closed connection that is known only once a read in progress has returned, and against one that counts as
+// closed while data is left.
+func TestEnded(t *testing.T) {
+	is := is.New(t)
+	listener := listen(t)
+	caller := dial(t, listener)
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	is.True(!Ended(conn))
+	_, err = caller.Write([]byte("x"))
+	is.NoErr(err)
+	is.NoErr(caller.Close())
+	for readable := false; !readable; time.Sleep(time.Millisecond) {
+		readable, err = Readable(conn)
+		is.NoErr(err)
+	}
+	is.True(!Ended(conn)) // the data comes first
+	_, err = conn.Read(make([]byte, 1))
+	is.NoErr(err)
+	for end := time.Now().Add(10 * time.Second); !Ended(conn) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(Ended(conn))
+}
