Choose an instance in one function that also says why

The choice of an instance and its reasons are to be explained to operators. The reasons were not kept: candidates discarded why an instance was left out, and chooseByPrompt which rule had decided.

Registry.choose returns the instance, its class and the rule, excluded and classOf say why an instance is not among the candidates, and compareLoad is the order of chooseByLoad. Acquire takes what choose returns.

--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,18 +28,36 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	candidates := r.candidates(q, now)
-	if len(candidates) == 0 {
+	c := r.choose(q, now)
+	if c.member == nil {
 		return nil
 	}
-	e := r.estimateLoad(q.Pool, now)
-	var best *member
+	return r.newLease(q, c.member, c.load, now)
+}
+
+// choice is the instance chosen for a request, nil if none is eligible.
+type choice struct {
+	member *member
+	// candidates are the instances that it was chosen from, all of one class, and rule says why it was chosen among them.
+	candidates []*member
+	class      Class
+	rule       Rule
+	// load is the estimate that the choice was made by.
+	load loadEstimate
+}
+
+// choose decides which instance a request gets, for Acquire and for Rehearsal.
+func (r *Registry) choose(q *Request, now time.Time) (c choice) {
+	if c.candidates, c.class = r.candidates(q, now); len(c.candidates) == 0 {
+		return c
+	}
+	c.load = r.estimateLoad(q.Pool, now)
 	if len(q.Parts) > 0 {
-		best = r.chooseByPrompt(q, candidates, e, now)
+		c.member, c.rule = r.chooseByPrompt(q, c.candidates, c.load, now)
 	} else {
-		best = r.chooseByLoad(candidates, e, now)
+		c.member, c.rule = r.chooseByLoad(c.candidates, c.load, now), LeastLoaded
 	}
-	return r.newLease(q, best, e, now)
+	return c
 }
 
 // HasAlternative reports whether another healthy instance than those excluded could take the request.
@@ -46,7 +65,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	for _, m := range r.candidates(q, now) {
+	candidates, _ := r.candidates(q, now)
+	for _, m := range candidates {
 		if !m.health.ejected(now) && !m.stalled(now, r.settings.StallTimeout) {
 			return true
 		}
@@ -58,45 +78,104 @@
 func (r *Registry) HasOther(q *Request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.candidates(q, r.now())) > 0
+	candidates, _ := r.candidates(q, r.now())
+	return len(candidates) > 0
 }
 
-// candidates returns the eligible members of the best class that is not empty: healthy ones, then those that have just
-// refused a request or whose keeper has just refused a reservation, then degraded ones, then ejected ones.
+// Class orders the eligible instances of a pool: those of a class are chosen only if the classes before it are empty.
+type Class uint8
+
+// The classes of eligible instances.
+const (
+	// Healthy instances are chosen first.
+	Healthy Class = iota
+	// RefusedLately is the class of those that have just refused a request, or whose keeper has just refused a reservation.
+	RefusedLately
+	// Degraded instances have stalled, their entry has expired, or their keeper has ejected them.
+	Degraded
+	// Unavailable instances are ejected.
+	Unavailable
+	classCount
+)
+
+// Exclusion says why an instance is not eligible for a request.
+type Exclusion string
+
+// The reasons for which an instance is not eligible. The empty string means that it is.
+const (
+	AlreadyTried  Exclusion = "tried"
+	IsLeaving     Exclusion = "leaving"
+	IsEvacuated   Exclusion = "evacuated"
+	IsHeldOff     Exclusion = "held-off"
+	ColdFull      Exclusion = "cold-full"
+	ColdExcluded  Exclusion = "cold"
+	FullRemainder Exclusion = "full-while-others-held-off"
+)
+
+// candidates returns the eligible members of the best class that is not empty.
 //
 // It answers a load pattern: most engines of a pool turn this router away for a time, while requests arrive as before. The
 // engines that are left are then eligible only while they have a free slot, so that they do not get all requests.
-func (r *Registry) candidates(q *Request, now time.Time) []*member {
-	var healthy, full, degraded, unavailable []*member
-	var e loadEstimate
-	bounded := len(q.Parts) > 0 && r.holdsOff(q.Pool, now)
-	if bounded {
-		e = r.estimateLoad(q.Pool, now)
-	}
+func (r *Registry) candidates(q *Request, now time.Time) ([]*member, Class) {
+	var classes [classCount][]*member
+	bound := r.slotBound(q, now)
 	for _, m := range r.pools[q.Pool] {
-		if r.closed(m) || m.announced.turnsAway(now) || slices.Contains(q.Exclude, m.ID) || r.coldFull(m, now) || (q.ExcludeCold && r.cold(m, now)) {
-			continue
-		}
-		if bounded && r.atLimit(m, e.load(m, now), now) {
+		if r.excluded(q, m, bound, now) != "" {
 			continue
 		}
-		switch {
-		case m.unavailable(now):
-			unavailable = append(unavailable, m)
-		case r.degraded(m, now):
-			degraded = append(degraded, m)
-		case now.Before(m.health.backoffUntil), now.Before(m.deniedUntil):
-			full = append(full, m)
-		default:
-			healthy = append(healthy, m)
-		}
+		class := r.classOf(m, now)
+		classes[class] = append(classes[class], m)
 	}
-	for _, class := range [][]*member{healthy, full, degraded} {
-		if len(class) > 0 {
-			return class
+	for class, members := range classes {
+		if len(members) > 0 {
+			return members, Class(class)
 		}
 	}
-	return unavailable
+	return nil, Unavailable
+}
+
+// slotBound returns the load estimate by which the instances of a pool are eligible only while they have a free slot, nil if
+// they need none.
+func (r *Registry) slotBound(q *Request, now time.Time) *loadEstimate {
+	if len(q.Parts) == 0 || !r.holdsOff(q.Pool, now) {
+		return nil
+	}
+	e := r.estimateLoad(q.Pool, now)
+	return &e
+}
+
+// excluded returns why an instance is not eligible for a request, "" if it is.
+func (r *Registry) excluded(q *Request, m *member, bound *loadEstimate, now time.Time) Exclusion {
+	switch {
+	case m.leaving():
+		return IsLeaving
+	case r.closed(m):
+		return IsEvacuated
+	case m.announced.turnsAway(now):
+		return IsHeldOff
+	case slices.Contains(q.Exclude, m.ID):
+		return AlreadyTried
+	case r.coldFull(m, now):
+		return ColdFull
+	case q.ExcludeCold && r.cold(m, now):
+		return ColdExcluded
+	case bound != nil && r.atLimit(m, bound.load(m, now), now):
+		return FullRemainder
+	}
+	return ""
+}
+
+// classOf returns the class of an eligible instance.
+func (r *Registry) classOf(m *member, now time.Time) Class {
+	switch {
+	case m.unavailable(now):
+		return Unavailable
+	case r.degraded(m, now):
+		return Degraded
+	case now.Before(m.health.backoffUntil), now.Before(m.deniedUntil):
+		return RefusedLately
+	}
+	return Healthy
 }
 
 // holdsOff reports whether an instance of a pool turns this router away for a time.
@@ -183,20 +262,48 @@
 	return (e.load(m, now) + 1) * r.paceFactor(m, now)
 }
 
+// Rule says why an instance is chosen among the candidates.
+type Rule string
+
+// The rules by which an instance is chosen.
+const (
+	// LeastLoaded is the instance with the fewest requests in flight per slot, see chooseByLoad.
+	LeastLoaded Rule = "least-loaded"
+	// AllFull is the same for a prompt, because all instances are at the load bound or have no free slot.
+	AllFull Rule = "all-full"
+	// Holder has cached at least half of the prompt at the lowest cost.
+	Holder Rule = "cached"
+	// First and Second are the first two instances of the rendezvous order of the prompt.
+	First  Rule = "first-of-order"
+	Second Rule = "second-of-order"
+	// Cheaper is the least loaded instance, which is cheaper by more than the whole prompt.
+	Cheaper Rule = "cheaper"
+)
+
 // chooseByLoad returns the instance with the fewest requests in flight per slot, with its pace. Ties go to the own failure
 // domain and are then broken at random, so that routers do not all choose the same instance.
 func (r *Registry) chooseByLoad(candidates []*member, e loadEstimate, now time.Time) *member {
 	start := rand.IntN(len(candidates))
 	best := candidates[start]
 	for n := range candidates {
-		m := candidates[(start+n)%len(candidates)]
-		a, b := r.pacedLoad(m, e, now)*float64(max(1, best.Slots)), r.pacedLoad(best, e, now)*float64(max(1, m.Slots))
-		switch {
-		case a < b:
-			best = m
-		case a == b && m.FailureDomain == r.domain && best.FailureDomain != r.domain:
+		if m := candidates[(start+n)%len(candidates)]; r.compareLoad(m, best, e, now) < 0 {
 			best = m
 		}
 	}
 	return best
 }
+
+// compareLoad returns a negative number if chooseByLoad prefers a to b, and 0 if it chooses one of them at random.
+func (r *Registry) compareLoad(a, b *member, e loadEstimate, now time.Time) int {
+	loadA, loadB := r.pacedLoad(a, e, now)*float64(max(1, b.Slots)), r.pacedLoad(b, e, now)*float64(max(1, a.Slots))
+	if loadA != loadB {
+		return cmp.Compare(loadA, loadB)
+	}
+	switch ownA, ownB := a.FailureDomain == r.domain, b.FailureDomain == r.domain; {
+	case ownA && !ownB:
+		return -1
+	case ownB && !ownA:
+		return 1
+	}
+	return 0
+}
--- a/gateway/pool/prompt.go
+++ b/gateway/pool/prompt.go
@@ -84,32 +84,32 @@
 // no instance has cached half of it. The least loaded instance is chosen instead when it is cheaper by more
 // than the whole prompt, and chooseByLoad decides when all instances are at the load bound or have no free
 // slot.
-func (r *Registry) chooseByPrompt(q *Request, candidates []*member, e loadEstimate, now time.Time) *member {
+func (r *Registry) chooseByPrompt(q *Request, candidates []*member, e loadEstimate, now time.Time) (*member, Rule) {
 	t := r.findPromptTargets(q, candidates, e, now)
 	if t.first == nil {
-		return r.chooseByLoad(candidates, e, now)
+		return r.chooseByLoad(candidates, e, now), AllFull
 	}
-	best := t.holder
+	best, rule := t.holder, Holder
 	switch {
 	case best == nil:
-		best = r.chooseColdTarget(q, &t, e, now)
+		best, rule = r.chooseColdTarget(q, &t, e, now)
 	case r.cost(q, t.first, t.first.cache.cachedTokens(q.Parts), e, now) < t.holderCost:
-		best = t.first
+		best, rule = t.first, First
 	}
 	leastLoadedCost := r.cost(q, t.leastLoaded, t.leastLoaded.cache.cachedTokens(q.Parts), e, now)
 	if leastLoadedCost < r.cost(q, best, best.cache.cachedTokens(q.Parts), e, now)-q.Tokens {
-		return t.leastLoaded
+		return t.leastLoaded, Cheaper
 	}
-	return best
+	return best, rule
 }
 
 // chooseColdTarget returns the instance for a prompt of which no instance in t has cached half: the first of
 // its rendezvous order, or the second when the first has a much higher cost.
-func (r *Registry) chooseColdTarget(q *Request, t *promptTargets, e loadEstimate, now time.Time) *member {
+func (r *Registry) chooseColdTarget(q *Request, t *promptTargets, e loadEstimate, now time.Time) (*member, Rule) {
 	if t.second != nil && r.cost(q, t.second, 0, e, now)+r.settings.SecondChoiceTokens < r.cost(q, t.first, 0, e, now) {
-		return t.second
+		return t.second, Second
 	}
-	return t.first
+	return t.first, First
 }
 
 // fetchSource returns the instance that has cached most of a prompt beyond the tokens that m has cached, and the number of
