--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -147,7 +147,7 @@
 func (r *Registry) SetFleetLoad(byPool map[uint32]PoolLoad) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleetLoad = byPool
+	r.fleetLoad, r.fleetLoadAt = byPool, r.now()
 }
 
 // PoolHash identifies a pool between routers.
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -104,8 +104,9 @@
 	early earlyHolds
 	// lost is the number of routers that cannot be reached and may be a part of the fleet without contact to this one.
 	lost int
-	// fleetLoad is the load of all routers, by PoolHash.
-	fleetLoad map[uint32]PoolLoad
+	// fleetLoad is the load of all routers, by PoolHash, as told at fleetLoadAt.
+	fleetLoad   map[uint32]PoolLoad
+	fleetLoadAt time.Time
 	// tombstones holds the last publication of each removed instance, so that an earlier publication that
 	// arrives late does not bring the instance back. The last publication itself does if it arrives again.
 	tombstones map[string]tombstone
