--- a/admission/controller.go
+++ b/admission/controller.go
@@ -156,12 +156,12 @@
 	if err := c.acquireLimit(o, work); err != nil {
 		return nil, nil, c.countRefusal(err)
 	}
-	if c.queuedRequests == 0 && c.checkFit(o, req, work) == fitsNow {
+	if c.runsNow(o, req, work) {
 		return c.newGrant(o, req, work), nil, nil
 	}
 	if req.MaxWait < 0 {
 		c.refundLimit(o)
-		return nil, nil, c.countRefusal(verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "no capacity is free"))
+		return nil, nil, c.countRefusal(noCapacityError())
 	}
 	w, err := c.enqueue(ctx, o, req, work)
 	if err != nil {
@@ -171,6 +171,16 @@
 	return nil, w, nil
 }
 
+// runsNow reports whether a request is granted without a wait.
+func (c *Controller) runsNow(o *organisation, req *Request, work uint64) bool {
+	return c.queuedRequests == 0 && c.checkFit(o, req, work) == fitsNow
+}
+
+// noCapacityError is the refusal of a request that does not wait.
+func noCapacityError() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonOverCapacity, "no capacity is free")
+}
+
 // precheck returns the refusal of a request that may not enter the queue, or nil.
 func (c *Controller) precheck(ctx context.Context, req *Request, work uint64) *verdict.Error {
 	switch {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"jacinthfork.example/jacinthfork/verdict"
@@ -37,59 +38,75 @@
 // enqueue adds a request to the queue. When the queue is full, it refuses either this request or a queued one.
 func (c *Controller) enqueue(ctx context.Context, o *organisation, req *Request, work uint64) (*waiter, *verdict.Error) {
 	c.refuseExpired()
-	w := &waiter{ctx: ctx, organisation: o, req: *req, work: work, arrival: c.counts.Queued, result: make(chan admitResult, 1)}
-	w.until = c.now().Add(c.waitLimit(req))
+	w := c.newWaiter(ctx, o, req, work)
 	if c.settings.ByUrgency {
 		if err := c.refuseTooLate(w); err != nil {
 			c.refundLimit(o)
 			return nil, err
 		}
 	}
-	if c.queuedRequests >= c.queueLimit() && !c.evictFor(w) {
+	if victim := c.displacedBy(w); victim == w {
 		c.refundLimit(o)
 		return nil, c.queueFullError(w)
+	} else if victim != nil {
+		c.evict(victim)
 	}
+	c.join(w)
+	if c.settings.ByUrgency {
+		c.notify(QueueEntered, levelOf(req))
+		c.refuseOvertaken()
+	}
+	return w, nil
+}
+
+// join adds a request to the queue.
+func (c *Controller) join(w *waiter) {
+	o := w.organisation
 	w.queued = true
 	at := len(o.waiting)
-	for at > 0 && o.waiting[at-1].req.Priority < req.Priority {
+	for at > 0 && o.waiting[at-1].req.Priority < w.req.Priority {
 		at--
 	}
-	o.waiting = append(o.waiting, nil)
-	copy(o.waiting[at+1:], o.waiting[at:])
-	o.waiting[at] = w
-	o.queuedTokens += work
+	o.waiting = slices.Insert(o.waiting, at, w)
+	o.queuedTokens += w.work
 	c.queuedRequests++
 	c.counts.Queued++
-	if req.Isolate {
+	if w.req.Isolate {
 		c.pendingIsolated = w
 	}
 	if c.settings.ByUrgency {
-		c.urgency.levels[levelOf(req)].queued++
-		c.notify(QueueEntered, levelOf(req))
-		c.refuseOvertaken()
+		c.urgency.levels[levelOf(&w.req)].queued++
 	}
-	return w, nil
 }
 
-// evictFor refuses the last queued request of the organisation that is furthest over its share. It returns
-// false when the arriving request itself must be refused.
-func (c *Controller) evictFor(arriving *waiter) bool {
-	if c.settings.QueueRequests == 0 {
-		return false
+// newWaiter returns a request that is about to enter the queue.
+func (c *Controller) newWaiter(ctx context.Context, o *organisation, req *Request, work uint64) *waiter {
+	return &waiter{
+		ctx: ctx, organisation: o, req: *req, work: work, arrival: c.counts.Queued, result: make(chan admitResult, 1),
+		until: c.now().Add(c.waitLimit(req)),
 	}
-	if c.settings.ByUrgency {
-		return c.evictLeastUrgent(arriving)
+}
+
+// displacedBy returns the request that is refused when another one arrives, nil if the queue has room: the last queued request
+// of the organisation that is furthest over its share, or the arriving request itself.
+func (c *Controller) displacedBy(arriving *waiter) *waiter {
+	switch {
+	case c.queuedRequests < c.queueLimit():
+		return nil
+	case c.settings.QueueRequests == 0:
+		return arriving
+	case c.settings.ByUrgency:
+		return c.leastUrgent(arriving)
 	}
 	worst := c.mostOverShare(arriving.organisation)
 	if len(worst.waiting) == 0 {
-		return false
+		return arriving
 	}
 	last := worst.waiting[len(worst.waiting)-1]
 	if worst == arriving.organisation && last.req.Priority >= arriving.req.Priority {
-		return false
+		return arriving
 	}
-	c.refuseQueued(last, c.queueFullError(last))
-	return true
+	return last
 }
 
 // dequeue removes a waiter from the queue.
--- a/admission/urgency.go
+++ b/admission/urgency.go
@@ -284,7 +284,9 @@
 }
 
 func (c *Controller) evict(w *waiter) {
-	c.notify(QueueEvicted, levelOf(&w.req))
+	if c.settings.ByUrgency {
+		c.notify(QueueEvicted, levelOf(&w.req))
+	}
 	c.refuseQueued(w, c.queueFullError(w))
 }
 
@@ -294,9 +296,9 @@
 	return max(1, int(c.urgency.reserved(level, c.now())*float64(c.settings.QueueRequests)))
 }
 
-// evictLeastUrgent refuses a queued request of the least urgent level that has more than its protected number, of the
-// organisation that is furthest over its share. It returns false when the arriving request itself must be refused.
-func (c *Controller) evictLeastUrgent(arriving *waiter) bool {
+// leastUrgent returns a queued request of the least urgent level that has more than its protected number, of the organisation
+// that is furthest over its share, or the arriving request if that must be refused.
+func (c *Controller) leastUrgent(arriving *waiter) *waiter {
 	own := levelOf(&arriving.req)
 	for level := urgencyLevels - 1; level >= 0; level-- {
 		queued := c.urgency.levels[level].queued
@@ -308,13 +310,12 @@
 		}
 		worst := c.mostOverShareAt(level, arriving)
 		if worst == nil || (level == own && worst == arriving.organisation) {
-			return false
+			return arriving
 		}
 		waiting := worst.waitingAt(level)
-		c.evict(waiting[len(waiting)-1])
-		return true
+		return waiting[len(waiting)-1]
 	}
-	return false
+	return arriving
 }
 
 // mostOverShareAt returns the organisation with the highest weightedUsage among those with a queued request of a level and,
