Answer at a gateway where a request would go and why

Operators could see only afterwards, in the log, why a request went to an instance, waited or was refused.

Gateway.Where takes the steps of serveCaller and run (knownFull, prepare, admission, the search for a place) with the code that serves requests, on copies where that code changes state: pool.Rehearsal, admission.Outlook, askLimits.wouldAsk and poison.Table.WouldTry. For that, small functions are split from accept, refuseFull, run, admit, acquirePlace and Try, whose decisions are unchanged.

--- a/admission/outlook.go
+++ b/admission/outlook.go
@@ -21,11 +21,22 @@
 }
 
 // Outlook decides on a request as Admit does, without granting, queueing, counting or refusing anything. The limits of
-// organisations do not count, because only taking from them shows what is left.
-func (c *Controller) Outlook(req Request) Outlook {
+// organisations do not count, because only taking from them shows what is left. earlier are the same request as it has come
+// before and been refused: each refusal counts when the next caller is told to come back.
+func (c *Controller) Outlook(req Request, earlier ...Request) Outlook {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer c.rollback(req.Organisation)()
+	for _, before := range earlier {
+		if out := c.outlook(before); out.Refusal == nil {
+			return out
+		}
+	}
+	return c.outlook(req)
+}
+
+// outlook is Outlook for one request. It changes what rollback takes back.
+func (c *Controller) outlook(req Request) Outlook {
 	out := Outlook{InFlight: c.inFlightRequests, Waiting: c.queuedRequests, Capacity: c.settings.CapacityRequests}
 	work := req.Work()
 	if out.Refusal = c.precheck(context.Background(), &req, work); out.Refusal != nil {
--- a/admission/outlook_test.go
+++ b/admission/outlook_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"jacinthfork.example/jacinthfork/internal/proptest"
+	"jacinthfork.example/jacinthfork/verdict"
 )
 
 // dump returns the state of a controller, for comparison.
@@ -87,12 +88,25 @@
 			}
 		}
 		req := anyRequest()
+		// The request may have come before, without the time to wait.
+		var earlier []Request
+		if rapid.Bool().Draw(t, "comes again") {
+			earlier = append(earlier, req)
+			earlier[0].MaxWait = time.Duration(rapid.SampledFrom([]int{-1, 50}).Draw(t, "earlier wait")) * time.Millisecond
+		}
 		before := c.dump()
-		got := c.Outlook(req)
+		got := c.Outlook(req, earlier...)
 		if after := c.dump(); after != before {
 			t.Fatalf("the outlook changes the controller from\n%s\nto\n%s", before, after)
 		}
-		g, w, refusal := c.admitOrEnqueue(context.Background(), &req)
+		var g *Grant
+		var w *waiter
+		var refusal *verdict.Error
+		for _, r := range append(earlier, req) {
+			if g, w, refusal = c.admitOrEnqueue(context.Background(), &r); refusal == nil {
+				break
+			}
+		}
 		switch {
 		case refusal != nil:
 			if got.Refusal == nil || got.Refusal.Reason != refusal.Reason || got.Refusal.RetryAfter != refusal.RetryAfter {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -115,10 +115,34 @@
 // admit waits until the pool's controller admits the request. A request that waits at a keeper needs no grant. The error is a
 // *verdict.Error with verdict.NotRun.
 func (a *admissionControllers) admit(ctx context.Context, p *routes.Pool, organisation string, priority int) (*admission.Grant, error) {
-	if p.Engine == nil || a.registry.Paced(p.Name) {
+	if !a.admits(p) {
 		return nil, nil
 	}
-	return a.controller(p.Name).Admit(ctx, admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority})
+	return a.controller(p.Name).Admit(ctx, engineRequest(organisation, priority))
+}
+
+// admits reports whether requests to a pool need a grant.
+func (a *admissionControllers) admits(p *routes.Pool) bool {
+	return p.Engine != nil && !a.registry.Paced(p.Name)
+}
+
+// engineRequest describes a request to the controller of a pool.
+func engineRequest(organisation string, priority int) admission.Request {
+	return admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority}
+}
+
+// outlook returns what admit would do. ok is false if the request needs no grant, or is the first one to the pool.
+func (a *admissionControllers) outlook(p *routes.Pool, organisation string, priority int) (out admission.Outlook, ok bool) {
+	if !a.admits(p) {
+		return out, false
+	}
+	a.mu.Lock()
+	controller := a.engines[p.Name]
+	a.mu.Unlock()
+	if controller == nil {
+		return out, false
+	}
+	return controller.Outlook(engineRequest(organisation, priority)), true
 }
 
 // controller returns the controller of a pool of engines. It creates one for a request whose configuration is not
--- a/gateway/asklimit.go
+++ b/gateway/asklimit.go
@@ -171,6 +171,23 @@
 	return true, 0
 }
 
+// wouldAsk returns what mayAsk would, decided on a copy of the state of the pool.
+func (a *askLimits) wouldAsk(now time.Time, q *placeQuestion) (ok bool, retryAfter time.Duration) {
+	a.mu.Lock()
+	trial := &askLimits{routers: a.routers}
+	if p := a.pools[q.pool]; p != nil {
+		c := *p
+		c.shares = make(map[string]*askShare, len(p.shares))
+		for organisation, share := range p.shares {
+			counts := *share
+			c.shares[organisation] = &counts
+		}
+		trial.pools = map[string]*askLimit{q.pool: &c}
+	}
+	a.mu.Unlock()
+	return trial.mayAsk(now, q)
+}
+
 // arrive counts a request and returns the counts of its organisation.
 func (p *askLimit) arrive(l *askLevel, organisation string) *askShare {
 	own := p.shares[organisation]
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -63,6 +63,13 @@
 	report.failed = append(report.failed, r)
 }
 
+// suspects reports whether connections to an instance broke and it is not known yet whether it has crashed.
+func (d *crashDetector) suspects(instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reports[instance] != nil
+}
+
 func (d *crashDetector) probe(i pool.Instance) {
 	d.mu.Lock()
 	report := d.reports[i.ID]
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -40,6 +40,7 @@
 	holdOffs         *expvar.Map
 	paceIgnored      *expvar.Map
 	documents        *expvar.Map
+	questions        *expvar.Map
 	storeFailures    *expvar.Map
 	crashes          *expvar.Int
 	limitsExceeded   *expvar.Map
@@ -70,6 +71,7 @@
 		holdOffs:         c.Map("hold_offs"),
 		paceIgnored:      c.Map("engine_pace_ignored"),
 		documents:        c.Map("documents"),
+		questions:        c.Map("where_questions"),
 		storeFailures:    c.Map("store_failures"),
 		crashes:          c.Int("crashes"),
 		limitsExceeded:   c.Map("limits_exceeded"),
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -84,6 +84,16 @@
 	return time.Now().Before(p.saturatedUntil[name])
 }
 
+// known returns the controller of an instance, nil if no request has asked for a place there.
+func (p *places) known(instance pool.Key) *admission.Controller {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := p.instances[instance]; i != nil {
+		return i.controller
+	}
+	return nil
+}
+
 // placeCapacity returns the number of places at an instance.
 func placeCapacity(slots int) int { return max(1, slots) + max(1, slots/extraPlacesDivisor) }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -43,19 +43,18 @@
 		// The caller gets the failure of the earlier attempt if no place becomes free.
 		waitUntil = time.Now().Add(s.g.admission.placeWait(s.pool))
 	}
-	full := 0
-	saturated := s.g.places.saturated(s.pool) || s.g.asks.full(time.Now(), s.question())
+	search := plainSearch{saturated: s.g.places.saturated(s.pool) || s.g.asks.full(time.Now(), s.question())}
 	for {
 		lease := s.g.registry.Acquire(s.poolRequest())
 		if lease == nil {
 			return nil, nil, nil
 		}
-		if s.onlyFree && (full >= unwaitedAsks || saturated || lease.Forced || lease.Denied || lease.Full()) {
+		if s.onlyFree && (search.waits(false) || lease.Forced || lease.Denied || lease.Full()) {
 			lease.Release(pool.Abandoned)
 			return nil, nil, nil
 		}
 		wait := time.Duration(0)
-		last := saturated || full >= unwaitedAsks || lease.Denied
+		last := search.waits(lease.Denied)
 		if last {
 			wait = max(0, time.Until(waitUntil))
 		}
@@ -78,7 +77,7 @@
 		case refusal.Ejected > 0:
 			// The next lease is for another instance, or forced.
 		case !last:
-			if full++; full == unwaitedAsks {
+			if search.full++; search.full == unwaitedAsks {
 				s.g.places.saturate(s.pool)
 			}
 		default:
@@ -91,6 +90,17 @@
 	}
 }
 
+// plainSearch decides on the instances of a plain service that a request asks for a place. It does no I/O.
+type plainSearch struct {
+	// saturated is set if requests of this router have just found the service full.
+	saturated bool
+	// full is the number of instances that had no free place.
+	full int
+}
+
+// waits reports whether the request waits at the next instance if it is full.
+func (p *plainSearch) waits(denied bool) bool { return p.saturated || p.full >= unwaitedAsks || denied }
+
 // waitForPlace is askForPlace with a wait that ends with errUnusable when the instance takes no more requests, has been
 // ejected or has another keeper.
 func (s *requestState) waitForPlace(ctx context.Context, lease *pool.Lease, wait time.Duration, last bool) (*reservation, *pool.Answer, error) {
@@ -184,10 +194,12 @@
 
 // serviceIsFull reports whether all gateways together have as many requests in flight as the service has slots, or as the
 // engines of a paced pool serve in time but for fullShare, by the sums of the tree.
-func (s *requestState) serviceIsFull() bool {
+func (s *requestState) serviceIsFull() bool { return s.isFull(s.g.registry.PoolLimit) }
+
+func (s *requestState) isFull(poolLimit func(pool string) int) bool {
 	sum := s.g.registry.Summary(s.pool)
 	if !s.plain() {
-		sum.Slots = int(fullShare * float64(s.g.registry.PoolLimit(s.pool)))
+		sum.Slots = int(fullShare * float64(poolLimit(s.pool)))
 	}
 	return sum.Own+sum.Peers >= sum.Slots
 }
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -377,29 +377,42 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	tried, due := t.due(r, turn, now)
+	if len(tried) > 0 {
+		t.trialBegan = now
+	}
+	for _, e := range tried {
+		e.trials++
+		e.triedBefore, e.triedAt = e.triedAt, now
+	}
+	return due
+}
+
+// WouldTry reports what Try would, without beginning a trial.
+func (t *Table) WouldTry(r Request, turn Turn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, due := t.due(r, turn, t.now())
+	return due
+}
+
+// due reports whether a blocked request may be tried now, and returns the evidence about its blocked suspects.
+func (t *Table) due(r Request, turn Turn, now time.Time) (tried []*evidence, due bool) {
 	if now.Sub(t.trialBegan) < trialGuard {
-		return false
+		return nil, false
 	}
 	lastCrash := t.lastCrash()
-	var tried []*evidence
 	for s := range r.suspects {
 		if !t.blocks(s, r) {
 			continue
 		}
 		e := t.evidence[s]
 		if now.Before(e.blockedUntil()) && (now.Before(e.nextTrial()) || !turn.is(now.Sub(lastCrash))) {
-			return false
+			return nil, false
 		}
 		tried = append(tried, e)
 	}
-	if len(tried) > 0 {
-		t.trialBegan = now
-	}
-	for _, e := range tried {
-		e.trials++
-		e.triedBefore, e.triedAt = e.triedAt, now
-	}
-	return true
+	return tried, true
 }
 
 // lastCrash returns the time of the last crash of a blocked suspect, which all routers know.
--- a/gateway/pool/placed.go
+++ b/gateway/pool/placed.go
@@ -18,19 +18,19 @@
 // router knows, and 0 for a pool that is not paced.
 func (r *Registry) PoolLimit(pool string) int {
 	r.mu.Lock()
-	now := r.now()
-	var usable []Key
+	defer r.mu.Unlock()
+	return r.poolLimit(pool, r.now())
+}
+
+func (r *Registry) poolLimit(pool string, now time.Time) (total int) {
+	if !r.pacedNow(pool, now) {
+		return 0
+	}
 	for _, m := range r.pools[pool] {
 		if !r.closed(m) && !m.health.ejected(now) {
-			usable = append(usable, keyOf(m.hash))
+			total += r.placeLimit(m, now)
 		}
 	}
-	r.mu.Unlock()
-	total := 0
-	for _, key := range usable {
-		limit, _ := r.PlaceLimit(key)
-		total += limit
-	}
 	return total
 }
 
--- a/gateway/pool/rehearsal.go
+++ b/gateway/pool/rehearsal.go
@@ -180,6 +180,13 @@
 	return out
 }
 
+// PoolLimit returns what Registry.PoolLimit would, for the pool.
+func (p *Rehearsal) PoolLimit(string) int {
+	p.original.mu.Lock()
+	defer p.original.mu.Unlock()
+	return p.copy.poolLimit(p.pool, p.at)
+}
+
 // TotalsAge returns the age of the last totals of all routers, -1 without any.
 func (p *Rehearsal) TotalsAge() time.Duration {
 	if p.copy.fleetLoadAt.IsZero() {
--- a/gateway/refuselocal.go
+++ b/gateway/refuselocal.go
@@ -29,21 +29,29 @@
 
 // refuseFull responds to a request whose pool is known to be full, before its body is read, and reports whether it did.
 func (s *requestState) refuseFull() bool {
-	if s.choosePool() != nil || s.g.registry.HeldOff(s.pool) > 0 || !s.waitsAtKeepers() {
-		s.pool = ""
-		return false
-	}
-	ok, retryAfter := s.g.asks.mayAsk(time.Now(), s.question())
-	if ok {
+	err := s.knownFull(s.g.asks.mayAsk)
+	if err == nil {
 		// The pool is chosen again once the body is read.
 		s.pool = ""
 		return false
 	}
 	s.g.metrics.localRefusals.Add(s.pool, 1)
-	s.rejectBeforeBody(unavailable(verdict.ReasonOverCapacity, "the pool is known to be full, no keeper was asked", retryAfter))
+	s.rejectBeforeBody(err)
 	return true
 }
 
+// knownFull selects the pool and returns the refusal of a request for which no keeper is asked, nil if it is served.
+func (s *requestState) knownFull(mayAsk func(now time.Time, q *placeQuestion) (ok bool, retryAfter time.Duration)) *verdict.Error {
+	if s.choosePool() != nil || s.g.registry.HeldOff(s.pool) > 0 || !s.waitsAtKeepers() {
+		return nil
+	}
+	ok, retryAfter := mayAsk(time.Now(), s.question())
+	if ok {
+		return nil
+	}
+	return unavailable(verdict.ReasonOverCapacity, "the pool is known to be full, no keeper was asked", retryAfter)
+}
+
 // rejectBeforeBody responds to a request whose body was not read, and then drops the body, so that the connection can be used
 // again.
 func (s *requestState) rejectBeforeBody(err *verdict.Error) {
--- a/gateway/routes/routes.go
+++ b/gateway/routes/routes.go
@@ -178,6 +178,28 @@
 	return nil
 }
 
+// Named returns the route with a name, or nil.
+func (t *Table) Named(name string) *Route {
+	for _, list := range t.hosts {
+		for _, r := range list {
+			if r.Name == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// Organisation returns the organisation with a name, or nil if it has no key.
+func (t *Table) Organisation(name string) *Organisation {
+	for _, o := range t.keys {
+		if o.Name == name {
+			return o
+		}
+	}
+	return nil
+}
+
 // Authorise returns the owner of the API key of a request on route r. ok is false if the route requires a key
 // and this one is unknown. For a public route, or a configuration without organisations, ok is true and owner
 // is nil if the key is unknown.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -180,13 +180,18 @@
 func (s *requestState) refuseLate() {
 	// Without a valid header the response names no request.
 	s.call, _ = s.g.env.Protocol.ParseRequest(s.request)
-	s.rejectUnread(unavailable(verdict.ReasonLeaving, "the router stops", stopRetryAfter))
+	s.rejectUnread(stoppingError())
+}
+
+// stoppingError returns the refusal of a router that stops.
+func stoppingError() *verdict.Error {
+	return unavailable(verdict.ReasonLeaving, "the router stops", stopRetryAfter)
 }
 
 // accept validates and authorises the request by its header.
 func (s *requestState) accept() *verdict.Error {
 	if s.table == nil {
-		return unavailable(verdict.ReasonNotReady, "no configuration is known yet", notReadyRetryAfter)
+		return notReadyError()
 	}
 	if !strings.HasPrefix(s.target, "/") {
 		s.target = s.request.URL.RequestURI()
@@ -200,13 +205,32 @@
 	if err != nil {
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonBadRequest, err)
 	}
-	s.call = call
-	s.lastEventID = call.LastEventID
-	s.parts = sharedParts(call.Prompt)
+	s.setCall(call)
 	owner, ok := s.table.Authorise(s.route, call.APIKey)
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorised, "the key is unknown")
 	}
+	s.setOwner(owner)
+	if limit := s.table.Limits.HeaderBytes; limit > 0 && headerSize(s.request) > limit {
+		return verdict.New(verdict.NotRun, verdict.ReasonHeaderTooLarge, "the header is over the limit")
+	}
+	return nil
+}
+
+// notReadyError returns the refusal before the first configuration.
+func notReadyError() *verdict.Error {
+	return unavailable(verdict.ReasonNotReady, "no configuration is known yet", notReadyRetryAfter)
+}
+
+// setCall sets what the caller said of the request.
+func (s *requestState) setCall(call RequestInfo) {
+	s.call = call
+	s.lastEventID = call.LastEventID
+	s.parts = sharedParts(call.Prompt)
+}
+
+// setOwner sets what follows from the route and from the owner of the caller's key, nil if there is none.
+func (s *requestState) setOwner(owner *routes.Organisation) {
 	s.priority = s.route.Priority
 	if owner != nil {
 		s.organisation = owner.Name
@@ -215,10 +239,6 @@
 		}
 	}
 	s.setDeadline()
-	if limit := s.table.Limits.HeaderBytes; limit > 0 && headerSize(s.request) > limit {
-		return verdict.New(verdict.NotRun, verdict.ReasonHeaderTooLarge, "the header is over the limit")
-	}
-	return nil
 }
 
 // setDeadline sets the deadline from the caller's or the route's time limit, whichever is shorter.
@@ -256,15 +276,21 @@
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonCancelled, err)
 	}
 	s.body, s.hasBody = body, len(body) > 0
+	s.fingerprint = Fingerprint(s.request.Method, s.target, s.call.APIKey, body)
+	return nil
+}
+
+// Fingerprint returns the hash that identifies a request among those that are suspected of crashes. target is the path with
+// the query, body the pieces of the body in order.
+func Fingerprint(method, target, key string, body [][]byte) uint64 {
 	digest := xxhash.New()
-	for _, text := range []string{s.request.Method, "\n", s.target, "\n", s.call.APIKey, "\n"} {
+	for _, text := range []string{method, "\n", target, "\n", key, "\n"} {
 		_, _ = digest.WriteString(text)
 	}
 	for _, piece := range body {
 		_, _ = digest.Write(piece)
 	}
-	s.fingerprint = digest.Sum64()
-	return nil
+	return digest.Sum64()
 }
 
 // arrivedTime is how long after the end of a request what has arrived of its body is read. If the process did not run, that
@@ -303,15 +329,9 @@
 // written yet, unless s.responseStarted is set.
 func (s *requestState) run(ctx context.Context) error {
 	defer s.endTrial()
-	if err := s.checkSuspects(); err != nil {
+	if err := s.prepare(s.checkSuspects); err != nil {
 		return err
 	}
-	if err := s.choosePool(); err != nil {
-		return err
-	}
-	if s.g.registry.HeldOff(s.pool) > 0 {
-		return s.noInstance()
-	}
 	grant, err := s.g.admission.admit(s.untilSent(ctx), s.table.Pools[s.pool], s.organisation, s.priority)
 	s.admissionWait = time.Since(s.start)
 	s.g.metrics.admissionWait.observe(s.admissionWait)
@@ -328,6 +348,20 @@
 	return s.tryInstances(ctx)
 }
 
+// prepare selects the pool of a request. The error is its refusal before admission.
+func (s *requestState) prepare(checkSuspects func() *verdict.Error) *verdict.Error {
+	if err := checkSuspects(); err != nil {
+		return err
+	}
+	if err := s.choosePool(); err != nil {
+		return err
+	}
+	if s.g.registry.HeldOff(s.pool) > 0 {
+		return s.noInstance()
+	}
+	return nil
+}
+
 // untilSent returns the context for a wait before the next attempt: that of the request, or unsent before the first one.
 func (s *requestState) untilSent(ctx context.Context) context.Context {
 	if s.attemptsSent > 0 || s.unsent == nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -51,6 +51,11 @@
 	if s.attemptsSent == 0 && (s.trial || s.try(suspicion)) {
 		return nil
 	}
+	return blockedError(suspicion)
+}
+
+// blockedError returns the refusal of a request that is blocked.
+func blockedError(suspicion poison.Suspicion) *verdict.Error {
 	if suspicion.Request {
 		return unavailable(verdict.ReasonCrashRefused, "the request crashed engines", max(minBlockedRetryAfter, time.Until(suspicion.NextTrial)))
 	}
