Add the command where, and answer it on the operators' port

Operators need the answer of running gateways, by a route or by the text of a request, without sending the request.

WhereError has other field names than refusals of callers: the command took the refusal of the callers' port for an answer about the route (found by TestWhereErrorsAreClear).

--- a/cmd/jacinthfork/main.go
+++ b/cmd/jacinthfork/main.go
@@ -74,7 +74,7 @@
 func commands() []command {
 	return []command{
 		new(checkCommand), newPublishCommand(), new(statusCommand), new(explainCommand),
-		new(reportCommand), newSettleCommand(), new(demoCommand),
+		new(reportCommand), newSettleCommand(), new(demoCommand), newWhereCommand(),
 	}
 }
 
--- a/gateway/pool/rehearsal_test.go
+++ b/gateway/pool/rehearsal_test.go
@@ -191,3 +191,44 @@
 		is.True(!c.FieldByName(name).IsZero()) // the copy has the field
 	}
 }
+
+// Guards against a rehearsal that reads what requests change at the same time. The race detector finds it.
+func TestRehearsalBesideRequests(t *testing.T) {
+	r, _ := testRegistry()
+	r.settings.LimitEngines = true
+	r.SetFleet(routerName(0), fleetMembers(2))
+	for n := range 4 {
+		r.ApplyEntry(testInstance(n))
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := range 300 {
+			l := r.Acquire(testPrompt(uint64(n % 3)))
+			if l == nil {
+				continue
+			}
+			r.Reserve(&Reservation{Router: routerName(1), Sequence: uint64(n), Instance: KeyOf(l.Instance.ID), TTL: time.Minute})
+			r.SetEvacuated("b", n%2 == 0)
+			r.SetFleetLoad(map[uint32]PoolLoad{PoolHash("llm"): {Requests: uint32(n)}})
+			l.RecordHoldOff(0)
+			l.RecordPace(100 + n%50)
+			l.Release(Served)
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		p := r.Rehearse("llm")
+		q := testPrompt(1)
+		p.PassedOver(q)
+		p.PoolLimit("llm")
+		p.TotalsAge()
+		if c, ok := p.Choose(q); ok {
+			p.Refuse(c)
+		}
+	}
+}
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -541,9 +541,9 @@
 			for _, secret := range []string{whereKey, formatID(whereDocument), formatID(whereQuery), fmt.Sprint(uint64(whereDocument))} {
 				is.True(!strings.Contains(w.Body.String(), secret))
 			}
-			var got struct{ Reason, Outcome string }
+			var got struct{ Error, Outcome string }
 			is.NoErr(json.Unmarshal(w.Body.Bytes(), &got))
-			is.Equal(got.Reason, c.reason)
+			is.Equal(got.Error, c.reason)
 			is.Equal(got.Outcome == "", c.reason != "")
 		})
 	}
--- a/gateway/whereapi.go
+++ b/gateway/whereapi.go
@@ -209,10 +209,10 @@
 	Gateways               int    `json:"gateways"`
 }
 
-// WhereError says why a question has no answer.
+// WhereError says why a question has no answer. Its fields tell it from the refusal of a caller.
 type WhereError struct {
 	Status int    `json:"-"`
-	Reason string `json:"reason"`
+	Reason string `json:"error"`
 	Detail string `json:"detail"`
 }
 
