--- a/cmd/jacinthfork/where.go
+++ b/cmd/jacinthfork/where.go
@@ -292,7 +292,7 @@
 		parts = append(parts, fmt.Sprintf("%d tokens cached (known by the requests of %s)", i.CachedTokens, strings.ReplaceAll(i.CachedKnown, "-", " ")))
 	}
 	if i.FetchFrom != "" {
-		parts = append(parts, "rest copied from "+i.FetchFrom)
+		parts = append(parts, "rest copied from "+i.FetchFrom+" if it has it")
 	}
 	if i.Limited {
 		parts = append(parts, fmt.Sprintf("limit %d of %d slots, pace %.0f%% %s", i.Limit, i.Slots, i.Pace, ageText(i.PaceAgeMillis)))
--- a/gateway/pool/rehearsal_test.go
+++ b/gateway/pool/rehearsal_test.go
@@ -232,3 +232,37 @@
 		}
 	}
 }
+
+// benchmarkRegistry returns a registry of 600 engines with 3,000 chats about 40 documents.
+func benchmarkRegistry() *Registry {
+	r, _ := testRegistry()
+	for n := range 600 {
+		r.ApplyEntry(testInstance(n))
+	}
+	for n := range 3000 {
+		r.Acquire(testPrompt(uint64(n % 40)))
+	}
+	return r
+}
+
+// BenchmarkRehearsal is one question about a pool of 600 engines: a copy, the choice of an instance and of the next two.
+func BenchmarkRehearsal(b *testing.B) {
+	r := benchmarkRegistry()
+	for b.Loop() {
+		q := testPrompt(1)
+		p := r.Rehearse("llm")
+		p.PassedOver(q)
+		for range 3 {
+			c, _ := p.Choose(q)
+			q.Exclude = append(q.Exclude, c.Instance.ID)
+		}
+	}
+}
+
+// BenchmarkAcquire is one request to the same pool.
+func BenchmarkAcquire(b *testing.B) {
+	r := benchmarkRegistry()
+	for b.Loop() {
+		r.Acquire(testPrompt(1)).Release(Served)
+	}
+}
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -309,6 +309,7 @@
 			return
 		}
 		a.Next = append(a.Next, w.instance(c))
+		rehearsal.Refuse(c)
 		q.Exclude = append(q.Exclude, c.Instance.ID)
 	}
 }
