Apply the limits of engines only while their pool is contended

In a burst the limit pays.

Change: pool/contention.go decides by the requests in flight and by what the engines serve in time, with hysteresis: contended from 0.75 on, relieved after 1 s below 0.5. A pool without instances, or whose slots are not known, is not contended. Placement, places at keepers, load bound and admission are those of a pool without limits until then; limits are measured and told all the time, and drift back while they hold nothing back. The totals of the tree carry by how much the limits of the keepers are below the slots (PoolLoad.reduced): a gateway of a large fleet is told few limits, and took the others for the slots.

Gateways that disagree: a keeper lets a request that asks to wait take its place in turn, whatever the keeper knows, and lets no other request pass it. A request that a keeper refuses for want of a place is no longer forced after four refusals: it waits in turn, and so do the next requests of its gateway for 100 ms. Places are dropped once nobody waits, and count the requests in flight when contention begins again.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -32,7 +32,9 @@
 // others leave unused. What it uses is available to them again once they are told of the fleet's load after its
 // requests have ended.
 //
-// Requests to plain services and to the engines of paced pools wait at the keepers of the instances, see places.
+// Requests to plain services and to the engines of contended pools wait at the keepers of the instances, see places. Requests
+// that were admitted there do not count here. In a pool that is paced but not contended hardly any request waits here: it
+// is contended before its slots are full.
 type admissionControllers struct {
 	registry *pool.Registry
 	mu       sync.Mutex
@@ -115,7 +117,7 @@
 // admit waits until the pool's controller admits the request. A request that waits at a keeper needs no grant. The error is a
 // *verdict.Error with verdict.NotRun.
 func (a *admissionControllers) admit(ctx context.Context, p *routes.Pool, organisation string, priority int) (*admission.Grant, error) {
-	if p.Engine == nil || a.registry.Paced(p.Name) {
+	if p.Engine == nil || a.registry.Contended(p.Name) {
 		return nil, nil
 	}
 	return a.controller(p.Name).Admit(ctx, admission.Request{Organisation: organisation, DecodeTokens: 1, Priority: -priority})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,8 +83,8 @@
 	asks          askLimits
 	// refusingPools are the pools of which requests are refused without asking a keeper. It belongs to maintain.
 	refusingPools map[string]bool
-	// pacedPools are the pools whose requests wait at keepers. It belongs to maintain.
-	pacedPools map[string]bool
+	// contendedPools are the pools of engines whose requests wait at keepers. It belongs to maintain.
+	contendedPools map[string]bool
 	// self is this router as MembersChanged was told of it last. A later version means that it was taken for lost.
 	self    *peerpb.Member
 	callers *callerconn.Tracker
@@ -300,7 +300,7 @@
 		g.probeUnreachable()
 		g.reservations.tellKeepers()
 		g.maintainPlaces()
-		g.logPaced()
+		g.logContended()
 		g.asks.setRouters(1 + g.registry.PeerCount())
 		g.logRefusing()
 		g.connections.CloseExpired()
--- a/gateway/localrefusal_test.go
+++ b/gateway/localrefusal_test.go
@@ -171,7 +171,9 @@
 		for n := range fullEngines {
 			engines[fmt.Sprintf("e-%02d", n)] = &simulatedEngine{}
 		}
-		return newEngineFleet(f.routers, fullEngines, engineServes, true), fullEngines * engineServes / engineTook.Seconds(),
+		fleet := newEngineFleet(f.routers, fullEngines, engineServes, true)
+		contendByLoad(fleet)
+		return fleet, fullEngines * engineServes / engineTook.Seconds(),
 			func(s *requestState, p *processor, engine string) time.Duration {
 				p.work(exchangeCost)
 				sent := time.Since(s.start)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -35,6 +35,7 @@
 	localRefusals    *expvar.Map
 	keeperDecisions  *expvar.Map
 	placeQueue       *expvar.Map
+	contentions      *expvar.Map
 	probes           *expvar.Map
 	departures       *expvar.Map
 	holdOffs         *expvar.Map
@@ -65,6 +66,7 @@
 		localRefusals:    c.Map("local_refusals"),
 		keeperDecisions:  c.Map("keeper_decisions"),
 		placeQueue:       c.Map("place_queue"),
+		contentions:      c.Map("contentions"),
 		probes:           c.Map("probes"),
 		departures:       c.Map("departures"),
 		holdOffs:         c.Map("hold_offs"),
--- a/gateway/paced.go
+++ b/gateway/paced.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"jacinthfork.example/jacinthfork/admission"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/verdict"
 )
@@ -28,7 +29,7 @@
 	capacity int
 	// wait bounds the time in the queue.
 	wait time.Duration
-	// byUrgency is set for the engines of a paced pool.
+	// byUrgency is set for engines.
 	byUrgency bool
 	// untold is the number of requests that other routers may have in flight there without having told of them, and untoldFor how
 	// long they count, if they do not tell.
@@ -36,10 +37,11 @@
 	untoldFor time.Duration
 }
 
-// paced reports whether the request waits for a place at the keeper of an engine.
-func (s *requestState) paced() bool {
+// contended reports whether the request waits for a place at the keeper of an engine: by the load of its pool that this router
+// knows, or because a keeper that knows of more has just refused a request for want of a place.
+func (s *requestState) contended() bool {
 	p := s.table.Pools[s.pool]
-	return p != nil && p.Engine != nil && s.g.registry.Paced(s.pool)
+	return p != nil && p.Engine != nil && (s.g.registry.Contended(s.pool) || s.g.places.saturated(s.pool))
 }
 
 // placeSearch decides on the engines that a request asks for a place. It does no I/O.
@@ -100,7 +102,7 @@
 	}
 }
 
-// acquirePacedPlace chooses an engine of a paced pool in the order of the prompt and takes a place there: a free one at the
+// acquirePacedPlace chooses an engine of a contended pool in the order of the prompt and takes a place there: a free one at the
 // first engines, and then one for which the request waits in the order of urgency. The error says that the pool is full.
 func (s *requestState) acquirePacedPlace(ctx context.Context) (*pool.Lease, *reservation, error) {
 	waitUntil := s.pacedWaitEnd()
@@ -169,9 +171,9 @@
 }
 
 // maintainPlaces keeps the places of all instances true: limits that have changed, requests that were sent before the pool
-// was known to be paced, and requests that have ended without a word.
+// was known to be contended, and requests that have ended without a word.
 func (g *Gateway) maintainPlaces() {
-	g.places.sweep(g.holds, g.hasPlaces)
+	g.places.sweep(g.holds, g.keeps, g.placesApply)
 	for _, instance := range g.places.kept() {
 		controller, ok := g.placesAt(instance)
 		if _, paced := g.registry.PlaceLimit(instance); ok && paced {
@@ -180,32 +182,45 @@
 	}
 }
 
-// hasPlaces reports whether requests wait for places at an instance at this router.
-func (g *Gateway) hasPlaces(instance pool.Key) bool {
+// placesApply reports whether all requests to an instance take places, by the load of its pool that this router knows.
+func (g *Gateway) placesApply(instance pool.Key) bool {
 	i, ok := g.registry.Kept(instance)
 	t := g.table.Load()
 	if !ok || t == nil {
 		return ok
 	}
 	p := t.Pools[i.Pool]
-	return p == nil || p.Engine == nil || g.registry.Paced(i.Pool)
+	return p == nil || p.Engine == nil || g.registry.Contended(i.Pool)
 }
 
-// logPaced logs the pools whose requests have begun or ceased to wait at keepers.
-func (g *Gateway) logPaced() {
+// placesFor returns the places at an instance that this router keeps for a request that waits for one, or not. The routers may
+// disagree about contention, so a request that waits gets its place in turn, and while one waits no other passes it.
+func (g *Gateway) placesFor(instance pool.Key, waits bool) (*admission.Controller, bool) {
+	if !waits && !g.placesApply(instance) && !g.places.awaited(instance) {
+		return nil, false
+	}
+	return g.placesAt(instance)
+}
+
+// logContended logs the pools whose engines have begun or ceased to be limited to what they serve in time.
+func (g *Gateway) logContended() {
 	t := g.table.Load()
 	if t == nil {
 		return
 	}
 	for name, p := range t.Pools {
-		paced := p.Engine != nil && g.registry.Paced(name)
-		if paced == g.pacedPools[name] {
+		contended := p.Engine != nil && g.registry.Contended(name)
+		if contended == g.contendedPools[name] {
 			continue
 		}
-		if g.pacedPools == nil {
-			g.pacedPools = make(map[string]bool)
+		if g.contendedPools == nil {
+			g.contendedPools = make(map[string]bool)
+		}
+		g.contendedPools[name] = contended
+		if contended {
+			g.metrics.contentions.Add(name, 1)
 		}
-		g.pacedPools[name] = paced
-		g.log.Info("pool paced", "pool", name, "paced", paced)
+		s, _ := g.registry.PaceSummary(name)
+		g.log.Info("pool contended", "pool", name, "contended", contended, "in_flight", s.InFlight, "serves", s.Serves)
 	}
 }
--- a/gateway/paced_test.go
+++ b/gateway/paced_test.go
@@ -110,13 +110,13 @@
 				for n := range places {
 					c.send(context.Background(), fmt.Sprint("before ", n), newChat(fleet[n%3], 0, "a", 1), time.Second)
 				}
-				fleet[first].registry.SetPaced("chat", true)
+				setPaced(fleet[first], "chat", true)
 				for n := range fleet {
 					c.send(context.Background(), fmt.Sprint("between ", n), newChat(fleet[n], 2, "a", 1), time.Second)
 				}
 				_, _, between := c.now()
 				for _, g := range fleet {
-					g.registry.SetPaced("chat", true)
+					setPaced(g, "chat", true)
 				}
 				shareLoads(fleet)
 				keeper.maintainPlaces()
@@ -148,7 +148,7 @@
 		c.send(context.Background(), "before", newChat(asker, 0, "a", 1), time.Second)
 		for n, paced := range []bool{false, true} {
 			for _, g := range fleet {
-				g.registry.SetPaced("chat", paced)
+				setPaced(g, "chat", paced)
 			}
 			c.send(context.Background(), fmt.Sprint(n, " other"), newChat(asker, 0, "a", 1), time.Second)
 			c.send(context.Background(), fmt.Sprint(n, " own"), newChat(keeper, 0, "a", 1), time.Second)
--- a/gateway/pacedfleet_test.go
+++ b/gateway/pacedfleet_test.go
@@ -41,7 +41,16 @@
 	return out
 }
 
-// newEngineFleet returns gateways before engines with the given number of slots. With paced, requests wait at keepers.
+// setPaced sets whether a pool is paced and its limits apply, whatever its load.
+func setPaced(g *Gateway, name string, paced bool) {
+	g.registry.SetPaced(name, paced)
+	if paced {
+		g.registry.SetContended(name, true)
+	}
+}
+
+// newEngineFleet returns gateways before engines with the given number of slots. With paced, requests wait at keepers, whatever
+// the load of the pool.
 func newEngineFleet(routers, engines, slots int, paced bool) []*Gateway {
 	var instances []pool.Instance
 	for n := range engines {
@@ -52,11 +61,19 @@
 	})
 	for _, g := range fleet {
 		g.registry.SetCacheTokens(map[string]int{"chat": 100_000})
-		g.registry.SetPaced("chat", paced)
+		setPaced(g, "chat", paced)
 	}
 	return fleet
 }
 
+// contendByLoad leaves it to each gateway of newEngineFleet to find out whether the pool is contended.
+func contendByLoad(fleet []*Gateway) {
+	for _, g := range fleet {
+		g.registry.SetPaced("chat", false)
+		g.registry.SetPaced("chat", true)
+	}
+}
+
 // newChat returns a request to the pool of newEngineFleet.
 func newChat(g *Gateway, priority int, organisation string, document uint64) *requestState {
 	s := &requestState{g: g, table: g.table.Load(), route: chatRoutes()[priority], pool: "chat", start: time.Now(), organisation: organisation, priority: priority}
@@ -144,6 +161,8 @@
 type chatOverload struct {
 	routers, engines, slots int
 	paced                   bool
+	// byLoad is set if the gateways find out whether the pool is contended. Otherwise a paced pool is from the start.
+	byLoad bool
 	// load is the load as a multiple of what the engines serve, 2.6 if it is 0. slow is the number of engines that serve a quarter of
 	// the others' requests at once; they have as many places.
 	load           float64
@@ -162,6 +181,9 @@
 	const lasts, hotFactor = 5 * time.Second, 8
 	usual := o.capacity()
 	fleet := newEngineFleet(o.routers, o.engines, o.slots, o.paced)
+	if o.byLoad {
+		contendByLoad(fleet)
+	}
 	engines := make(map[string]*simulatedEngine)
 	for n := range o.engines {
 		engines[fmt.Sprintf("e-%02d", n)] = &simulatedEngine{}
@@ -322,6 +344,36 @@
 	}
 }
 
+// Replays the same overload with gateways that have to find out that the pool is contended. Guards against limits that apply too
+// late to matter: what is served in time is close to that with limits all the time, by urgency and for each kind.
+func TestOverloadIsServedByUrgencyOnceThePoolIsContended(t *testing.T) {
+	const closeShare = 0.9
+	for _, routers := range []int{21, 103} {
+		t.Run(fmt.Sprint(routers, " gateways"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := chatOverload{routers: routers, engines: 19, slots: engineServes, paced: true, byLoad: true}
+				always := o
+				always.byLoad = false
+				o.run()
+				all := o.log(t, "limits while contended")
+				always.run()
+				allAlways := always.log(t, "limits all the time")
+				if p := o.byPriority; p[0].share() <= p[1].share() || p[0].share() <= p[2].share() {
+					t.Error("a less urgent priority is served better than the most urgent one")
+				}
+				for n, r := range append(o.byPriority[:], o.byOrganisation[:]...) {
+					if r.share() < all.share()/4 {
+						t.Errorf("kind %d: %.2f in time, want a quarter of %.2f", n, r.share(), all.share())
+					}
+				}
+				if all.share() < closeShare*allAlways.share() || o.byPriority[0].share() < closeShare*always.byPriority[0].share() {
+					t.Errorf("%.3f in time, of the most urgent %.3f, want nine tenths of %.3f and %.3f", all.share(), o.byPriority[0].share(), allAlways.share(), always.byPriority[0].share())
+				}
+			})
+		})
+	}
+}
+
 // Replays a pool with room whose engines are in part slow, and have few places. Guards against requests that wait or are refused
 // because the first engines that they ask are full.
 func TestSlowEnginesDoNotMakeAPoolFull(t *testing.T) {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -144,6 +144,13 @@
 	Requests uint32
 	// Ejected is the number of ejected instances among those that the routers keep.
 	Ejected uint32
+	// Reduced is by how many requests the limits of the engines that the routers keep are below the slots.
+	Reduced uint32
+}
+
+// add returns the sum of two loads.
+func (l PoolLoad) add(o PoolLoad) PoolLoad {
+	return PoolLoad{Requests: l.Requests + o.Requests, Ejected: l.Ejected + o.Ejected, Reduced: l.Reduced + o.Reduced}
 }
 
 // Fleet connects this router to the others. It is safe for concurrent use.
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -231,7 +231,7 @@
 	sum := make(map[uint32]PoolLoad, len(own))
 	add := func(loads map[uint32]PoolLoad) {
 		for pool, load := range loads {
-			sum[pool] = PoolLoad{Requests: sum[pool].Requests + load.Requests, Ejected: sum[pool].Ejected + load.Ejected}
+			sum[pool] = sum[pool].add(load)
 		}
 	}
 	add(own)
@@ -457,7 +457,7 @@
 	out := make([]*peerpb.PoolLoad, 0, len(loads))
 	for pool, load := range loads {
 		if load != (PoolLoad{}) {
-			out = append(out, &peerpb.PoolLoad{Pool: pool, Requests: load.Requests, Ejected: load.Ejected})
+			out = append(out, &peerpb.PoolLoad{Pool: pool, Requests: load.Requests, Ejected: load.Ejected, Reduced: load.Reduced})
 		}
 	}
 	return out
@@ -466,7 +466,7 @@
 func decodeLoads(loads []*peerpb.PoolLoad) map[uint32]PoolLoad {
 	out := make(map[uint32]PoolLoad, len(loads))
 	for _, l := range loads {
-		out[l.GetPool()] = PoolLoad{Requests: l.GetRequests(), Ejected: l.GetEjected()}
+		out[l.GetPool()] = PoolLoad{Requests: l.GetRequests(), Ejected: l.GetEjected(), Reduced: l.GetReduced()}
 	}
 	return out
 }
--- a/gateway/peer/state_test.go
+++ b/gateway/peer/state_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/kernel"
@@ -321,3 +322,12 @@
 	is.Equal(f.parent, "node-0")
 	is.Equal(sentStates(other)[0].GetReceived(), uint64(0))
 }
+
+// Guards against totals that lose what one of the routers below has said, and against a field that pools without limits pay for.
+func TestLoadsPassTheWire(t *testing.T) {
+	is := is.New(t)
+	loads := map[uint32]PoolLoad{1: {Requests: 5, Ejected: 1, Reduced: 300}, 2: {Reduced: 7}, 3: {Requests: 2}}
+	is.Equal(decodeLoads(encodeLoads(loads)), loads)
+	is.Equal(loads[1].add(loads[2]), PoolLoad{Requests: 5, Ejected: 1, Reduced: 307})
+	is.Equal(proto.Size(&peerpb.PoolLoad{Pool: 1, Requests: 2}), 7)
+}
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -22,8 +22,9 @@
 	extraPlacesDivisor = 3
 )
 
-// places are those at the instances of plain services, and at the engines of paced pools, that this router keeps. Requests of all routers wait here for a
-// place, so that the instance holds little more than it runs at a time, whatever the routers know of each other.
+// places are those at the instances of plain services, and at the engines of contended pools, that this router keeps. Requests
+// of all routers wait here for a place, so that the instance holds little more than it runs at a time, whatever the routers
+// know of each other.
 //
 // It answers a load pattern: for some seconds a service gets more requests than it can run, through many routers. Each of
 // them would need to know at once what the others send to keep the service from holding more than it runs in time; sums
@@ -34,7 +35,8 @@
 	requests  map[placeHolder]*placeRequest
 	// onQueue is told what happens in the queues of engines.
 	onQueue func(event admission.QueueEvent, level int)
-	// saturatedUntil holds the ends of the times for which requests of this router do not ask for free places, by pool.
+	// saturatedUntil holds the ends of the times for which requests of this router do not ask for free places in a full pool, and
+	// wait in turn if this router does not know yet that the pool is contended.
 	saturatedUntil map[string]time.Time
 }
 
@@ -272,6 +274,14 @@
 	return p.instances[instance] != nil
 }
 
+// awaited reports whether a request waits for a place at an instance.
+func (p *places) awaited(instance pool.Key) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := p.instances[instance]
+	return i != nil && i.controller.Load().Waiting > 0
+}
+
 // kept returns the instances at which this router has places.
 func (p *places) kept() []pool.Key {
 	p.mu.Lock()
@@ -280,7 +290,7 @@
 }
 
 // reconcile counts the requests in flight that have no place: those that were sent while the keeper did not know that the
-// pool is paced.
+// pool is contended.
 func (p *places) reconcile(controller *admission.Controller, running func() []placeHolder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -291,9 +301,10 @@
 	}
 }
 
-// sweep gives back the places of requests that have ended without a word, and forgets instances that this router no
-// longer keeps. held reports whether the registry still counts a request, kept whether this router keeps an instance.
-func (p *places) sweep(held func(router string, sequence uint64) bool, kept func(instance pool.Key) bool) {
+// sweep gives back the places of requests that have ended without a word, and forgets instances that this router no longer
+// keeps, and those at which places no longer apply once no request waits there. held reports whether the registry still
+// counts a request, keeps whether this router keeps an instance.
+func (p *places) sweep(held func(router string, sequence uint64) bool, keeps, apply func(instance pool.Key) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for h, entry := range p.requests {
@@ -302,8 +313,8 @@
 			entry.end()
 		}
 	}
-	for key := range p.instances {
-		if !kept(key) {
+	for key, i := range p.instances {
+		if !keeps(key) || (!apply(key) && i.controller.Load().Waiting == 0) {
 			delete(p.instances, key)
 		}
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -183,7 +183,7 @@
 }
 
 // serviceIsFull reports whether all gateways together have as many requests in flight as the service has slots, or as the
-// engines of a paced pool serve in time but for fullShare, by the sums of the tree.
+// engines of a contended pool serve in time but for fullShare, by the sums of the tree.
 func (s *requestState) serviceIsFull() bool {
 	sum := s.g.registry.Summary(s.pool)
 	if !s.plain() {
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -394,7 +394,7 @@
 		if err := keeper.places.wait(keeper.places.enter(t.Context(), h), controller, placeRequestOf(0, 0, 0, time.Second)); err != nil {
 			t.Fatal(err)
 		}
-		keeper.places.sweep(keeper.holds, keeper.keeps)
+		keeper.places.sweep(keeper.holds, keeper.keeps, keeper.placesApply)
 		if taken := controller.Load().InFlight; taken != 1 {
 			t.Errorf("%d places are taken, want 1", taken)
 		}
--- a/gateway/plainfleet_test.go
+++ b/gateway/plainfleet_test.go
@@ -150,7 +150,7 @@
 	total := make(map[uint32]pool.PoolLoad)
 	for _, g := range fleet {
 		for hash, load := range g.registry.LocalLoad() {
-			total[hash] = pool.PoolLoad{Requests: total[hash].Requests + load.Requests}
+			total[hash] = total[hash].Add(load)
 		}
 	}
 	for _, g := range fleet {
--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -175,9 +175,9 @@
 }
 
 // pacedLoad returns the load of an instance once it has one more request, multiplied by its pace. In a pool that is not
-// paced it is the load.
+// contended it is the load.
 func (r *Registry) pacedLoad(m *member, e loadEstimate, now time.Time) float64 {
-	if !r.pacedNow(m.Pool, now) {
+	if !r.contendedNow(m.Pool, now) {
 		return e.load(m, now)
 	}
 	return (e.load(m, now) + 1) * r.paceFactor(m, now)
--- a/gateway/pool/fleet.go
+++ b/gateway/pool/fleet.go
@@ -141,6 +141,13 @@
 	Requests uint32
 	// Ejected is the number of ejected instances among those that the routers keep.
 	Ejected uint32
+	// Reduced is by how many requests the limits of the engines that the routers keep are below the slots.
+	Reduced uint32
+}
+
+// Add returns the sum of two loads.
+func (l PoolLoad) Add(o PoolLoad) PoolLoad {
+	return PoolLoad{Requests: l.Requests + o.Requests, Ejected: l.Ejected + o.Ejected, Reduced: l.Reduced + o.Reduced}
 }
 
 // SetFleetLoad sets the load by pool of all routers together, this one included.
@@ -164,11 +171,13 @@
 		if m.keeper == "" && m.health.ejected(now) {
 			load.Ejected = 1
 		}
+		if r.usable(m, now) {
+			load.Reduced = uint32(r.reduction(m, now))
+		}
 		if load == (PoolLoad{}) {
 			continue
 		}
-		sum := out[PoolHash(m.Pool)]
-		out[PoolHash(m.Pool)] = PoolLoad{Requests: sum.Requests + load.Requests, Ejected: sum.Ejected + load.Ejected}
+		out[PoolHash(m.Pool)] = out[PoolHash(m.Pool)].Add(load)
 	}
 	return out
 }
--- a/gateway/pool/heavyday_test.go
+++ b/gateway/pool/heavyday_test.go
@@ -119,8 +119,9 @@
 	// before, during and after the burst.
 	before, during, after time.Duration
 	slowPace              float64
-	// limited is set for engines that report their pace. Otherwise the earlier decision holds: the slots.
-	limited bool
+	// limited is set for engines that report their pace, and whose limits apply while the pool is contended. Otherwise the
+	// earlier decision holds: the slots. always makes the limits apply all the time.
+	limited, always bool
 	// report, if set, returns the pace in percent that an engine reports instead of its pace, 0 for none.
 	report func(engine int, pace float64) int
 	// each, if set, is called every 100 ms.
@@ -142,6 +143,12 @@
 	overBound, sent int
 	meanInFlight    float64
 	completed       int
+	// cached is the number of prompt tokens that the chosen engines had cached.
+	cached int
+	// contended is the part of the time at which a router counted the pool as contended, over the whole day, and changes the
+	// number of times that router 0 began or ceased to.
+	contended float64
+	changes   int
 }
 
 func (d *dayResult) String() string {
@@ -149,9 +156,9 @@
 	for p := range d.requests {
 		out += fmt.Sprintf("p%d: %d of %d in time, %d late, %d refused; ", p, d.inTime[p], d.requests[p], d.late[p], d.refused[p])
 	}
-	return out + fmt.Sprintf("first event p50 %v p99 %v, longest gap p99 %v, over bound %d of %d, mean in flight %.1f, completed %d, in time %.3f after the reaction, %.3f settled",
+	return out + fmt.Sprintf("first event p50 %v p99 %v, longest gap p99 %v, over bound %d of %d, mean in flight %.1f, completed %d, in time %.3f after the reaction, %.3f settled, cached %d, contended %.3f of the time, %d changes",
 		percentile(d.firstEvents, 50).Round(time.Millisecond), percentile(d.firstEvents, 99).Round(time.Millisecond),
-		percentile(d.gaps, 99).Round(time.Millisecond), d.overBound, d.sent, d.meanInFlight, d.completed, d.reacted(), d.settled())
+		percentile(d.gaps, 99).Round(time.Millisecond), d.overBound, d.sent, d.meanInFlight, d.completed, d.reacted(), d.settled(), d.cached, d.contended, d.changes)
 }
 
 func percentile(of []time.Duration, p int) time.Duration {
@@ -195,7 +202,14 @@
 		}}
 		index[testInstance(n).ID] = n
 	}
+	if d.always {
+		for _, r := range f.routers {
+			r.SetPaced("llm", true)
+			r.SetContended("llm", true)
+		}
+	}
 	result := &dayResult{}
+	looks, contendedBefore := 0, false
 	wait := 80 * time.Millisecond // a fifth of the tightest objective
 	if !d.limited {
 		wait = 200 * time.Millisecond // half of it, as before
@@ -222,7 +236,7 @@
 		}
 	}
 	send := func(s *stream, router int) bool {
-		if !d.limited && inFlight >= d.engines*engineSlots {
+		if inFlight >= d.engines*engineSlots {
 			// All gateways together use the slots of the pool.
 			return false
 		}
@@ -245,6 +259,7 @@
 		e.waiting = append(e.waiting, s)
 		load[n]++
 		inFlight++
+		result.cached += h.CachedTokens
 		if d.limited {
 			pace := e.pace(f.clock.at)
 			report := int(pace * 100)
@@ -357,18 +372,36 @@
 				return false
 			})
 		}
+		for n, r := range f.routers {
+			if tick%20 != 0 || at >= total {
+				break
+			}
+			now := r.Contended("llm")
+			if looks++; now {
+				result.contended++
+			}
+			if n == 0 && now != contendedBefore {
+				contendedBefore = now
+				result.changes++
+			}
+		}
 		if d.each != nil && tick%100 == 0 {
 			d.each(f, engines, at)
 		}
 	}
 	result.meanInFlight /= float64(max(1, samples))
+	result.contended /= float64(max(1, looks))
 	return result
 }
 
-// tryReserve is reserve without taking an instance in any case. In a pool that is not paced the last one asked is taken, as
-// before.
+// limitedTime is how long a router that does not know yet that the pool is contended limits its requests, after a keeper had
+// no place for one.
+const limitedTime = 100 * time.Millisecond
+
+// tryReserve is reserve without taking an instance in any case. In a pool that is not contended the last one asked is taken, as
+// without limits.
 func (f *fleet) tryReserve(router int, q *Request, limited bool) *held {
-	if !limited {
+	if !limited || !(f.routers[router].Contended(q.Pool) || f.clock.at.Before(f.limitedUntil[router])) {
 		return f.reserve(router, q)
 	}
 	for range maxAsks {
--- a/gateway/pool/heavydayrun_test.go
+++ b/gateway/pool/heavydayrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 // Guards against engines that are late for almost all requests, the most urgent ones included, because they hold as many as
 // they have slots. The earlier decision limits the requests to the slots. The most urgent kind must be in time at least
 // twice as often as before, and once the limits have settled 95 in 100 of the served requests must be, in a small and in a
-// large fleet. The load limit must hold.
+// large fleet. The load limit must hold. The pool counts as contended from the start.
 func TestHeavyDayIsServedInTime(t *testing.T) {
 	t.Parallel()
 	before := theHeavyDay().run()
@@ -30,7 +31,7 @@
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			is := is.New(t)
 			d := theHeavyDay()
-			d.routers, d.limited = routers, true
+			d.routers, d.limited, d.always = routers, true, true
 			got := d.run()
 			t.Logf("limits: %v", got)
 			is.True(got.inTime[0] >= 2*before.inTime[0])
@@ -40,6 +41,65 @@
 	}
 }
 
+// closeShare is the part of the requests served in time with limits all the time that must be with limits only while the pool
+// is contended.
+const closeShare = 0.9
+
+// checkContendedDay replays the heavy day with limits that apply only while the pool is contended. It must be served as with
+// limits all the time, and the state must not flap: the pool becomes contended once.
+func checkContendedDay(t *testing.T, routers int) {
+	is := is.New(t)
+	d := theHeavyDay()
+	d.routers = routers
+	before := d.run()
+	d.limited = true
+	got := d.run()
+	d.always = true
+	always := d.run()
+	t.Logf("slots: %v", before)
+	t.Logf("limits while contended: %v", got)
+	t.Logf("limits all the time: %v", always)
+	is.True(got.inTime[0] >= 2*before.inTime[0])
+	is.True(float64(got.inTime[0]) >= closeShare*float64(always.inTime[0]))
+	is.True(got.overBound*100 <= 3*got.sent)
+	is.Equal(got.changes, 1)
+	is.True(got.settled() >= targetShare)
+}
+
+// Guards against limits that come too late, or come and go, because the gateways have to find out that the pool is contended.
+func TestHeavyDayIsServedInTimeWhileContended(t *testing.T) {
+	t.Parallel()
+	checkContendedDay(t, 21)
+}
+
+// Guards against the same in a large fleet, where a gateway keeps a third of an engine and is told few limits. Listed in
+// KNOWN-RED.txt.
+func TestHeavyDayIsServedInTimeWhileContendedInALargeFleet(t *testing.T) {
+	t.Parallel()
+	checkContendedDay(t, 103)
+}
+
+// Guards against limits that change placement on a usual day: a pool that never is contended serves everything in time, takes
+// the prompts to the engines that hold them, and does not count as contended, also when a quarter of its engines are slow.
+func TestUsualDayIsNotContended(t *testing.T) {
+	t.Parallel()
+	for _, slow := range []float64{1, 2} {
+		t.Run(fmt.Sprint("a quarter of the engines ", slow, " times slower"), func(t *testing.T) {
+			is := is.New(t)
+			d := theHeavyDay()
+			d.burst, d.slowPace = d.usual, slow
+			before := d.run()
+			d.limited = true
+			got := d.run()
+			t.Logf("slots: %v", before)
+			t.Logf("limits: %v", got)
+			is.Equal(got.contended, 0.0)
+			is.Equal(got.refused, [3]int{})
+			is.True(math.Abs(float64(got.cached-before.cached)) <= 0.02*float64(before.cached)) // ties are broken at random
+		})
+	}
+}
+
 // Guards against limits that react late to a burst, so that the engines are flooded with requests which are then all late:
 // 95 in 100 of those that arrive after a few hundred milliseconds must be in time. Listed in KNOWN-RED.txt.
 func TestHeavyDayIsServedInTimeAtOnce(t *testing.T) {
--- a/gateway/pool/limit.go
+++ b/gateway/pool/limit.go
@@ -84,6 +84,9 @@
 	// heldBack is set if a request found no place since the last step because of the limit.
 	heldBack  bool
 	steppedAt time.Time
+	// measuredOnly is set while the limit does not apply, because the pool is not contended. It holds nothing back then,
+	// however many requests are in flight.
+	measuredOnly bool
 }
 
 // observe adds what was observed of some responses.
@@ -143,7 +146,7 @@
 		limit = min(p.limit, limit)
 	}
 	pressure := p.pressure(now)
-	held := p.heldBack || float64(inFlight) >= math.Floor(limit)
+	held := !p.measuredOnly && (p.heldBack || float64(inFlight) >= math.Floor(limit))
 	inTime := pressure <= targetPressure || (p.late <= maxLate && p.lateLong <= maxLateLong)
 	switch {
 	case inTime && limit == float64(slots):
--- a/gateway/pool/pace.go
+++ b/gateway/pool/pace.go
@@ -95,8 +95,9 @@
 	o.Responses++
 }
 
-// Paced reports whether the requests in flight at the engines of a pool are limited to what these serve in time: this
-// router's Settings.LimitEngines is set, or that of another router, which has told it of the pace of the instances.
+// Paced reports whether this router measures what the engines of a pool serve in time, and limits their requests to that while
+// the pool is contended: its Settings.LimitEngines is set, or that of another router, which has told it of the pace of the
+// instances.
 func (r *Registry) Paced(pool string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,27 +113,37 @@
 	return (r.settings.LimitEngines && engines) || now.Sub(p.reportedAt) < pacedTTL
 }
 
-// PlaceLimit returns the number of requests that an engine can serve in time now. ok is false if its pool is not paced.
+// PlaceLimit returns the number of requests that an engine can serve in time now, whether its pool is contended or not. ok is
+// false if the pool is not paced.
 func (r *Registry) PlaceLimit(instance Key) (limit int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	for _, m := range r.byKey[instance] {
 		if r.pacedNow(m.Pool, now) {
-			return r.placeLimit(m, now), true
+			return r.measuredLimit(m, now), true
 		}
 	}
 	return 0, false
 }
 
-// placeLimit returns the number of requests that an instance may have in flight: its limit in a paced pool, otherwise its
+// placeLimit returns the number of requests that an instance may have in flight: its limit in a contended pool, otherwise its
 // slots, 0 if these are not known.
 func (r *Registry) placeLimit(m *member, now time.Time) int {
+	if !r.contendedNow(m.Pool, now) {
+		return m.Slots
+	}
+	return r.measuredLimit(m, now)
+}
+
+// measuredLimit returns the number of requests that an instance can serve in time, as far as this router knows, otherwise its
+// slots.
+func (r *Registry) measuredLimit(m *member, now time.Time) int {
 	switch {
 	case m.Slots <= 0 || !r.pacedNow(m.Pool, now):
 		return m.Slots
 	case m.keeper == "":
-		m.engine.limit.step(m.Slots, m.inFlight(), r.paceFactor(m, now), now)
+		r.stepLimit(m, now)
 		return m.engine.limit.places(m.Slots)
 	case m.engine.told > 0 && now.Sub(m.engine.toldAt) < toldLimitTTL:
 		return min(m.Slots, m.engine.told)
@@ -140,6 +151,12 @@
 	return m.Slots
 }
 
+// stepLimit changes the limit of a kept instance of a paced pool, if a change is due.
+func (r *Registry) stepLimit(m *member, now time.Time) {
+	m.engine.limit.measuredOnly = !r.paced[m.Pool].contention.contended
+	m.engine.limit.step(m.Slots, m.inFlight(), r.paceFactor(m, now), now)
+}
+
 // atLimit reports whether an instance has no place for one more request.
 func (r *Registry) atLimit(m *member, load float64, now time.Time) bool {
 	limit := r.placeLimit(m, now)
@@ -166,6 +183,8 @@
 	// mean is the mean pace of the instances in percent, as of meanAt.
 	mean   float64
 	meanAt time.Time
+	// contention says whether the limits of its engines apply.
+	contention contention
 }
 
 // meanPace returns the mean pace of the instances of a pool in percent, which is computed every meanPaceInterval.
@@ -243,7 +262,7 @@
 		return
 	}
 	m.engine.limit.observe(Observation{Responses: 1, Ratio: l.highestRatio, Age: now.Sub(l.highestAt)}, now)
-	m.engine.limit.step(m.Slots, m.inFlight(), r.paceFactor(m, now), now)
+	r.stepLimit(m, now)
 }
 
 // TakeObservation returns what is to be told to the keeper of an instance, and forgets it.
@@ -273,7 +292,7 @@
 		}
 		o.Responses = min(o.Responses, maxObserved)
 		m.engine.limit.observe(o, now)
-		m.engine.limit.step(m.Slots, m.inFlight(), r.paceFactor(m, now), now)
+		r.stepLimit(m, now)
 	}
 }
 
@@ -297,7 +316,7 @@
 	if !r.pacedNow(m.Pool, now) {
 		return out
 	}
-	out.Limit = r.placeLimit(m, now)
+	out.Limit = r.measuredLimit(m, now)
 	if !m.engine.pace.at.IsZero() && now.Sub(m.engine.pace.at) < pacedTTL {
 		out.Pace = int(math.Round(m.engine.pace.get(now)))
 	}
@@ -313,13 +332,13 @@
 }
 
 // WithinShare reports whether the requests of this router at the instance, this one included, are within its share of the
-// last limit that the keeper told. It holds for a router that decides alone, in a paced pool; in others it is true.
+// last limit that the keeper told. It holds for a router that decides alone, in a contended pool; in others it is true.
 func (l *Lease) WithinShare() bool {
 	r := l.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := l.member
-	if m.Slots <= 0 || !r.pacedNow(m.Pool, r.now()) {
+	if m.Slots <= 0 || !r.contendedNow(m.Pool, r.now()) {
 		return true
 	}
 	limit := m.Slots
--- a/gateway/pool/pace_test.go
+++ b/gateway/pool/pace_test.go
@@ -63,6 +63,8 @@
 	l := other.leaseOn(0)
 	l.RecordPace(400)
 	keeper.Observe(key, other.TakeObservation(key))
+	keeper.SetContended("llm", true)
+	other.SetContended("llm", true)
 	keeper.members[testInstance(0).ID].engine.limit.limit = 7
 	a := keeper.Reserve(&Reservation{Router: other.self, Sequence: 1, Instance: key, Parts: testPrompt(1).Parts, TTL: time.Minute})
 	is.True(a.Granted)
@@ -97,8 +99,8 @@
 	is.Equal(limit, 64) // told too long ago
 }
 
-// Guards against a slow engine that gets as much work as the others, against a pace of long ago, and against pools that do not
-// report a pace and are placed by it.
+// Guards against a slow engine of a contended pool that gets as much work as the others, against a pace of long ago, and against
+// pools that do not report a pace, or are not contended, and are placed by it.
 func TestSlowEngineGetsLess(t *testing.T) {
 	is := is.New(t)
 	r, c := testRegistry()
@@ -126,6 +128,8 @@
 		l.RecordPace(pace)
 		l.Release(Served)
 	}
+	is.Equal(share(), 10) // the pool is not contended
+	r.SetContended("llm", true)
 	got := share()
 	is.True(got >= 2 && got <= 6) // a quarter of the others' 12 or 13
 	c.advance(10 * paceTTL)
--- a/gateway/pool/pacereport.go
+++ b/gateway/pool/pacereport.go
@@ -3,6 +3,10 @@
 // PaceSummary is the state of the engines of a paced pool: over those that this router keeps, except for the pace, which it
 // knows of all.
 type PaceSummary struct {
+	// Contended is set while the limits apply. InFlight is the number of requests in flight in the pool, and Serves what its
+	// engines serve in time together, as this router knows them.
+	Contended        bool
+	InFlight, Serves float64
 	// Kept is the number of engines that this router keeps, Reduced that of those whose limit is below their slots.
 	Kept, Reduced int
 	// LimitLowest and LimitMean are in requests.
@@ -23,6 +27,8 @@
 	if !r.pacedNow(pool, now) {
 		return s, false
 	}
+	s.Contended = r.contendedNow(pool, now)
+	s.InFlight, s.Serves = r.contentionLoad(pool, now)
 	var limits, paces, pressures spread
 	for _, m := range r.pools[pool] {
 		paces.add(m.engine.pace.get(now))
@@ -30,7 +36,7 @@
 			continue
 		}
 		s.Kept++
-		limit := r.placeLimit(m, now)
+		limit := r.measuredLimit(m, now)
 		if limit < m.Slots {
 			s.Reduced++
 		}
@@ -80,7 +86,7 @@
 			m.engine.reduced = false
 			continue
 		}
-		limit := r.placeLimit(m, now)
+		limit := r.measuredLimit(m, now)
 		if reduced := limit < m.Slots; reduced != m.engine.reduced {
 			m.engine.reduced = reduced
 			changes = append(changes, LimitChange{Instance: m.Instance, Limit: limit, Pressure: m.engine.limit.pressure(now), Pace: m.engine.pace.get(now)})
--- a/gateway/pool/placed.go
+++ b/gateway/pool/placed.go
@@ -14,23 +14,18 @@
 	r.recordReportedPace(pool, r.now())
 }
 
-// PoolLimit returns the number of requests that the usable instances of a paced pool can serve in time now, as far as this
-// router knows, and 0 for a pool that is not paced.
+// PoolLimit returns the number of requests that the usable engines of a pool can serve in time now, as far as this router
+// knows. In a pool that is not paced these are its slots.
 func (r *Registry) PoolLimit(pool string) int {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := r.now()
-	var usable []Key
+	total := 0
 	for _, m := range r.pools[pool] {
-		if !r.closed(m) && !m.health.ejected(now) {
-			usable = append(usable, keyOf(m.hash))
+		if r.usable(m, now) {
+			total += r.measuredLimit(m, now)
 		}
 	}
-	r.mu.Unlock()
-	total := 0
-	for _, key := range usable {
-		limit, _ := r.PlaceLimit(key)
-		total += limit
-	}
 	return total
 }
 
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -47,8 +47,9 @@
 	// ExpiryGrace is how long an entry that expired while the store was unavailable stays usable after the
 	// store has recovered.
 	ExpiryGrace time.Duration
-	// LimitEngines makes all pools of engines paced: the keeper of an engine bounds its requests by what it serves in time,
-	// and requests wait there. The pace that instances report is used as well. Operators choose it.
+	// LimitEngines makes all pools of engines paced: the keeper of an engine measures what it serves in time and, while the
+	// pool is contended, bounds its requests by that, and requests wait there. The pace that instances report is used as
+	// well.
 	LimitEngines bool
 }
 
--- a/gateway/pool/pool_test.go
+++ b/gateway/pool/pool_test.go
@@ -52,6 +52,8 @@
 	silent map[int]bool
 	// down holds the instances that cannot be reached.
 	down map[string]bool
+	// limitedUntil holds by router until when it limits its requests because a keeper had no place for one.
+	limitedUntil map[int]time.Time
 }
 
 func newFleet(engines int) *fleet {
@@ -59,7 +61,7 @@
 }
 
 func newFleetOf(routers, engines int, instance func(n int) Instance) *fleet {
-	f := &fleet{clock: &clock{at: time.Unix(1_000_000, 0)}, silent: make(map[int]bool), down: make(map[string]bool)}
+	f := &fleet{clock: &clock{at: time.Unix(1_000_000, 0)}, silent: make(map[int]bool), down: make(map[string]bool), limitedUntil: make(map[int]time.Time)}
 	for n := range routers {
 		r, _ := testRegistry()
 		r.now = f.clock.now
@@ -156,6 +158,11 @@
 		if forced || l.Confirm(a) {
 			return h
 		}
+		if f.routers[h.keeper].Contended(q.Pool) {
+			// The keeper has no place, and the requests of this router are not forced onto full engines.
+			f.limitedUntil[router] = f.clock.at.Add(limitedTime)
+			return f.tryReserve(router, q, true)
+		}
 	}
 }
 
@@ -194,7 +201,7 @@
 	total := make(map[uint32]PoolLoad)
 	for _, r := range f.routers {
 		for pool, load := range r.LocalLoad() {
-			total[pool] = PoolLoad{Requests: total[pool].Requests + load.Requests, Ejected: total[pool].Ejected + load.Ejected}
+			total[pool] = total[pool].Add(load)
 		}
 	}
 	for _, r := range f.routers {
--- a/gateway/refuselocal.go
+++ b/gateway/refuselocal.go
@@ -13,7 +13,7 @@
 const logRefusingWindow = time.Second
 
 // waitsAtKeepers reports whether the requests of the pool wait for places at the keepers of its instances.
-func (s *requestState) waitsAtKeepers() bool { return s.plain() || s.paced() }
+func (s *requestState) waitsAtKeepers() bool { return s.plain() || s.contended() }
 
 // question describes the request to askLimits.
 func (s *requestState) question() *placeQuestion {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -96,10 +96,14 @@
 	var lease *pool.Lease
 	var place *reservation
 	var err error
-	if s.paced() {
-		lease, place, err = s.acquirePacedPlace(ctx)
-	} else {
+	contended := s.contended()
+	if !contended {
+		s.limited = false
 		lease, place = s.reserve(ctx)
+		contended = lease == nil && s.limited
+	}
+	if contended {
+		lease, place, err = s.acquirePacedPlace(ctx)
 	}
 	if lease != nil {
 		s.findSource(ctx, lease)
@@ -135,7 +139,9 @@
 }
 
 // reserve chooses an instance and asks its keeper for a place, until one is granted. A keeper that does not answer in
-// time leaves the decision to this router. It returns nil when no instance is eligible.
+// time leaves the decision to this router. It returns nil when no instance is eligible, and when a keeper refuses for want of
+// places: the pool is contended by what that one knows, and neither this request nor the next ones must be forced onto a
+// full engine.
 func (s *requestState) reserve(ctx context.Context) (*pool.Lease, *reservation) {
 	for n := 1; ; n++ {
 		q := s.poolRequest()
@@ -187,6 +193,11 @@
 		}
 		s.g.reservations.refused(r)
 		s.g.metrics.reservations.Add("refused", 1)
+		if answer.RetryAfter > 0 {
+			s.g.places.saturate(s.pool)
+			s.limited = true
+			return nil, nil
+		}
 	}
 }
 
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -102,7 +102,7 @@
 	if r.GetObserved() != nil {
 		g.registry.Observe(q.Instance, decodeObservation(r.GetObserved()))
 	}
-	controller, placed := g.placesAt(q.Instance)
+	controller, placed := g.placesFor(q.Instance, r.GetWaitMs() > 0)
 	switch {
 	case r.GetForced():
 		if placed {
