--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -32,7 +32,9 @@
 // others leave unused. What it uses is available to them again once they are told of the fleet's load after its
 // requests have ended.
 //
-// Requests to plain services and to the engines of paced pools wait at the keepers of the instances, see places.
+// Requests to plain services and to the engines of contended pools wait at the keepers of the instances, see places. Requests
+// that were admitted there do not count here. In a pool that is paced but not contended hardly any request waits here: it
+// is contended before its slots are full.
 type admissionControllers struct {
 	registry *pool.Registry
 	mu       sync.Mutex
@@ -123,7 +125,7 @@
 
 // admits reports whether requests to a pool need a grant.
 func (a *admissionControllers) admits(p *routes.Pool) bool {
-	return p.Engine != nil && !a.registry.Paced(p.Name)
+	return p.Engine != nil && !a.registry.Contended(p.Name)
 }
 
 // engineRequest describes a request to the controller of a pool.
--- a/gateway/pool/placed.go
+++ b/gateway/pool/placed.go
@@ -14,8 +14,8 @@
 	r.recordReportedPace(pool, r.now())
 }
 
-// PoolLimit returns the number of requests that the usable instances of a paced pool can serve in time now, as far as this
-// router knows, and 0 for a pool that is not paced.
+// PoolLimit returns the number of requests that the usable engines of a pool can serve in time now, as far as this router
+// knows. In a pool that is not paced these are its slots.
 func (r *Registry) PoolLimit(pool string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -23,12 +23,9 @@
 }
 
 func (r *Registry) poolLimit(pool string, now time.Time) (total int) {
-	if !r.pacedNow(pool, now) {
-		return 0
-	}
 	for _, m := range r.pools[pool] {
-		if !r.closed(m) && !m.health.ejected(now) {
-			total += r.placeLimit(m, now)
+		if r.usable(m, now) {
+			total += r.measuredLimit(m, now)
 		}
 	}
 	return total
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -116,7 +116,7 @@
 	switch rehearsal := s.g.registry.Rehearse(s.pool); {
 	case s.plain():
 		w.foretellPlain(rehearsal)
-	case s.paced():
+	case s.contended():
 		w.foretellPaced(rehearsal)
 	default:
 		w.foretellEngine(rehearsal)
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -57,6 +57,9 @@
 		if kind != "plain" {
 			g.registry.SetCacheTokens(map[string]int{kind: 100_000})
 			g.registry.SetPaced(kind, kind == "paced")
+			if kind == "paced" {
+				g.registry.SetContended(kind, true)
+			}
 		}
 		g.registry.SetColdRates(map[string]float64{kind: 2})
 		g.admission.refresh()
