Ask a second instance sooner at a slow instance, and sum up usual times

Cause: a response at an instance that is known to be slow became late only after the 90th percentile of its kind, and a router with fewer than 100 answers of a kind in 15 s knew no percentile and asked nothing.

Change: the decider keeps how long requests have waited lately at each instance, those that were cancelled included, relative to the pool, and takes the reported pace relative to the pool's mean where there is one. At an instance that is 1.5 times slower or more, a response is late as soon as its expected end is beyond the quantile; limit and conditions are as before. The pace is recorded for this alone and makes no pool paced. Sums of answers by kind are made for the tree (not sent yet): unsent answers go up once, the root's sums come down and expire after 12 s.

--- a/gateway/extrawork/extrawork.go
+++ b/gateway/extrawork/extrawork.go
@@ -55,11 +55,16 @@
 	mu    sync.Mutex
 	kinds map[Kind]*times
 	pools map[string]*account
+	// instances and poolPacing are how long requests have waited lately, by instance and by pool.
+	instances  map[string]*pacing
+	poolPacing map[string]*pacing
+	sums       sums
 }
 
 // New returns a decider that has learned nothing and may spend nothing yet.
 func New(s Settings) *Decider {
-	return &Decider{share: s.Share, kinds: make(map[Kind]*times), pools: make(map[string]*account)}
+	return &Decider{share: s.Share, kinds: make(map[Kind]*times), pools: make(map[string]*account), instances: make(map[string]*pacing),
+		poolPacing: make(map[string]*pacing), sums: sums{byKind: make(map[sumKind]*sum), hashes: make(map[string]uint32)}}
 }
 
 // Enabled reports whether any work may be spent.
@@ -68,6 +73,9 @@
 // Request describes a request that waits for its first response byte or event.
 type Request struct {
 	Kind Kind
+	// Instance is the one that has the request, and Pace its reported pace relative to the mean of its pool, 0 if not known.
+	Instance string
+	Pace     float64
 	// Repeatable is set if the request may run more than once, and Asked if a second instance was asked for it before.
 	Repeatable, Asked bool
 	// Attempts counts the attempts that were sent, of MaxAttempts.
@@ -109,14 +117,15 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delay, ok := d.delay(r.Kind, now)
+	c := course{d.curve(r.Kind, now), d.slowdown(r.Kind.Pool, r.Instance, r.Pace, now)}
+	delay, ok := d.delay(r.Kind.Pool, c, now)
 	if !ok || r.Age < delay {
 		return NotLate, 0
 	}
 	if r.Overloaded || !r.Alternative || float64(r.InFlight) >= roomShare*float64(r.Slots) {
 		return NoRoom, 0
 	}
-	if !d.kinds[r.Kind].curve().worse(r.Age) {
+	if !c.worse(r.Age) {
 		return NotSooner, 0
 	}
 	a := d.account(r.Kind.Pool)
@@ -147,7 +156,10 @@
 
 // Cancelled is one of two requests that was cancelled because the other one was chosen.
 type Cancelled struct {
-	Kind Kind
+	Kind     Kind
+	Instance string
+	// Pace is that of the instance, see Request.
+	Pace float64
 	// Stream is set if the output comes after the first event, so that none was generated.
 	Stream   bool
 	Computed int
@@ -166,16 +178,18 @@
 	if c.Stream {
 		used = float64(c.Computed)
 	}
-	t := d.timesOf(c.Kind, now)
-	if curve := t.curve(); curve.known() {
+	if curve := d.curve(c.Kind, now); curve.known() {
+		at := course{curve, d.slowdown(c.Kind.Pool, c.Instance, c.Pace, now)}
 		expected, usual := float64(c.After), max(1, float64(curve.remaining(0)))
-		if left := curve.remaining(c.After); left != unseen {
+		if left := at.remaining(c.After); left != unseen {
 			expected += float64(left)
 			used *= float64(c.After) / max(1, expected)
 		}
 		slowdown = min(maxSlowdown, expected/usual)
 	}
-	t.current.cut[bucketOf(c.After)]++
+	d.timesOf(c.Kind, now).current.cut[bucketOf(c.After)]++
+	d.unsentOf(c.Kind).cut[bucketOf(c.After)]++
+	d.recordInstance(c.Kind, c.Instance, c.After, false, now)
 	used = min(used, charge)
 	a.refund(charge-used, now)
 	return used, slowdown
@@ -188,51 +202,73 @@
 	d.account(pool).refund(charge, now)
 }
 
-// SecondSooner reports whether the second instance is expected to answer before the first one, by the times since the
-// request was sent to them.
-func (d *Decider) SecondSooner(k Kind, first, second time.Duration, now time.Time) bool {
+// Sent is a request at an instance that has not answered.
+type Sent struct {
+	Instance string
+	// Pace is that of the instance, see Request.
+	Pace float64
+	// Age is the time since it was sent.
+	Age time.Duration
+}
+
+// SecondSooner reports whether the second instance is expected to answer before the first one.
+func (d *Decider) SecondSooner(k Kind, first, second Sent, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	curve := d.timesOf(k, now).curve()
-	return curve.known() && curve.remaining(second) < curve.remaining(first)
+	curve := d.curve(k, now)
+	remaining := func(s Sent) time.Duration {
+		return course{curve, d.slowdown(k.Pool, s.Instance, s.Pace, now)}.remaining(s.Age)
+	}
+	return curve.known() && remaining(second) < remaining(first)
 }
 
 // Delay returns the time from sending after which a second instance is asked. ok is false if none is, or if too
-// little is known.
-func (d *Decider) Delay(k Kind, now time.Time) (delay time.Duration, ok bool) {
+// little is known. pace is that of the instance, see Request.
+func (d *Decider) Delay(k Kind, instance string, pace float64, now time.Time) (delay time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.delay(k, now)
+	return d.delay(k.Pool, course{d.curve(k, now), d.slowdown(k.Pool, instance, pace, now)}, now)
 }
 
-func (d *Decider) delay(k Kind, now time.Time) (time.Duration, bool) {
-	curve := d.timesOf(k, now).curve()
-	if !curve.known() {
+// delay returns the time after which a response is late: when it is later than a quantile of the usual times, or expected to
+// be, because its instance is slow.
+func (d *Decider) delay(pool string, c course, now time.Time) (time.Duration, bool) {
+	if !c.known() {
 		return 0, false
 	}
-	fill := d.account(k.Pool).fill(now)
-	delay, ok := curve.quantile(emptyQuantile - (emptyQuantile-fullQuantile)*fill)
+	fill := d.account(pool).fill(now)
+	late, ok := c.quantile(emptyQuantile - (emptyQuantile-fullQuantile)*fill)
 	if !ok {
 		return 0, false
 	}
 	// Just above the quantile the first answer is often about to come.
-	delay = max(minDelay, delay)
-	if curve.worse(delay) {
+	delay := max(minDelay, late)
+	if c.slowdown > 1 {
+		for age := minDelay; age < delay; age += min(age, delay-age) {
+			if c.end(age) >= late {
+				delay = age
+				break
+			}
+		}
+	}
+	if c.worse(delay) {
 		return delay, true
 	}
 	for b := bucketOf(delay); b < bucketCount; b++ {
-		if age := time.Duration(upperBound(b)); curve.worse(age) {
+		if age := time.Duration(upperBound(b)); c.worse(age) {
 			return age, true
 		}
 	}
 	return 0, false
 }
 
-// RecordAnswer records the time from sending a request to its first response byte or event.
-func (d *Decider) RecordAnswer(k Kind, after time.Duration, now time.Time) {
+// RecordAnswer records the time from sending a request to an instance to its first response byte or event.
+func (d *Decider) RecordAnswer(k Kind, instance string, after time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timesOf(k, now).current.answered[bucketOf(after)]++
+	d.unsentOf(k).answered[bucketOf(after)]++
+	d.recordInstance(k, instance, after, true, now)
 }
 
 // RecordServed adds the share of a served request to the budget of its pool. computed is the number of prompt tokens that
--- a/gateway/extrawork/extrawork_test.go
+++ b/gateway/extrawork/extrawork_test.go
@@ -25,7 +25,7 @@
 		if n%20 == 0 {
 			after = time.Second
 		}
-		d.RecordAnswer(testKind, after, start())
+		d.RecordAnswer(testKind, "i", after, start())
 		d.RecordServed("p", 0, 100, start())
 	}
 	return d
@@ -67,9 +67,9 @@
 	decision, _ := learned(0).Decide(lateRequest(), start())
 	is.Equal(decision, NotAllowed)
 	d := learned(0.2)
-	_, ok := d.Delay(testKind, start().Add(generation))
+	_, ok := d.Delay(testKind, "i", 0, start().Add(generation))
 	is.True(ok)
-	_, ok = d.Delay(testKind, start().Add(3*generation))
+	_, ok = d.Delay(testKind, "i", 0, start().Add(3*generation))
 	is.True(!ok)
 }
 
@@ -82,10 +82,10 @@
 			d.Settle(Cancelled{Kind: testKind, After: 300 * time.Millisecond}, 0, start())
 			continue
 		}
-		d.RecordAnswer(testKind, 100*time.Millisecond, start())
+		d.RecordAnswer(testKind, "i", 100*time.Millisecond, start())
 	}
-	is.True(!d.SecondSooner(testKind, 0, 200*time.Millisecond, start()))
-	is.True(d.SecondSooner(testKind, 400*time.Millisecond, 0, start()))
+	is.True(!d.SecondSooner(testKind, Sent{}, Sent{Age: 200 * time.Millisecond}, start()))
+	is.True(d.SecondSooner(testKind, Sent{Age: 400 * time.Millisecond}, Sent{}, start()))
 }
 
 // Guards against memory that grows with the kinds of requests.
@@ -93,7 +93,7 @@
 	is := is.New(t)
 	d := New(Settings{Share: 0.2})
 	for n := range 3 * maxKinds {
-		d.RecordAnswer(Kind{Pool: fmt.Sprint(n)}, time.Second, start().Add(time.Duration(n)))
+		d.RecordAnswer(Kind{Pool: fmt.Sprint(n)}, "i", time.Second, start().Add(time.Duration(n)))
 	}
 	is.Equal(len(d.kinds), maxKinds)
 }
--- a/gateway/extrawork/replay_test.go
+++ b/gateway/extrawork/replay_test.go
@@ -62,6 +62,12 @@
 	share float64
 	// full is set if the pool has no room.
 	full bool
+	// routers is the number of routers if it is not replayRouters, and sizes the number of size classes of equal requests.
+	routers, sizes int
+	// alone is set if the routers do not exchange sums, lost if all links are lost at half of the time that is measured.
+	alone, lost bool
+	// tamper changes what a router tells, if it is set.
+	tamper func(router int, told []Told) []Told
 }
 
 // policy is a way to decide on a second instance: the time after which to look, and whether to ask then.
@@ -99,12 +105,13 @@
 		return 0, s.meanTime[engine] > 2*s.allMean
 	}, limited}},
 	{"95th percentile, no limit", policy{func(s *replay, d *Decider, k Kind, _ int) (time.Duration, bool) {
-		curve := d.timesOf(k, s.time()).curve()
+		own := d.timesOf(k, s.time()).sum()
+		curve := own.curve()
 		delay, ok := curve.quantile(0.95)
 		return delay, ok && curve.known()
 	}, func(*replay, *Decider, Request) (float64, bool) { return math.MaxFloat64, true }}},
-	{"on", policy{func(s *replay, d *Decider, k Kind, _ int) (time.Duration, bool) {
-		return d.Delay(k, s.time())
+	{"on", policy{func(s *replay, d *Decider, k Kind, engine int) (time.Duration, bool) {
+		return d.Delay(k, name(engine), s.reported(engine), s.time())
 	}, func(s *replay, d *Decider, r Request) (float64, bool) {
 		decision, charge := d.Decide(r, s.time())
 		return charge, decision == Ask
@@ -141,9 +148,16 @@
 	for e := range s.pace {
 		s.pace[e] = 1
 	}
-	for range replayRouters {
+	routers := replayRouters
+	if load.routers > 0 {
+		routers = load.routers
+	}
+	for range routers {
 		s.routers = append(s.routers, New(Settings{Share: load.share}))
 	}
+	if !load.alone {
+		s.at(0, s.exchange)
+	}
 	s.at(0, s.arrive)
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(timedEvent)
@@ -164,6 +178,9 @@
 		engine = 0
 	}
 	k := Kind{Pool: "llm", Mode: 2, Size: SizeOf(promptTokens)}
+	if s.load.sizes > 0 {
+		k.Size = uint8(s.random.IntN(s.load.sizes))
+	}
 	first := s.send(engine)
 	var second *attempt
 	charge, chosen := 0.0, false
@@ -176,7 +193,7 @@
 		s.inFlight[a.engine]--
 		after := s.now - a.sentAt
 		s.extra += promptTokens * min(1, float64(after)/float64(a.needs))
-		_, slowdown := d.Settle(Cancelled{Kind: k, Stream: true, Computed: promptTokens, After: after}, charge, s.time())
+		_, slowdown := d.Settle(Cancelled{Kind: k, Instance: name(a.engine), Pace: s.reported(a.engine), Stream: true, Computed: promptTokens, After: after}, charge, s.time())
 		if a == first {
 			s.kept[a.engine]++
 			s.at(s.now+time.Duration(slowdown*float64(usualOutput)), func() { s.kept[a.engine]-- })
@@ -202,7 +219,7 @@
 		if chosen {
 			return
 		}
-		r := Request{Kind: k, Repeatable: true, Attempts: 1, MaxAttempts: 2, Age: s.now - first.sentAt, Alternative: true, InFlight: s.total(),
+		r := Request{Kind: k, Instance: name(engine), Pace: s.reported(engine), Repeatable: true, Attempts: 1, MaxAttempts: 2, Age: s.now - first.sentAt, Alternative: true, InFlight: s.total(),
 			Slots: replayEngines * replaySlots, Computed: promptTokens, Overloaded: s.inFlight[engine] > replaySlots, Spare: func() bool { return true }}
 		if charge, ok = s.policy.ask(s, d, r); !ok {
 			return
@@ -215,7 +232,7 @@
 				return
 			}
 			loser := second
-			if d.SecondSooner(k, s.now-first.sentAt, s.now-second.sentAt, s.time()) {
+			if d.SecondSooner(k, s.sent(first), s.sent(second), s.time()) {
 				loser = first
 			}
 			cancel(loser)
@@ -233,7 +250,7 @@
 
 // served records the first event of a request, which runs on until its output is complete.
 func (s *replay) served(d *Decider, k Kind, a *attempt, begin time.Duration) {
-	d.RecordAnswer(k, s.now-a.sentAt, s.time())
+	d.RecordAnswer(k, name(a.engine), s.now-a.sentAt, s.time())
 	s.useful += promptTokens + outputTokens
 	s.pace[a.engine] += (s.load.pace(a.engine, s.now, s.random) - s.pace[a.engine]) / 10
 	s.meanTime[a.engine] += (s.now - a.sentAt - s.meanTime[a.engine]) / 20
@@ -247,6 +264,53 @@
 	})
 }
 
+func name(engine int) string { return fmt.Sprint(engine) }
+
+// reported is what the routers know of the pace of an engine relative to the mean, 0 if the engines do not report it.
+func (s *replay) reported(engine int) float64 {
+	if s.load.unweighted {
+		return 0
+	}
+	mean := 0.0
+	for _, p := range s.pace {
+		mean += p / replayEngines
+	}
+	return s.pace[engine] / mean
+}
+
+func (s *replay) sent(a *attempt) Sent {
+	return Sent{Instance: name(a.engine), Pace: s.reported(a.engine), Age: s.now - a.sentAt}
+}
+
+// replayExchange is the time between two states of neighbours in the tree, and replayDegree the number of routers below one.
+const (
+	replayExchange = 300 * time.Millisecond
+	replayDegree   = 8
+)
+
+// exchange sends what is due along the tree.
+func (s *replay) exchange() {
+	if s.now > replayEnd || (s.load.lost && s.now > (replayMeasured+replayEnd)/2) {
+		return
+	}
+	s.at(s.now+replayExchange, s.exchange)
+	for n, d := range s.routers {
+		tell := func(told []Told) []Told {
+			if s.load.tamper != nil {
+				return s.load.tamper(n, told)
+			}
+			return told
+		}
+		if n > 0 {
+			s.routers[(n-1)/replayDegree].MergeUp(tell(d.TakeUp(s.time())))
+		}
+		down := tell(d.TakeDown(n == 0, s.time()))
+		for c := n*replayDegree + 1; c <= (n+1)*replayDegree && c < len(s.routers); c++ {
+			s.routers[c].MergeDown(down, s.time())
+		}
+	}
+}
+
 // choose returns the engine with fewer requests of two random ones, other than one.
 func (s *replay) choose(except int) int {
 	best := -1
@@ -413,6 +477,39 @@
 	t.Fatalf("no load pattern %q", name)
 }
 
+// largeFleet is a fleet whose routers see too few answers of a kind to know what is usual.
+func largeFleet(routers int, pace func(int, time.Duration, *rand.Rand) float64) loadPattern {
+	return loadPattern{rate: 250, pace: pace, share: 0.02, unweighted: true, routers: routers, sizes: 4}
+}
+
+// Guards against routers of a large fleet that learn too little alone, and against sums that cost more than the limit or make
+// anything slower.
+func TestLargeFleetLearnsTogether(t *testing.T) {
+	for _, routers := range []int{25, 103} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) { checkLargeFleet(t, largeFleet(routers, stragglers)) })
+	}
+}
+
+// Guards against routers of a large fleet that know what is usual, but not which instances are slow.
+func TestLargeFleetKnowsSlowInstances(t *testing.T) { checkLargeFleet(t, largeFleet(103, slowTenth)) }
+
+func checkLargeFleet(t *testing.T, l loadPattern) {
+	t.Helper()
+	t.Parallel()
+	is := is.New(t)
+	separate := l
+	separate.alone = true
+	off, alone, on := run(l, policyOf("off")), run(separate, policyOf("on")), run(l, policyOf("on"))
+	t.Logf("off   %s", off)
+	t.Logf("alone %s", alone)
+	t.Logf("on    %s", on)
+	is.True(on.extraWork() <= 100*l.share)
+	for q, factor := range equal {
+		is.True(float64(on.percentile(q)) <= factor*float64(off.percentile(q)))
+	}
+	is.True(float64(on.percentile(0.99)) <= goal*float64(off.percentile(0.99)))
+}
+
 // BenchmarkAlternatives prints the figures of all policies, docs/design/extra-work.md.
 func BenchmarkAlternatives(b *testing.B) {
 	for _, l := range loadPatterns {
--- a/gateway/extrawork/times.go
+++ b/gateway/extrawork/times.go
@@ -53,6 +53,9 @@
 	current, previous generationCounts
 	// began is when the current generation began.
 	began time.Time
+	// usual is the mean time to an answer in ns as of usualAt, 0 if it is not known.
+	usual   float64
+	usualAt time.Time
 }
 
 // timesOf returns the times of a kind, without those that are too old. The caller holds the lock.
@@ -65,13 +68,41 @@
 		t = &times{began: now}
 		d.kinds[k] = t
 	}
+	t.advance(now)
+	return t
+}
+
+// advance drops what is too old.
+func (t *times) advance(now time.Time) {
 	switch age := now.Sub(t.began); {
 	case age >= 2*generation:
 		*t = times{began: now}
 	case age >= generation:
-		*t = times{previous: t.current, began: now}
+		t.previous, t.current, t.began = t.current, generationCounts{}, now
+	}
+}
+
+// add adds the counts of another one.
+func (c *generationCounts) add(other *generationCounts) {
+	for b := range bucketCount {
+		c.answered[b] += other.answered[b]
+		c.cut[b] += other.cut[b]
 	}
-	return t
+}
+
+// answers returns the number of answers.
+func (c *generationCounts) answers() (n int) {
+	for _, answered := range c.answered {
+		n += int(answered)
+	}
+	return n
+}
+
+// sum returns the counts of both generations.
+func (t *times) sum() generationCounts {
+	out := t.current
+	out.add(&t.previous)
+	return out
 }
 
 // dropOldest drops the kind that was used least recently.
@@ -107,24 +138,23 @@
 	answers    int
 }
 
-func (t *times) curve() *curve {
-	c := &curve{}
+func (c *generationCounts) curve() *curve {
+	out := &curve{}
 	atRisk := 0
 	for b := range bucketCount {
-		answered := int(t.current.answered[b] + t.previous.answered[b])
-		c.answers += answered
-		atRisk += answered + int(t.current.cut[b]+t.previous.cut[b])
+		out.answers += int(c.answered[b])
+		atRisk += int(c.answered[b]) + int(c.cut[b])
 	}
 	left := 1.0
 	for b := range bucketCount {
-		answered := int(t.current.answered[b] + t.previous.answered[b])
+		answered := int(c.answered[b])
 		if atRisk > 0 {
 			left *= 1 - float64(answered)/float64(atRisk)
 		}
-		c.unanswered[b] = left
-		atRisk -= answered + int(t.current.cut[b]+t.previous.cut[b])
+		out.unanswered[b] = left
+		atRisk -= answered + int(c.cut[b])
 	}
-	return c
+	return out
 }
 
 // known reports whether there are enough answers.
@@ -176,7 +206,44 @@
 	return max(0, t-age)
 }
 
-// worse reports whether a request that is unanswered at an age is expected to take clearly longer than a new one.
-func (c *curve) worse(age time.Duration) bool {
-	return float64(c.remaining(age)) >= clearlySooner*float64(c.remaining(0))
+// mean returns the mean time to an answer in ns. What is unanswered in the end counts as answered then.
+func (c *curve) mean() float64 {
+	sum := 0.0
+	for b := range bucketCount {
+		from, at := c.before(b)
+		if from <= c.unanswered[bucketCount-1] {
+			break
+		}
+		sum += (upperBound(b) - at) * (from + c.unanswered[b]) / 2
+	}
+	return sum
+}
+
+// course is the expected course of a request at an instance where all takes slowdown times as long as usual.
+type course struct {
+	*curve
+	slowdown float64
+}
+
+// remaining returns the median time to the answer of a request that is unanswered at an age.
+func (c course) remaining(age time.Duration) time.Duration {
+	left := c.curve.remaining(time.Duration(float64(age) / c.slowdown))
+	if left == unseen {
+		return unseen
+	}
+	return time.Duration(float64(left) * c.slowdown)
+}
+
+// worse reports whether a request that is unanswered at an age is expected to take clearly longer than a new one elsewhere.
+func (c course) worse(age time.Duration) bool {
+	return float64(c.remaining(age)) >= clearlySooner*float64(c.curve.remaining(0))
+}
+
+// end returns the age at which a request that is unanswered at an age is expected to be answered.
+func (c course) end(age time.Duration) time.Duration {
+	left := c.remaining(age)
+	if left > unseen-age {
+		return unseen
+	}
+	return age + left
 }
--- a/gateway/late.go
+++ b/gateway/late.go
@@ -56,7 +56,7 @@
 		return nil
 	}
 	kind := s.kindOf(lease)
-	delay, ok := s.g.extraWork.Delay(kind, time.Now())
+	delay, ok := s.g.extraWork.Delay(kind, lease.Instance.ID, lease.RelativePace(), time.Now())
 	if !ok {
 		return nil
 	}
@@ -66,7 +66,7 @@
 // recordFirstByte records the time to the first response byte or event of the current attempt.
 func (s *requestState) recordFirstByte(lease *pool.Lease) {
 	if s.g.extraWork.Enabled() && s.route.Retryable() && !s.sentAt.IsZero() {
-		s.g.extraWork.RecordAnswer(s.kindOf(lease), time.Since(s.sentAt), time.Now())
+		s.g.extraWork.RecordAnswer(s.kindOf(lease), lease.Instance.ID, time.Since(s.sentAt), time.Now())
 	}
 }
 
@@ -109,7 +109,7 @@
 	s := w.state
 	sum := s.g.registry.Summary(s.pool)
 	decision, charge := s.g.extraWork.Decide(extrawork.Request{
-		Kind: late.kind, Repeatable: s.route.Retryable(), Asked: s.secondAsked,
+		Kind: late.kind, Instance: w.lease.Instance.ID, Pace: w.lease.RelativePace(), Repeatable: s.route.Retryable(), Asked: s.secondAsked,
 		Attempts: s.attemptsSent, MaxAttempts: s.route.MaxAttempts, Age: now.Sub(late.sentAt),
 		Overloaded: w.lease.Overloaded(), Alternative: s.withinLimits() && s.g.registry.HasAlternative(s.poolRequest()),
 		InFlight: sum.Own + sum.Peers, Slots: sum.Slots, Computed: late.computed,
@@ -145,9 +145,12 @@
 }
 
 // secondSooner reports whether the second instance is expected to answer first.
-func (o *offer) secondSooner(g *Gateway) bool {
+func (o *offer) secondSooner(g *Gateway, first *pool.Lease) bool {
 	now := time.Now()
-	return g.extraWork.SecondSooner(o.late.kind, now.Sub(o.late.sentAt), now.Sub(o.sentAt), now)
+	sent := func(lease *pool.Lease, at time.Time) extrawork.Sent {
+		return extrawork.Sent{Instance: lease.Instance.ID, Pace: lease.RelativePace(), Age: now.Sub(at)}
+	}
+	return g.extraWork.SecondSooner(o.late.kind, sent(first, o.late.sentAt), sent(o.lease, o.sentAt), now)
 }
 
 // refund gives back the work charged for an offer that was not sent, or whose request has no other attempt any more.
@@ -162,7 +165,7 @@
 func (w *watch) settleFirst(o *offer, answered bool) {
 	s := w.state
 	w.lost = true
-	_, w.slowdown = s.g.extraWork.Settle(s.cancelled(o.late.kind, o.late.computed, o.late.sentAt), o.late.charge, time.Now())
+	_, w.slowdown = s.g.extraWork.Settle(s.cancelled(w.lease, o.late.kind, o.late.computed, o.late.sentAt), o.late.charge, time.Now())
 	result := "/won"
 	if !answered {
 		result = "/chosen unanswered"
@@ -176,7 +179,7 @@
 	s := w.state
 	switch {
 	case failure == nil:
-		s.g.extraWork.Settle(s.cancelled(s.kindOf(o.lease), o.lease.ComputedTokens(), o.sentAt), o.late.charge, time.Now())
+		s.g.extraWork.Settle(s.cancelled(o.lease, s.kindOf(o.lease), o.lease.ComputedTokens(), o.sentAt), o.late.charge, time.Now())
 		s.g.metrics.extraWork.Add(s.pool+"/cancelled", 1)
 		return
 	case verdict.As(failure).Verdict == verdict.NotRun:
@@ -185,8 +188,9 @@
 	s.g.metrics.extraWork.Add(s.pool+"/failed", 1)
 }
 
-func (s *requestState) cancelled(kind extrawork.Kind, computed int, sentAt time.Time) extrawork.Cancelled {
-	return extrawork.Cancelled{Kind: kind, Stream: s.route.Mode == routes.Streaming, Computed: computed, After: time.Since(sentAt)}
+func (s *requestState) cancelled(lease *pool.Lease, kind extrawork.Kind, computed int, sentAt time.Time) extrawork.Cancelled {
+	return extrawork.Cancelled{Kind: kind, Instance: lease.Instance.ID, Pace: lease.RelativePace(), Stream: s.route.Mode == routes.Streaming,
+		Computed: computed, After: time.Since(sentAt)}
 }
 
 // keepPlace lets a cancelled request keep its place for about as long as it would have run there: slowdown times as long as
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -271,7 +271,7 @@
 		v.resumed, v.silent, v.waited = o.ctx.Err() != nil, w.seemsSilent(o), time.Since(o.sentAt)
 		v.answering = w.isAnswering()
 		if v.late = o.late != nil; v.late && v.waited >= offerTimeout {
-			v.secondSooner = o.secondSooner(w.state.g)
+			v.secondSooner = o.secondSooner(w.state.g, w.lease)
 		}
 		decision := v.decide()
 		if decision == takeOver {
--- a/gateway/pool/pace.go
+++ b/gateway/pool/pace.go
@@ -73,6 +73,8 @@
 // engineState is what a router knows of the pace and the limit of an engine.
 type engineState struct {
 	pace smoothPace
+	// seen is the pace that the instance has reported in responses to this router, see Lease.RecordSeenPace.
+	seen smoothPace
 	// limit is kept if this router keeps the instance. reduced is set once LimitChanges has returned a limit below the
 	// slots.
 	limit   placeLimit
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -125,6 +125,8 @@
 	evacuated map[string]bool
 	// paced holds the pace of the pools whose instances report how long work takes on their machines now.
 	paced map[string]*poolPace
+	// seenPaces holds the mean paces of Lease.RecordSeenPace by pool.
+	seenPaces map[string]*poolPace
 	// failureRate is the moving average of the share of requests that fail, by pool.
 	failureRate map[string]float64
 	// meanServiceTime is the moving average of the time that a request takes, by pool.
@@ -153,6 +155,7 @@
 		failureRate:     make(map[string]float64),
 		evacuated:       make(map[string]bool),
 		paced:           make(map[string]*poolPace),
+		seenPaces:       make(map[string]*poolPace),
 		meanServiceTime: make(map[string]time.Duration),
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -82,6 +82,9 @@
 	if s.g.settings.Pool.LimitEngines && reply.Signed && reply.Load.Pace > 0 && !lease.RecordPace(reply.Load.Pace) {
 		s.g.metrics.paceIgnored.Add(s.pool, 1)
 	}
+	if s.g.extraWork.Enabled() && reply.Signed && reply.Load.Pace > 0 {
+		lease.RecordSeenPace(reply.Load.Pace)
+	}
 	if reply.Leaving && lease.RecordLeaving() {
 		s.g.metrics.departures.Add(s.pool, 1)
 		s.g.log.Info("departure announced", "instance", lease.Instance.ID, "id", s.call.ID)
