Send sums of response times along the tree of gateways

Cause: the sums of usual times were made and not sent.

Change: a state holds ResponseTimes, a few kinds at a time: up, answers not sent to a parent yet; down, the root's sums over 15 to 30 s, scaled to 1,024 answers. A direction of a link carries 26 B/s, which at the busiest gateway (9 neighbours) makes 468 B/s. Older versions ignore the field; implausible messages are ignored and counted; a gateway whose own answers contradict the sums uses its own. The counter extra_work_sums shows answers and age by kind. usualAnswers is 10 instead of 4 and a request counts at most 4 times the usual time, so that one late answer makes no instance slow.

--- a/gateway/extrawork/instances.go
+++ b/gateway/extrawork/instances.go
@@ -8,9 +8,10 @@
 const (
 	// instanceTime is the time constant with which what an instance has done lately loses weight.
 	instanceTime = 10 * time.Second
-	// usualAnswers is the number of usual answers that are assumed of an instance in addition to its own, so that a single
-	// late answer does not make it slow.
-	usualAnswers = 4
+	// usualAnswers is the number of usual answers that are assumed of an instance in addition to its own, and maxWaited the most
+	// that one request counts, in multiples of the usual time. A single late answer then makes no instance slow.
+	usualAnswers = 10
+	maxWaited    = 4
 	// slowInstance is the factor from which on an instance counts as slow. Below it, the answers of a few seconds do not
 	// tell it from others.
 	slowInstance = 1.5
@@ -64,7 +65,7 @@
 	if answered {
 		answers = 1
 	}
-	share := min(maxSlowdown, float64(waited)/usual)
+	share := min(maxWaited, float64(waited)/usual)
 	p.record(share, answers, now)
 	all := d.poolPacing[k.Pool]
 	if all == nil {
@@ -104,7 +105,7 @@
 // usualTime returns the mean time to an answer of a kind. The caller holds the lock.
 func (d *Decider) usualTime(k Kind, now time.Time) (ns float64, ok bool) {
 	t := d.timesOf(k, now)
-	if t.usualAt.IsZero() || now.Sub(t.usualAt) >= usualInterval {
+	if t.usual == 0 || now.Sub(t.usualAt) >= usualInterval {
 		t.usual, t.usualAt = 0, now
 		if c := d.curve(k, now); c.known() {
 			t.usual = c.mean()
--- a/gateway/extrawork/sums.go
+++ b/gateway/extrawork/sums.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -15,9 +16,9 @@
 // parent changes. The root keeps those of the last 15 to 30 s and tells the sums to all; they replace what was told before.
 
 const (
-	// sumsTTL is how long the fleet's sums are used after the root has made them. Each kind is told every sumInterval, or a few
-	// times that if there are many.
-	sumsTTL = 12 * time.Second
+	// sumsTTL is how long the fleet's sums are used after the root has made them. Each kind is told every sumInterval, with 8 kinds
+	// every 11 s. With more, each is known for a part of the time.
+	sumsTTL = 16 * time.Second
 	// sumInterval is the minimum time between two messages about a kind in one direction.
 	sumInterval = 4 * time.Second
 	// tellRate is the mean number of bytes per second that are told about response times to one neighbour. The busiest
@@ -26,8 +27,8 @@
 	// maxTellBurst is the number of bytes that can be told at once after a silence.
 	maxTellBurst = 130
 	// maxToldAnswers is the number of answers to which sums are scaled down when the root tells them, so that most counts
-	// take one byte. The 99th percentile then rests on 40.
-	maxToldAnswers = 4096
+	// take one byte. The 99th percentile then rests on 10.
+	maxToldAnswers = 1024
 	// maxToldCount bounds the answers of one kind in a message. 400 routers with 500 answers a second each have fewer.
 	maxToldCount = 1 << 20
 	// maxCutExcess is the number of cancelled requests that may exceed the answers of a message. More are implausible: the
@@ -80,15 +81,22 @@
 	Age time.Duration
 }
 
-// encodedBytes is the most that the message about a kind takes: the field, 5 bytes for the pool, 2 for the kind, 4 for the age.
-func (t *Told) encodedBytes() int {
-	n := 3 + 5 + 2 + 4 + 3 + len(t.Answered)
-	if len(t.Cut) > 0 {
-		n += 3 + len(t.Cut)
+// Size returns the number of bytes that it takes in a message: 5 for the pool, and a tag for each of the other fields.
+func (t *Told) Size() int {
+	n := 5 + 1 + varintBytes(uint64(t.Kind))
+	for _, counts := range [][]byte{t.Answered, t.Cut} {
+		if len(counts) > 0 {
+			n += 1 + varintBytes(uint64(len(counts))) + len(counts)
+		}
+	}
+	if age := t.Age.Milliseconds(); age > 0 {
+		n += 1 + varintBytes(uint64(age))
 	}
-	return n
+	return n + 1 + varintBytes(uint64(n))
 }
 
+func varintBytes(v uint64) int { return (bits.Len64(v|1) + 6) / 7 }
+
 // allowance limits the bytes that are told to one neighbour.
 type allowance struct {
 	level float64
@@ -263,7 +271,7 @@
 			continue
 		}
 		*sentAt(s) = now
-		a.level -= float64(t.encodedBytes())
+		a.level -= float64(t.Size())
 		out = append(out, t)
 	}
 	return out
@@ -387,7 +395,7 @@
 
 // SumSummary describes the fleet's sum of one kind.
 type SumSummary struct {
-	// Answers is their number, scaled down to 4,096 where the root has told more.
+	// Answers is their number, scaled down to 1,024 where the root has told more.
 	Answers int `json:"answers"`
 	// AgeMs is the time since the root has made the sum.
 	AgeMs int64 `json:"age_ms"`
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/admission"
+	"jacinthfork.example/jacinthfork/gateway/extrawork"
 	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/asynclog"
 	"jacinthfork.example/jacinthfork/kernel"
 )
@@ -142,6 +144,17 @@
 	}
 }
 
+// modeName names a mode in counters as the configuration does.
+func modeName(mode uint8) string {
+	switch routes.Mode(mode) {
+	case routes.Idempotent:
+		return "idempotent"
+	case routes.Streaming:
+		return "streaming"
+	}
+	return "non_idempotent"
+}
+
 // publishCounters registers the gateway's state as counters. The age of a feed is 0 ms before its first read.
 func (g *Gateway) publishCounters() {
 	c := g.env.Counters
@@ -173,6 +186,13 @@
 		}
 		return out
 	})
+	c.Func("extra_work_sums", func() any {
+		out := make(map[string]extrawork.SumSummary)
+		for k, s := range g.extraWork.Sums(time.Now()) {
+			out[fmt.Sprintf("%s/%s/%d", k.Pool, modeName(k.Mode), k.Size)] = s
+		}
+		return out
+	})
 	c.Func("connections", func() any {
 		idle, dialled := g.connections.Stats()
 		closed := g.callers.UnusedClosed()
--- a/gateway/peer/handler_test.go
+++ b/gateway/peer/handler_test.go
@@ -50,6 +50,8 @@
 	incarnations   map[string]uint64
 	parent         string
 	parentsChanged int
+	// timesUp are sent to the parent once, timesDown are told each time to those below. gotUp and gotDown were received.
+	timesUp, timesDown, gotUp, gotDown []*peerpb.ResponseTimes
 }
 
 func (h *fakeHandler) State(positions []*peerpb.Position, up, want bool) *peerpb.State {
@@ -98,6 +100,32 @@
 	h.total, h.ejected = loads[1].Requests, loads[1].Ejected
 }
 
+func (h *fakeHandler) ResponseTimes(up, root bool) []*peerpb.ResponseTimes {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if up {
+		out := h.timesUp
+		h.timesUp = nil
+		return out
+	}
+	if root {
+		return h.timesDown
+	}
+	return nil
+}
+
+func (h *fakeHandler) MergeResponseTimes(up bool, times []*peerpb.ResponseTimes) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range times {
+		if up {
+			h.gotUp = append(h.gotUp, t)
+		} else {
+			h.gotDown = append(h.gotDown, t)
+		}
+	}
+}
+
 func (h *fakeHandler) Reserve(node string, r *peerpb.Reserve, reply func(*peerpb.Reserved)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -49,6 +49,9 @@
 	// half or more: at a start or in a surge, an old mean makes keepers refuse places that the load bound allows.
 	loadChangeInterval = 100 * time.Millisecond
 	minLoadChange      = 3
+	// timesInterval is the time between two looks for response times to tell to the routers below this one. Each of them is
+	// sent a state in between.
+	timesInterval = time.Second
 	// neighbourTimeout is how long a parent may be silent before another one is taken, and a child before its load is
 	// no longer counted.
 	neighbourTimeout = 1600 * time.Millisecond
@@ -117,6 +120,11 @@
 	Loads() map[uint32]PoolLoad
 	// SetFleetLoads receives the load of the whole fleet by pool.
 	SetFleetLoads(loads map[uint32]PoolLoad)
+	// ResponseTimes returns the response times that are due for the parent, or for all routers below this one; root is set
+	// if there is no parent. They are not returned again. MergeResponseTimes receives those of a router below this one, for
+	// which up is set, or of the parent.
+	ResponseTimes(up, root bool) []*peerpb.ResponseTimes
+	MergeResponseTimes(up bool, times []*peerpb.ResponseTimes)
 	// Reserve decides on a reservation of another router and calls reply with the answer, unless it is forced. A place at
 	// an instance of a plain service may be granted later, in another goroutine. Release ends a reservation, also one
 	// that still waits, with the outcome of the request.
@@ -196,6 +204,11 @@
 	nextSoloAt           time.Time
 	children             map[string]*child
 	totals               map[uint32]PoolLoad
+	// timesDown are the response times that are told to each child once, timesRound is their number, and nextTimesAt is when
+	// the next ones are made.
+	timesDown   []*peerpb.ResponseTimes
+	timesRound  uint64
+	nextTimesAt time.Time
 	// contacted is set once any other router was reached, and informed once one has told the membership.
 	contacted, informed bool
 	// expiredAt is when routers that are gone were last forgotten.
@@ -219,6 +232,8 @@
 	sentAt    time.Time
 	loads     map[uint32]PoolLoad
 	positions []*peerpb.Position
+	// timesRound is the number of the response times that were sent last.
+	timesRound uint64
 	// recordsSequence and recordsSentAt are those of the last state with records, and expected are the positions after it.
 	recordsSequence uint64
 	recordsSentAt   time.Time
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -47,6 +47,15 @@
 	if forgotten {
 		f.notifyMembers()
 	}
+	if !now.Before(f.nextTimesAt) {
+		// Only tick, which runs in one goroutine, uses nextTimesAt.
+		f.nextTimesAt = now.Add(timesInterval)
+		times := f.handler.ResponseTimes(false, parent == "")
+		f.mu.Lock()
+		f.timesDown = times
+		f.timesRound++
+		f.mu.Unlock()
+	}
 	f.mu.Lock()
 	if parent == "" {
 		f.totals = f.sumLoads(own)
@@ -258,6 +267,7 @@
 	want = want && f.handler.NeedsRecords()
 	state := f.handler.State(positions, true, want)
 	state.Up, state.Received = true, received
+	state.ResponseTimes = f.handler.ResponseTimes(true, false)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if want {
@@ -294,6 +304,9 @@
 	state.MembersDigest = f.members.digest()
 	f.stateSequence++
 	state.Sequence = f.stateSequence
+	if c.timesRound != f.timesRound {
+		c.timesRound, state.ResponseTimes = f.timesRound, f.timesDown
+	}
 	if l := f.linkTo(node); l != nil {
 		l.send(&peerpb.Message{State: state, Members: news})
 		c.positions = expectedPositions(state.GetPositions())
@@ -412,6 +425,9 @@
 	if fromParent {
 		f.handler.SetFleetLoads(totals)
 	}
+	if times := s.GetResponseTimes(); len(times) > 0 && (fromParent || s.GetUp()) {
+		f.handler.MergeResponseTimes(s.GetUp(), times)
+	}
 	news, behind := f.handler.MergeState(l.node, s)
 	f.mu.Lock()
 	// The parent is asked with the next state that is due for it.
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthfork.example/jacinthfork/gateway/extrawork"
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/peer"
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
@@ -40,6 +41,39 @@
 	g.registry.SetFleetLoad(byPool)
 }
 
+// ResponseTimes implements peer.Handler.
+func (g *Gateway) ResponseTimes(up, root bool) []*peerpb.ResponseTimes {
+	var told []extrawork.Told
+	if up {
+		told = g.extraWork.TakeUp(time.Now())
+	} else {
+		told = g.extraWork.TakeDown(root, time.Now())
+	}
+	out := make([]*peerpb.ResponseTimes, 0, len(told))
+	for _, t := range told {
+		out = append(out, &peerpb.ResponseTimes{Pool: t.Pool, Kind: t.Kind, Answered: t.Answered, Cancelled: t.Cut, AgeMs: uint32(t.Age.Milliseconds())})
+	}
+	return out
+}
+
+// MergeResponseTimes implements peer.Handler.
+func (g *Gateway) MergeResponseTimes(up bool, times []*peerpb.ResponseTimes) {
+	told := make([]extrawork.Told, 0, len(times))
+	for _, t := range times {
+		told = append(told, extrawork.Told{Pool: t.GetPool(), Kind: t.GetKind(), Answered: t.GetAnswered(), Cut: t.GetCancelled(),
+			Age: time.Duration(t.GetAgeMs()) * time.Millisecond})
+	}
+	ignored := 0
+	if up {
+		ignored = g.extraWork.MergeUp(told)
+	} else {
+		ignored = g.extraWork.MergeDown(told, time.Now())
+	}
+	if ignored > 0 {
+		g.metrics.extraWork.Add("sums ignored", int64(ignored))
+	}
+}
+
 // MembersChanged implements peer.Handler.
 func (g *Gateway) MembersChanged(alive, leaving []*peerpb.Member, lost int) {
 	routers := make([]pool.Router, 0, len(alive))
