--- a/gateway/extrawork/times.go
+++ b/gateway/extrawork/times.go
@@ -125,10 +125,16 @@
 	return min(bucketCount-1, int(math.Ceil(bucketsPerOctave*math.Log2(float64(t)/float64(shortest)))))
 }
 
+// upperBounds are the upper bounds of the buckets in ns.
+var upperBounds = func() (out [bucketCount]float64) {
+	for b := range out {
+		out[b] = float64(shortest) * math.Exp2(float64(b)/bucketsPerOctave)
+	}
+	return out
+}()
+
 // upperBound returns the upper bound of a bucket.
-func upperBound(bucket int) float64 {
-	return float64(shortest) * math.Exp2(float64(bucket)/bucketsPerOctave)
-}
+func upperBound(bucket int) float64 { return upperBounds[bucket] }
 
 // curve is the estimated part of the requests that are unanswered at the upper bound of each bucket (Kaplan and Meier):
 // requests that were cancelled count as unanswered for as long as they were waited for. Without them, cancelling the late
