--- a/gateway/extrawork/replay_test.go
+++ b/gateway/extrawork/replay_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -527,6 +528,7 @@
 // Guards against false sums, routers that neither send nor pass on any, and lost links, that make anything slower or cost more
 // than the limit.
 func TestFalseOrMissingSumsDoNoHarm(t *testing.T) {
+	off := sync.OnceValue(func() *replay { return run(largeFleet(25, stragglers), policyOf("off")) })
 	for name, change := range map[string]func(l *loadPattern){
 		"fastest": func(l *loadPattern) { l.tamper = falsified([]byte{0, 255, 255, 3}) },
 		"slowest": func(l *loadPattern) { l.tamper = falsified([]byte{bucketCount - 1, 255, 255, 3}) },
@@ -547,8 +549,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			l := largeFleet(25, stragglers)
-			off := run(l, policyOf("off"))
+			l, off := largeFleet(25, stragglers), off()
 			change(&l)
 			on := run(l, policyOf("on"))
 			t.Logf("off %s", off)
