--- a/gateway/extrawork/extrawork.go
+++ b/gateway/extrawork/extrawork.go
@@ -263,6 +263,7 @@
 	// Just above the quantile the first answer is often about to come.
 	delay := max(minDelay, late)
 	if c.slowdown > 1 {
+		// A factor of 2 is fine enough: the end is expected to come many times later than the first ages.
 		for age := minDelay; age < delay; age += min(age, delay-age) {
 			if c.end(age) >= late {
 				delay = age
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,8 @@
 	refusingPools map[string]bool
 	// pacedPools are the pools whose requests wait at keepers. It belongs to maintain.
 	pacedPools map[string]bool
+	// sumsKnown is set while the fleet's response times are known. It belongs to maintain.
+	sumsKnown bool
 	// self is this router as MembersChanged was told of it last. A later version means that it was taken for lost.
 	self    *peerpb.Member
 	callers *callerconn.Tracker
@@ -301,6 +303,7 @@
 		g.reservations.tellKeepers()
 		g.maintainPlaces()
 		g.logPaced()
+		g.logSums()
 		g.asks.setRouters(1 + g.registry.PeerCount())
 		g.logRefusing()
 		g.connections.CloseExpired()
--- a/gateway/late.go
+++ b/gateway/late.go
@@ -85,6 +85,18 @@
 	s.g.extraWork.RecordServed(s.pool, lease.ComputedTokens(), output, time.Now())
 }
 
+// logSums logs when the fleet's response times become known or are not known any more.
+func (g *Gateway) logSums() {
+	if !g.extraWork.Enabled() {
+		return
+	}
+	kinds := len(g.extraWork.Sums(time.Now()))
+	if known := kinds > 0; known != g.sumsKnown {
+		g.sumsKnown = known
+		g.log.Info("response times of the fleet", "known", known, "kinds", kinds)
+	}
+}
+
 // offerLate is what an offer is about that was made because of a late response.
 type offerLate struct {
 	lateResponse
