Compare instances with their pool where few answers are known

Cause: an instance with few answers was assumed to be like the usual times, and then compared with its pool. Where the pool was faster than the usual times, because these were false or old, all instances looked slow: requests were sent twice early, and the refunds counted on slow instances.

Change: the assumed answers are like those of the pool. New cases of TestFalseOrMissingSumsDoNoHarm: one size class, in which a router knows what is usual itself (fails before the change), and an endless tail.

--- a/gateway/extrawork/instances.go
+++ b/gateway/extrawork/instances.go
@@ -41,10 +41,16 @@
 	p.waited, p.answers = p.waited+waited, p.answers+answers
 }
 
-// slowdown returns the mean time to an answer, in multiples of the usual one.
-func (p *pacing) slowdown(now time.Time) float64 {
+// relativeTo returns the mean time to an answer relative to that of the whole pool. The usual answers are assumed to be like
+// those of the pool: it may have become slower or faster, or the usual times may be false, and an instance with few answers
+// would then differ from the others.
+func (p *pacing) relativeTo(pool *pacing, now time.Time) float64 {
 	p.advance(now)
-	return (p.waited + usualAnswers) / (p.answers + usualAnswers)
+	pool.advance(now)
+	if pool.waited <= 0 || pool.answers <= 0 {
+		return 1
+	}
+	return (p.waited*pool.answers/pool.waited + usualAnswers) / (p.answers + usualAnswers)
 }
 
 // recordInstance records what a request at an instance has waited, and whether it was answered. The caller holds the lock.
@@ -93,8 +99,7 @@
 func (d *Decider) slowdown(pool, instance string, pace float64, now time.Time) float64 {
 	slow := pace
 	if p, all := d.instances[instance], d.poolPacing[pool]; p != nil && all != nil {
-		// In a pool that has just become slow everywhere, no instance is slower than the others.
-		slow = max(slow, p.slowdown(now)/all.slowdown(now))
+		slow = max(slow, p.relativeTo(all, now))
 	}
 	if !(slow >= slowInstance) {
 		return 1
--- a/gateway/extrawork/replay_test.go
+++ b/gateway/extrawork/replay_test.go
@@ -525,15 +525,26 @@
 	}
 }
 
+var (
+	// twoValues are 65,535 answers after 32 ms and as many after 1.2 s.
+	twoValues = []byte{20, 255, 255, 3, 0, 20, 255, 255, 3}
+	// endlessTail are 65,535 answers after 181 ms and 200 after 110 s, so that a request older than that seems to have
+	// computed next to nothing.
+	endlessTail = []byte{30, 255, 255, 3, 0, 36, 200, 1}
+)
+
 // Guards against false sums, routers that neither send nor pass on any, and lost links, that make anything slower or cost more
 // than the limit.
 func TestFalseOrMissingSumsDoNoHarm(t *testing.T) {
 	off := sync.OnceValue(func() *replay { return run(largeFleet(25, stragglers), policyOf("off")) })
 	for name, change := range map[string]func(l *loadPattern){
-		"fastest": func(l *loadPattern) { l.tamper = falsified([]byte{0, 255, 255, 3}) },
-		"slowest": func(l *loadPattern) { l.tamper = falsified([]byte{bucketCount - 1, 255, 255, 3}) },
-		"two values": func(l *loadPattern) {
-			l.tamper = falsified(append(append([]byte{20, 255, 255, 3, 0, 20}, 255, 255, 3), 1))
+		"fastest":    func(l *loadPattern) { l.tamper = falsified([]byte{0, 255, 255, 3}) },
+		"slowest":    func(l *loadPattern) { l.tamper = falsified([]byte{bucketCount - 1, 255, 255, 3}) },
+		"two values": func(l *loadPattern) { l.tamper = falsified(twoValues) },
+		// Each router has answers enough of its own to know what is usual.
+		"two values, one size": func(l *loadPattern) { l.sizes, l.tamper = 1, falsified(twoValues) },
+		"endless tail": func(l *loadPattern) {
+			l.routers, l.tamper = 103, func(_ int, told []Told) []Told { return falsified(endlessTail)(1, told) }
 		},
 		"garbage": func(l *loadPattern) { l.tamper = falsified([]byte{255, 255, 255}) },
 		"older version": func(l *loadPattern) {
