--- a/gateway/extrawork/extrawork_test.go
+++ b/gateway/extrawork/extrawork_test.go
@@ -25,7 +25,7 @@
 		if n%20 == 0 {
 			after = time.Second
 		}
-		d.RecordAnswer(testKind, after, start())
+		d.RecordAnswer(testKind, "i", after, start())
 		d.RecordServed("p", 0, 100, start())
 	}
 	return d
@@ -67,9 +67,9 @@
 	decision, _ := learned(0).Decide(lateRequest(), start())
 	is.Equal(decision, NotAllowed)
 	d := learned(0.2)
-	_, ok := d.Delay(testKind, start().Add(generation))
+	_, ok := d.Delay(testKind, "i", 0, start().Add(generation))
 	is.True(ok)
-	_, ok = d.Delay(testKind, start().Add(3*generation))
+	_, ok = d.Delay(testKind, "i", 0, start().Add(3*generation))
 	is.True(!ok)
 }
 
@@ -82,10 +82,10 @@
 			d.Settle(Cancelled{Kind: testKind, After: 300 * time.Millisecond}, 0, start())
 			continue
 		}
-		d.RecordAnswer(testKind, 100*time.Millisecond, start())
+		d.RecordAnswer(testKind, "i", 100*time.Millisecond, start())
 	}
-	is.True(!d.SecondSooner(testKind, 0, 200*time.Millisecond, start()))
-	is.True(d.SecondSooner(testKind, 400*time.Millisecond, 0, start()))
+	is.True(!d.SecondSooner(testKind, Sent{}, Sent{Age: 200 * time.Millisecond}, start()))
+	is.True(d.SecondSooner(testKind, Sent{Age: 400 * time.Millisecond}, Sent{}, start()))
 }
 
 // Guards against memory that grows with the kinds of requests.
@@ -93,7 +93,7 @@
 	is := is.New(t)
 	d := New(Settings{Share: 0.2})
 	for n := range 3 * maxKinds {
-		d.RecordAnswer(Kind{Pool: fmt.Sprint(n)}, time.Second, start().Add(time.Duration(n)))
+		d.RecordAnswer(Kind{Pool: fmt.Sprint(n)}, "i", time.Second, start().Add(time.Duration(n)))
 	}
 	is.Equal(len(d.kinds), maxKinds)
 }
@@ -140,13 +140,40 @@
 	return charge
 }
 
-// step lets one router serve, ask, settle or restart.
+// tell exchanges sums between two routers.
+func (m *fleetModel) tell(t *rapid.T, a, b *Decider) {
+	up, down := a.TakeUp(m.now), b.TakeDown(rapid.Bool().Draw(t, "root"), m.now)
+	if rapid.Bool().Draw(t, "false sums") {
+		down = append(down, Told{Pool: a.key(testKind).pool, Kind: uint32(testKind.Mode) << 3,
+			Answered: rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "counts"), Cut: rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(t, "cut")})
+	}
+	b.MergeUp(up)
+	a.MergeDown(down, m.now)
+}
+
+// step lets one router serve, learn, ask, settle or restart.
 func (m *fleetModel) step(t *rapid.T) (e ledger) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 	n := rapid.IntRange(0, len(m.routers)-1).Draw(t, "router")
 	d := m.routers[n]
 	e.saved = m.saved()
-	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	switch rapid.IntRange(0, 12).Draw(t, "step") {
+	case 10:
+		// Sums, some of them false, from a router that takes the other one for its parent, or for below it.
+		m.tell(t, d, m.routers[rapid.IntRange(0, len(m.routers)-1).Draw(t, "other")])
+	case 11:
+		for range rapid.IntRange(1, 200).Draw(t, "answers") {
+			d.RecordAnswer(testKind, "i", time.Duration(rapid.IntRange(1, 2000).Draw(t, "after"))*time.Millisecond, m.now)
+		}
+	case 12:
+		r := lateRequest()
+		r.Age = time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+		r.Computed = rapid.IntRange(0, 500).Draw(t, "computed")
+		r.Instance, r.Pace = "i", rapid.Float64Range(0, 10).Draw(t, "pace")
+		if decision, charge := d.Decide(r, m.now); decision == Ask {
+			m.open[d] = append(m.open[d], charge)
+			e.spent = charge
+		}
 	case 0:
 		m.routers[n] = New(Settings{Share: m.share})
 	case 1, 2, 3, 4:
