Let new peers take the place of unknown connections

Cause: connections of the peer port share one limit, and a crowd that sends nothing held all places for up to 10 s each time. A gateway that restarted was closed at once until one was free by chance.

Change: at the limit a new connection takes the place of one for which Trust was not called, of the client address with most of them the oldest. Connections of gateways are never displaced.

Without the change TestUnknownClientsGiveTheirPlaceToNewOnes fails with "a new client is kept out" and TestUnknownClientsDoNotKeepRoutersOut with "the condition was not met within testTimeout" (20 s).

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -3,6 +3,7 @@
 package connlimit
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"sync"
@@ -10,7 +11,10 @@
 	"time"
 )
 
-// Listener closes connections above a limit as soon as they are made. It is safe for concurrent use.
+// Listener bounds the connections that are open. Above the limit a new one takes the place of one for which Trust was not
+// called: of the client address that has most of them the oldest. A client that belongs to the server shows it within a few round
+// trips, and must not be kept out by a crowd that shows nothing. If there is none, the new one is closed as soon as it is made.
+// It is safe for concurrent use.
 type Listener struct {
 	net.Listener
 	// UnknownBytes and UnknownTime bound what a connection may send, and how long it may last, until Trust is called for
@@ -22,6 +26,8 @@
 	refused atomic.Int64
 	mu      sync.Mutex
 	conns   map[string]*limited
+	// accepted numbers the connections.
+	accepted uint64
 }
 
 // New returns a listener that has at most limit connections open.
@@ -56,7 +62,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.add(conn); c != nil {
+		c, displaced := l.add(conn)
+		if displaced != nil {
+			l.refused.Add(1)
+			_ = displaced.Close()
+		}
+		if c != nil {
 			return c, nil
 		}
 		l.refused.Add(1)
@@ -64,21 +75,52 @@
 	}
 }
 
-// add returns an accepted connection, or nil if there are too many.
-func (l *Listener) add(conn net.Conn) *limited {
+// add returns an accepted connection, or nil if there are too many, and the one whose place it takes, which the caller closes.
+func (l *Listener) add(conn net.Conn) (c, displaced *limited) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if int64(len(l.conns)) >= l.limit {
-		return nil
+		if displaced = l.oldestUnknown(); displaced == nil {
+			return nil, nil
+		}
+		delete(l.conns, displaced.RemoteAddr().String())
 	}
-	c := &limited{Conn: conn, listener: l}
+	l.accepted++
+	c = &limited{Conn: conn, listener: l, host: host(conn), number: l.accepted}
 	c.left.Store(l.UnknownBytes)
 	c.trusted.Store(l.UnknownBytes == 0)
 	if l.UnknownTime > 0 {
 		c.timer = time.AfterFunc(l.UnknownTime, c.closeUnknown)
 	}
 	l.conns[conn.RemoteAddr().String()] = c
-	return c
+	return c, displaced
+}
+
+// oldestUnknown returns the oldest connection of the client address with most of those for which Trust was not called, or nil.
+// The caller holds mu.
+func (l *Listener) oldestUnknown() (out *limited) {
+	counts := make(map[string]int)
+	for _, c := range l.conns {
+		if !c.trusted.Load() {
+			counts[c.host]++
+		}
+	}
+	for _, c := range l.conns {
+		if c.trusted.Load() {
+			continue
+		}
+		if out == nil || cmp.Or(cmp.Compare(counts[out.host], counts[c.host]), cmp.Compare(c.number, out.number)) < 0 {
+			out = c
+		}
+	}
+	return out
+}
+
+func host(conn net.Conn) string {
+	if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.IP.String()
+	}
+	return conn.RemoteAddr().String()
 }
 
 // Trust ends the limits of the connection from a remote address.
@@ -103,8 +145,11 @@
 	net.Conn
 	listener *Listener
 	timer    *time.Timer
-	trusted  atomic.Bool
-	left     atomic.Int64
+	// host is the address of the client. number orders connections by their beginning.
+	host    string
+	number  uint64
+	trusted atomic.Bool
+	left    atomic.Int64
 }
 
 // errUnknown is the error of a connection that has sent too much without having shown that it belongs to the server.
