Bound all connections by the descriptors together

Cause: callers had half of the descriptors, each could need another one at an instance, and peers had a quarter besides: 4,875 of 3,900. At the limit a dial failed with EMFILE, which counted as an unreachable instance, as a crash if a connection had broken, and as a lost gateway.

Want of a descriptor refuses the request as not run, and counts against no instance and no gateway.

That a crash is not concluded is not tested: the test connection takes no fake.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -259,6 +259,9 @@
 		if ctx.Err() != nil {
 			return nil, pool.Abandoned, s.contextError(ctx, verdict.NotRun)
 		}
+		if errors.Is(err, backend.ErrNoDescriptor) {
+			return nil, pool.Abandoned, unavailable(verdict.ReasonOverCapacity, err.Error(), fullRetryAfter)
+		}
 		return nil, pool.Unreachable, verdict.Wrap(verdict.NotRun, verdict.ReasonUnreachable, err)
 	}
 	if !lease.Usable() {
--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,8 +55,23 @@
 	keepAlive time.Duration
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
+	// onClose is called once, when the connection is closed. It may be nil.
+	onClose func()
+	closed  sync.Once
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	if c.onClose != nil {
+		c.closed.Do(c.onClose)
+	}
+	return err
+}
+
+// ErrNoDescriptor is the error of Get if this process may open no more connections. It says nothing about the backend server.
+var ErrNoDescriptor = errors.New("no descriptor is left for a connection")
+
 // Pool keeps idle connections per backend server. It is safe for concurrent use.
 type Pool struct {
 	mu     sync.Mutex
@@ -66,6 +82,12 @@
 	checkedAt time.Time
 	// dialled counts the connections established.
 	dialled uint64
+	// limit bounds open, the connections that are open or being made, together with what others returns, unless it is 0.
+	limit  int64
+	others func() int64
+	open   atomic.Int64
+	// short counts the connections that were not made for want of a descriptor.
+	short atomic.Int64
 }
 
 // NewPool returns an empty pool.
@@ -77,6 +99,43 @@
 	}
 }
 
+// Limit bounds the connections together with others, which are counted elsewhere. It is called before the first Get.
+func (p *Pool) Limit(limit int64, others func() int64) { p.limit, p.others = limit, others }
+
+// MakeRoom closes idle connections while there are more connections than the limit allows, and reports whether it is kept.
+func (p *Pool) MakeRoom() bool {
+	for p.limit > 0 && p.open.Load()+p.others() > p.limit {
+		if !p.closeOldestIdle() {
+			return false
+		}
+	}
+	return true
+}
+
+// closeOldestIdle closes the connection that has been idle for longest and reports whether there was one.
+func (p *Pool) closeOldestIdle() bool {
+	p.mu.Lock()
+	var oldest *Conn
+	for _, list := range p.idle {
+		// The lists are in the order in which the connections became idle.
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.server] = p.idle[oldest.server][1:]
+	}
+	p.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	_ = oldest.Close()
+	return true
+}
+
+// Short returns the number of connections that were not made for want of a descriptor.
+func (p *Pool) Short() int64 { return p.short.Load() }
+
 // setAckTimeout sets TCP_USER_TIMEOUT on a socket.
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
 	const tcpUserTimeout = 18
@@ -97,7 +156,8 @@
 	DialTimeout time.Duration
 }
 
-// Get returns an open idle connection to a backend server, or a new one. An error proves that nothing was sent.
+// Get returns an open idle connection to a backend server, or a new one. An error proves that nothing was sent. It is
+// ErrNoDescriptor if the limit is reached or the process has no descriptor left, and closing idle connections has not helped.
 func (p *Pool) Get(ctx context.Context, t Target) (*Conn, error) {
 	for {
 		c := p.take(t.Server, t.MaxIdle)
@@ -115,14 +175,30 @@
 func (p *Pool) dial(ctx context.Context, t Target) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.DialTimeout)
 	defer cancel()
+	p.open.Add(1)
+	if !p.MakeRoom() {
+		p.open.Add(-1)
+		p.short.Add(1)
+		return nil, ErrNoDescriptor
+	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	for socket.NoDescriptor(err) && p.closeOldestIdle() {
+		raw, err = p.dialer.DialContext(ctx, "tcp", t.Address)
+	}
 	if err != nil {
+		p.open.Add(-1)
+		if socket.NoDescriptor(err) {
+			p.short.Add(1)
+			err = errors.Join(ErrNoDescriptor, err)
+		}
 		return nil, err
 	}
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
-	return newConn(raw, t.Server), nil
+	c := newConn(raw, t.Server)
+	c.onClose = func() { p.open.Add(-1) }
+	return c, nil
 }
 
 func newConn(raw net.Conn, server string) *Conn {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -10,6 +10,7 @@
 
 	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
 const (
@@ -68,7 +69,12 @@
 	report := d.reports[i.ID]
 	delete(d.reports, i.ID)
 	d.mu.Unlock()
-	if !reachable(i.Address) {
+	reached, err := reachable(i.Address)
+	switch {
+	case socket.NoDescriptor(err):
+		// This process could not find out.
+		return
+	case !reached:
 		d.onCrash(i, report.at, report.failed)
 		return
 	}
@@ -79,15 +85,16 @@
 	}
 }
 
-func reachable(address string) bool {
+// reachable reports whether a backend server accepts a connection, and why not.
+func reachable(address string) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return false, err
 	}
 	_ = conn.Close()
-	return true
+	return true, nil
 }
 
 // recordCrash records the crash of a backend server that had requests of this router in flight.
@@ -138,9 +145,13 @@
 func (g *Gateway) probeUnreachable() {
 	for _, i := range g.registry.DueProbes() {
 		go func() {
-			reached, result := reachable(i.Address), "unreachable"
-			if reached {
+			reached, err := reachable(i.Address)
+			result := "unreachable"
+			switch {
+			case reached:
 				result = "reached"
+			case socket.NoDescriptor(err):
+				result = "no descriptor" // the instance stays as it is until the next one
 			}
 			g.registry.RecordProbe(i, reached)
 			g.metrics.probes.Add(i.Pool+"/"+result, 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,7 @@
 	g.memory = memory.New(memory.Settings{Limit: settings.MemoryBytes, BodyStall: settings.BodyStall})
 	g.buffers = buffer.NewBudget(totalBufferBytes, g.memory.Part(memory.Responses))
 	g.limits = newCallerLimits(g)
+	g.connections.Limit(int64(settings.ServingConnections), g.limits.open.Load)
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.unanswered, g.endUnanswered = context.WithCancelCause(g.requests)
 	g.unsent, g.endUnsent = context.WithCancelCause(g.requests)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -54,7 +54,7 @@
 
 // admit takes a place for a connection if fewer than limit are open.
 func (l *callerLimits) admit(limit int64) bool {
-	if l.open.Add(1) <= limit && l.g.memory.Take(memory.Connections, connectionBytes) {
+	if l.open.Add(1) <= limit && l.g.connections.MakeRoom() && l.g.memory.Take(memory.Connections, connectionBytes) {
 		return true
 	}
 	l.open.Add(-1)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -176,7 +176,7 @@
 	c.Func("connections", func() any {
 		idle, dialled := g.connections.Stats()
 		closed := g.callers.UnusedClosed()
-		return map[string]any{"idle": idle, "dialled": dialled, "callers": g.callers.Total(),
+		return map[string]any{"idle": idle, "dialled": dialled, "no_descriptor": g.connections.Short(), "callers": g.callers.Total(),
 			"callers_closed_idle": closed.Idle, "callers_closed_stopping": closed.Stopping,
 			"callers_closed_unread": g.limits.closedUnread.Load(), "callers_closed_spare": g.limits.closedSpare.Load(),
 			"callers_refused": g.limits.refused.Load(), "peers_refused": g.peers.Refused(), "ready_refused": g.readyListener.Refused()}
--- a/gateway/peer/dial.go
+++ b/gateway/peer/dial.go
@@ -68,6 +68,10 @@
 	d.nextAt = time.Now().Add(pause)
 	var lost *peerpb.Member
 	slow := errors.Is(err, context.DeadlineExceeded) && time.Since(f.startedAt) < startAge
+	if errors.Is(err, errNoDescriptor) {
+		// The other router was not asked.
+		d.failures = 0
+	}
 	if node != "" && !slow && d.failures >= lostAfter && f.linkTo(node) == nil && f.runCtx.Err() == nil {
 		if lost = f.members.declareLost(node, time.Now()); lost != nil {
 			f.news = append(f.news, lost)
--- a/gateway/peer/link.go
+++ b/gateway/peer/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/peer"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/internal/socket"
 	"jacinthfork.example/jacinthfork/internal/transport"
 	"jacinthfork.example/jacinthfork/kernel/settings"
 	"jacinthfork.example/jacinthfork/traffic"
@@ -138,6 +139,8 @@
 	errLinkClosed = errors.New("the link was closed")
 	// errOwnLink is the error of a link that leads back to this router.
 	errOwnLink = errors.New("the link leads back to this router")
+	// errNoDescriptor is the error of a link for which this process has no descriptor. It says nothing about the other router.
+	errNoDescriptor = errors.New("no descriptor is left for a link")
 )
 
 // write sends the queued messages until the link is closed.
@@ -205,7 +208,8 @@
 func (f *Fleet) dial(ctx context.Context, address string, opened func(error)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := f.newConn(address)
+	var noDescriptor atomic.Bool
+	conn, err := f.newConn(address, func(err error) { noDescriptor.Store(socket.NoDescriptor(err)) })
 	if err != nil {
 		opened(err)
 		return
@@ -224,6 +228,9 @@
 		// The attempt was cancelled, whatever it failed with.
 		err = context.DeadlineExceeded
 	}
+	if err != nil && noDescriptor.Load() {
+		err = errNoDescriptor
+	}
 	if err != nil {
 		opened(err)
 		return
@@ -241,14 +248,19 @@
 	return linkTimeout
 }
 
-func (f *Fleet) newConn(address string) (*grpc.ClientConn, error) {
+// newConn returns a connection that is made on first use. failed is called with the error of an attempt.
+func (f *Fleet) newConn(address string, failed func(error)) (*grpc.ClientConn, error) {
 	options, err := transport.DialOptions(settings.TLS{})
 	if err != nil {
 		return nil, err
 	}
 	metered := f.meter.Dialer(traffic.PeerRouter, traffic.ClassControl)
 	options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		return metered(ctx, "tcp", address)
+		conn, err := metered(ctx, "tcp", address)
+		if err != nil {
+			failed(err)
+		}
+		return conn, err
 	}))
 	options = append(options, grpc.WithReadBufferSize(connectionBuffer), grpc.WithWriteBufferSize(connectionBuffer), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes))
--- a/gateway/peer/start_test.go
+++ b/gateway/peer/start_test.go
@@ -121,3 +121,20 @@
 	is.Equal(h.fleet.members.changes, before+1)
 	is.Equal(h.alive(), 391)
 }
+
+// Guards against routers that are declared lost because this one has no descriptor left for a link to them.
+func TestWantOfADescriptorDeclaresNobodyLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h, l := newIsolated(t, "node-900")
+	f := h.fleet
+	m := startMembers(1)[0]
+	f.receive(l, &peerpb.Message{Members: []*peerpb.Member{m}})
+	f.startedAt = time.Now().Add(-2 * startAge)
+	d := &dialState{}
+	for range 3 * lostAfter {
+		d.running, d.done = true, make(chan struct{})
+		f.dialled(d, m.GetNode(), m.GetAddress(), errNoDescriptor)
+	}
+	is.True(f.members.get(m.GetNode()).GetStatus() != peerpb.Status_LOST)
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,6 +47,8 @@
 	// CallerConnections bounds callers' connections, PeerConnections those of other routers and ReadyConnections those of
 	// the health check.
 	CallerConnections, PeerConnections, ReadyConnections int
+	// ServingConnections bounds callers' connections and those to instances together. Idle ones to instances are closed first.
+	ServingConnections int
 	// HeaderTimeout is how long the header of a request may take to arrive, HeaderBytes bounds its size. The limits of the
 	// configuration are checked in addition, except for its timeout.
 	HeaderTimeout time.Duration
@@ -80,6 +82,8 @@
 		MemoryBytes: 128 << 20,
 		// Kept connections of some thousand callers.
 		CallerConnections: 4000,
+		// Each caller may need one at an instance, and few requests are sent to a second one.
+		ServingConnections: 10000,
 		// A fleet has 390 routers, of which each may have a former and a new connection.
 		PeerConnections: 1024,
 		// The load balancer checks once a second.
@@ -163,6 +167,7 @@
 	}
 	atLeast("memory bytes", s.MemoryBytes, minMemoryBytes)
 	atLeast("caller connections", int64(s.CallerConnections), 1)
+	atLeast("serving connections", int64(s.ServingConnections), int64(s.CallerConnections)+1)
 	atLeast("peer connections", int64(s.PeerConnections), 1)
 	atLeast("ready connections", int64(s.ReadyConnections), 1)
 	atLeast("header bytes", int64(s.HeaderBytes), minHeaderBytes)
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -16,6 +16,7 @@
 	for name, change := range map[string]func(*Settings){
 		"memory":      func(s *Settings) { s.MemoryBytes = 0 },
 		"callers":     func(s *Settings) { s.CallerConnections = 0 },
+		"serving":     func(s *Settings) { s.ServingConnections = s.CallerConnections },
 		"peers":       func(s *Settings) { s.PeerConnections = 0 },
 		"ready":       func(s *Settings) { s.ReadyConnections = -1 },
 		"header":      func(s *Settings) { s.HeaderBytes = 1000 },
