Keep small bodies that arrive beside a large one over its share

Cause: when large bodies exceeded three quarters of the account, the body to be dropped was chosen among all, so that small ones of a client with many of them were refused although the last quarter is reserved for them.

Change: a large body that grows over the share takes memory only of large bodies, itself included, and of those that make little progress.

Without the change TestLargeBodyDoesNotDisplaceSmallOnes fails with "not true: !grow(large, 4*megabyte)": the large body took the memory of small ones. The other tests of gateway/memory pass, 2 of 2 runs with the race detector.

--- a/gateway/memory/body.go
+++ b/gateway/memory/body.go
@@ -44,15 +44,15 @@
 	if _, ok := a.arriving[b]; !ok {
 		return false
 	}
-	limit := a.settings.Limit
+	limit, givesWay := a.settings.Limit, (*Body).holdsMemory
 	if b.size+n > SmallBody {
-		limit = int64(largeShare * float64(limit))
+		limit, givesWay = int64(largeShare*float64(limit)), (*Body).givesWayToLarge
 	}
 	b.size += n
 	a.used[Bodies] += n
 	a.clients[b.client] += n
 	for a.total() > limit {
-		victim := a.heaviest()
+		victim := a.heaviest(givesWay)
 		drop := a.drop(victim, Short)
 		if victim == b {
 			return false
@@ -106,6 +106,13 @@
 	b.size = 0
 }
 
+// holdsMemory reports whether dropping the body gives memory back.
+func (b *Body) holdsMemory() bool { return b.size > 0 }
+
+// givesWayToLarge reports whether a large body that grows may take the memory of this one. Small ones that arrive keep theirs: the
+// rest of the account is for them.
+func (b *Body) givesWayToLarge() bool { return b.holdsMemory() && (b.slow || b.size > SmallBody) }
+
 // outweighs reports whether a body is dropped before another one. The caller holds the lock.
 func (b *Body) outweighs(other *Body) bool {
 	if b.slow != other.slow {
--- a/gateway/memory/memory.go
+++ b/gateway/memory/memory.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	for a.total()+n > a.settings.Limit {
-		victim := a.heaviest()
+		victim := a.heaviest((*Body).holdsMemory)
 		if victim == nil {
 			a.dropped[kindNames[kind]]++
 			return false
@@ -123,7 +123,7 @@
 	defer a.mu.Unlock()
 	a.used[Kernel] = min(n, a.KernelLimit())
 	for a.total() > a.settings.Limit {
-		victim := a.heaviest()
+		victim := a.heaviest((*Body).holdsMemory)
 		if victim == nil {
 			return
 		}
@@ -159,7 +159,7 @@
 	defer func() { runAll(drops) }()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	victim := a.heaviest()
+	victim := a.heaviest((*Body).holdsMemory)
 	if victim == nil || !victim.slow {
 		return false
 	}
@@ -199,11 +199,12 @@
 
 // heaviest returns the body that is dropped next, or nil: one that makes little progress before all others, then one of the
 // client whose unfinished bodies take most. Among those the largest is dropped, except that large bodies that make progress
-// keep what the older ones have: if the largest gave way, hardly any would ever be complete. The caller holds mu.
-func (a *Account) heaviest() *Body {
+// keep what the older ones have: if the largest gave way, hardly any would ever be complete. Only bodies for which
+// givesWay is true count. The caller holds mu.
+func (a *Account) heaviest(givesWay func(*Body) bool) *Body {
 	var out *Body
 	for b := range a.arriving {
-		if b.size > 0 && (out == nil || b.outweighs(out)) {
+		if givesWay(b) && (out == nil || b.outweighs(out)) {
 			out = b
 		}
 	}
--- a/gateway/memory/memory_test.go
+++ b/gateway/memory/memory_test.go
@@ -215,6 +215,27 @@
 	}
 }
 
+// Guards against a large body that takes the memory of small ones which arrive, because their client has more of them, and against
+// small ones that stop short of their end and keep a large one out.
+func TestLargeBodyDoesNotDisplaceSmallOnes(t *testing.T) {
+	is := is.New(t)
+	a := newAccount()
+	var small []*Body
+	for a.total() < largeShare*testLimit-megabyte {
+		b := a.Open("many", func() {})
+		is.True(grow(b, 64<<10))
+		small = append(small, b)
+	}
+	large := a.Open("one", func() {})
+	is.True(!grow(large, 4*megabyte))
+	is.Equal(large.Dropped(), Short)
+	for _, b := range small {
+		is.Equal(b.Dropped(), Reason(0))
+	}
+	pass(a, 2*time.Second)
+	is.True(grow(a.Open("one", func() {}), 4*megabyte)) // the small ones are slow now
+}
+
 // Guards against an account that is exceeded, or that does not return to zero.
 func TestAccountHoldsItsLimit(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
