Keep new connections whose request has arrived

Cause: CloseSpare closed the oldest new connection without a request, after 0.5 s by the clock, without looking whether data had arrived. After a pause of the process the request of a well-behaved caller waits there, and its connection was reset.

Change: a new connection is closed only while the server waits for its data and none has arrived, as an idle one. It does not count as closed unused.

Without the change TestNewConnectionWithARequestIsKept fails with "not true: !tracker.CloseSpare()".

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -229,8 +229,14 @@
 // given number of times. Data that was not read yet counts too: a router that is short of processor time reads late, and
 // closing would reset the connection.
 func (c *tracked) retire(reads uint64) bool {
+	return c.retireIf(func() bool { return c.reads == reads && !c.begun })
+}
+
+// retireIf closes the connection and reports true if the server waits for data, none has arrived, and the condition holds. It is
+// called with mu.
+func (c *tracked) retireIf(condition func() bool) bool {
 	c.mu.Lock()
-	unused := c.waiting && c.reads == reads && !c.begun
+	unused := c.waiting && condition()
 	if unused {
 		readable, err := socket.Readable(c.Conn)
 		unused = err != nil || !readable
@@ -271,6 +277,8 @@
 	reads uint64
 	// idleLimit is the one of the tracker then.
 	idleLimit time.Duration
+	// incomplete is set if the connection was closed while the header of its first request arrived, or before.
+	incomplete bool
 }
 
 // UnusedClosed counts the connections that were closed as unused: no request was lost with them.
@@ -314,7 +322,7 @@
 func (c *Tracker) countUnused(conn net.Conn) {
 	own, ok := conn.(*tracked)
 	switch {
-	case !ok || !own.isRetired():
+	case !ok || !own.isRetired() || c.conns[conn].incomplete:
 	case c.draining:
 		c.unused.Stopping++
 	default:
--- a/internal/callerconn/limits.go
+++ b/internal/callerconn/limits.go
@@ -153,12 +153,12 @@
 	spare := c.spare()
 	for _, conn := range spare[:min(len(spare), maxSpareTries)] {
 		own, s := conn.(*tracked), c.conns[conn]
-		if s.state == http.StateIdle && !own.retire(s.reads) {
+		if s.state == http.StateIdle && !own.retire(s.reads) || s.state == http.StateNew && !own.retireNew() {
 			continue
 		}
-		_ = own.Conn.Close()
 		// Its place is free at once; the server notices the end later.
 		own.release()
+		s.incomplete = s.state == http.StateNew
 		s.state = http.StateClosed
 		c.conns[conn] = s
 		return true
@@ -166,6 +166,12 @@
 	return false
 }
 
+// retireNew closes a connection that waits for its first header, or the rest of it. It is kept while the server has still to read
+// what has arrived, or to look at it: after a pause of the process, the request of a well-behaved caller may be there.
+func (c *tracked) retireNew() bool {
+	return c.retireIf(func() bool { return !c.inRequest })
+}
+
 // spare returns the connections without a request in the order in which they are closed. The caller holds mu.
 func (c *Tracker) spare() []net.Conn {
 	var out []net.Conn
--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -142,6 +142,57 @@
 	eventually(t, func() bool { connections, bytes := b.left(); return connections == 2 && bytes == 1<<20 })
 }
 
+// Guards against a request that ends with its new connection, closed to make room for another one, because the process was paused and
+// has not read it yet, or not looked at it. A connection whose header stops short of its end gives its place up.
+func TestNewConnectionWithARequestIsKept(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	tracker := NewTracker()
+	l := &Listener{Listener: inner, Budget: &testBudget{connections: 10, bytes: 1 << 20}}
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	open := func() (client, server net.Conn) {
+		client = dial(t, inner.Addr().String())
+		server, err := l.Accept()
+		is.NoErr(err)
+		t.Cleanup(func() { _ = server.Close() })
+		tracker.Track(server, http.StateNew)
+		return client, server
+	}
+	received := func(server net.Conn) string {
+		buffer := make([]byte, 100)
+		n, err := server.Read(buffer)
+		is.NoErr(err)
+		return string(buffer[:n])
+	}
+	unread, unreadServer := open()
+	read, readServer := open()
+	for _, client := range []net.Conn{unread, read} {
+		_, err := io.WriteString(client, request)
+		is.NoErr(err)
+	}
+	is.Equal(received(readServer), request)
+	time.Sleep(spareAge)
+	is.True(!tracker.CloseSpare())
+	is.Equal(received(unreadServer), request)
+	_, err = io.WriteString(readServer, "answer")
+	is.NoErr(err)
+	answer := make([]byte, len("answer"))
+	_, err = io.ReadFull(read, answer)
+	is.NoErr(err)
+
+	short, shortServer := open()
+	_, err = io.WriteString(short, request[:20])
+	is.NoErr(err)
+	go func() { _, _ = io.Copy(io.Discard, shortServer) }()
+	eventually(t, tracker.CloseSpare)
+	_, err = short.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	tracker.Track(shortServer, http.StateClosed)
+	is.Equal(tracker.UnusedClosed(), UnusedClosed{})
+}
+
 // Guards against a write that waits for its caller and is not seen.
 func TestUnreadResponseIsSeen(t *testing.T) {
 	is := is.New(t)
