Keep observations of engines for a keeper that does not answer

Cause: what a router has observed of an engine is taken into the next message to its keeper and forgotten, also if the keeper does not answer or there is no link. Under overload keepers answer late, so the limits shrank late.

Change: the observation is given back and goes with the next message, merged with newer ones and with the time since added to its age. All messages that carry one do so. A keeper that has read a question but answered too late may count an observation twice.

Without the change TestObservationsOutliveASilentKeeper fails with "{0 0 0s 0} != {1 1.5 600ms 150}".

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -132,7 +132,7 @@
 		s.g.metrics.reservations.Add("forced", 1)
 		return r, nil, nil
 	}
-	m := r.message(false)
+	m, taken := r.message(false), time.Now()
 	m.WaitMs = uint32(wait.Milliseconds())
 	m.Organisation, m.Priority = organisationHash(s.organisation), uint32(max(0, s.priority))
 	if !s.plain() {
@@ -140,6 +140,9 @@
 	}
 	asked := s.g.reservations.keeperOf(r)
 	reserved, ok := s.g.keepers.Reserve(ctx, asked, m)
+	if !ok {
+		s.g.reservations.returnObservation(ctx, r.instance, m.GetObserved(), taken)
+	}
 	if !ok && ctx.Err() != nil {
 		lease.Release(pool.Abandoned)
 		s.g.reservations.end(r, pool.Abandoned)
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -248,15 +248,24 @@
 
 // ask asks the keeper for the place. ok is false if it did not answer.
 func (r *reservations) ask(ctx context.Context, res *reservation, parts []pool.PromptPart) (answer pool.Answer, ok bool) {
-	m := res.message(false)
+	m, taken := res.message(false), time.Now()
 	addParts(m, parts)
 	reserved, ok := r.fleet.Reserve(ctx, r.keeperOf(res), m)
 	if !ok {
+		r.returnObservation(ctx, res.instance, m.GetObserved(), taken)
 		return pool.Answer{}, false
 	}
 	return decodeAnswer(reserved), true
 }
 
+// returnObservation keeps an observation that a keeper was not told, or has not answered, for the next message to it. If the
+// question ended with ctx, the keeper may well have been told.
+func (r *reservations) returnObservation(ctx context.Context, instance pool.Key, o *peerpb.Observation, taken time.Time) {
+	if o != nil && ctx.Err() == nil {
+		r.registry.ReturnObservation(instance, decodeObservation(o), taken)
+	}
+}
+
 // addParts adds the parts of a prompt to a reservation.
 func addParts(m *peerpb.Reserve, parts []pool.PromptPart) {
 	for _, p := range parts {
@@ -291,7 +300,13 @@
 func (r *reservations) tell(res *reservation) {
 	keeper := res.keeper.Name
 	delete(r.untoldEnds, placeHolder{keeper, res.sequence})
-	res.untold = keeper != "" && !r.fleet.Tell(keeper, &peerpb.Message{Reserve: res.message(true)})
+	if res.untold = false; keeper == "" {
+		return
+	}
+	m, taken := res.message(true), time.Now()
+	if res.untold = !r.fleet.Tell(keeper, &peerpb.Message{Reserve: m}); res.untold {
+		r.returnObservation(context.Background(), res.instance, m.GetObserved(), taken)
+	}
 }
 
 // own returns the sequence numbers of this router's requests that have their place at an instance that it keeps.
@@ -354,11 +369,12 @@
 		delete(r.untoldEnds, h)
 		return
 	}
-	observed := encodeObservation(e.instance, r.registry.TakeObservation(e.instance))
+	observed, taken := encodeObservation(e.instance, r.registry.TakeObservation(e.instance)), time.Now()
 	if r.fleet.Tell(h.router, &peerpb.Message{Released: h.sequence, Outcome: e.outcome, Observed: observed}) {
 		delete(r.untoldEnds, h)
 		return
 	}
+	r.returnObservation(context.Background(), e.instance, observed, taken)
 	if len(r.untoldEnds) < maxUntoldEnds {
 		r.untoldEnds[h] = e
 	}
@@ -406,13 +422,14 @@
 	}
 }
 
-// report tells the keeper of an instance at once what was observed of it. Without a link that is lost.
+// report tells the keeper of an instance at once what was observed of it, or with the next message if there is no link.
 func (r *reservations) report(id string) {
 	keeper, instance := r.registry.KeeperOf(id).Name, pool.KeyOf(id)
 	if keeper == "" {
 		return
 	}
-	if observed := encodeObservation(instance, r.registry.TakeObservation(instance)); observed != nil {
-		r.fleet.Tell(keeper, &peerpb.Message{Observed: observed})
+	observed, taken := encodeObservation(instance, r.registry.TakeObservation(instance)), time.Now()
+	if observed != nil && !r.fleet.Tell(keeper, &peerpb.Message{Observed: observed}) {
+		r.returnObservation(context.Background(), instance, observed, taken)
 	}
 }
--- a/gateway/waits_test.go
+++ b/gateway/waits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 )
@@ -155,3 +156,44 @@
 	unpaced := encodeAnswer(1, pool.Answer{Loads: []pool.KeeperLoad{{Instance: 1, Requests: 2}}})
 	is.Equal(len(unpaced.GetPaces())+len(unpaced.GetLimits()), 0)
 }
+
+// Guards against observations of an engine that are lost because its keeper does not answer, or there is no link: the limit would
+// then shrink late, which makes keepers late in turn.
+func TestObservationsOutliveASilentKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newEngineFleet(2, 1, 4, true)
+		_, other := keeperOf(fleet, pool.KeyOf("e-00"))
+		link := wrapLink(other)
+		key := pool.KeyOf("e-00")
+		lease := other.registry.Acquire(&pool.Request{Pool: "chat"})
+		lease.RecordPace(150)
+		is.True(lease.RecordWait(600*time.Millisecond, 400*time.Millisecond))
+		want := pool.Observation{Responses: 1, Ratio: 1.5, Age: 600 * time.Millisecond, Pace: 150}
+
+		link.cut = true
+		other.reservations.report("e-00")
+		_, _, err := newChat(other, 0, "o", 1).acquire(t.Context())
+		is.NoErr(err)
+		got := other.registry.TakeObservation(key)
+		is.Equal(got, want)
+		other.registry.ReturnObservation(key, got, time.Now())
+
+		link.cut, link.silent = false, true
+		var observed []*peerpb.Observation
+		told := &toldLink{link, func(_ string, m *peerpb.Message) {
+			for _, o := range []*peerpb.Observation{m.GetObserved(), m.GetReserve().GetObserved()} {
+				if o != nil {
+					observed = append(observed, o)
+				}
+			}
+		}}
+		other.keepers, other.reservations.fleet = told, told
+		_, _, _ = newChat(other, 0, "o", 1).acquire(t.Context())
+		is.Equal(len(observed), 1) // with the message that the place is taken, or that it is not
+		o := observed[0]
+		is.Equal(o.GetResponses(), uint32(1))
+		is.Equal(o.GetPace(), uint32(150))
+		is.True(o.GetAgeMs() > 600) // with the time for which the keeper was silent
+	})
+}
