Count no request that did not run as a completion

Cause: a place that was given back counted as a completion, also of a request that an instance had refused, that was withdrawn before it was sent, that moved to another keeper or whose router was lost. The keeper then took the time in the queue for shorter than it was.

Change: only the end of a request that may have run counts. A new outcome, NOT_RUN, tells keepers of the others; routers of an older version take it for UNKNOWN, as before. The health of instances is judged as before.

Without the change TestRequestsThatDidNotRunAreNoCompletions fails with "309.041834ms != 800ms".

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,12 +63,15 @@
 			return s.exhausted(last)
 		}
 		attempt := len(s.triedInstances)
-		begin := time.Now()
+		begin, offered, sent := time.Now(), s.offer != nil, s.attemptsSent
 		outcome, err := s.attempt(ctx, lease)
-		if errors.Is(err, errLate) {
+		switch {
+		case errors.Is(err, errLate):
 			lease.Keep()
 			defer s.g.keepPlace(s.pool, lease, place, time.Now(), s.slowdown)
-		} else {
+		case !offered && s.attemptsSent == sent:
+			s.releaseUnsent(lease, place, outcome)
+		default:
 			s.release(lease, place, outcome)
 		}
 		if err == nil {
@@ -121,8 +124,22 @@
 
 // release ends the lease of an attempt and gives its place back.
 func (s *requestState) release(lease *pool.Lease, place *reservation, outcome pool.Outcome) {
+	s.releasePlace(lease, place, outcome, outcome)
+}
+
+// releaseUnsent is release for a request that was not sent.
+func (s *requestState) releaseUnsent(lease *pool.Lease, place *reservation, outcome pool.Outcome) {
+	told := outcome
+	if told == pool.Abandoned {
+		told = pool.Refused
+	}
+	s.releasePlace(lease, place, outcome, told)
+}
+
+// releasePlace ends a lease with an outcome and tells the keeper another one.
+func (s *requestState) releasePlace(lease *pool.Lease, place *reservation, outcome, told pool.Outcome) {
 	ejected := lease.Release(outcome)
-	s.g.reservations.end(place, outcome)
+	s.g.reservations.end(place, told)
 	s.g.metrics.attempts.Add(s.pool+"/"+outcome.String(), 1)
 	if ejected {
 		s.g.metrics.ejections.Add(s.pool, 1)
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -190,7 +190,7 @@
 	}
 	o.lease, o.place = lease, place
 	if o.late != nil && !o.late.raise(s.g, lease) {
-		s.release(lease, place, pool.Abandoned)
+		s.releaseUnsent(lease, place, pool.Abandoned)
 		return offerOverLimit
 	}
 	conn, outcome, err := s.connect(o.ctx, lease)
@@ -198,12 +198,12 @@
 		s.triedInstances = append(s.triedInstances, lease.Instance.ID)
 	}
 	if err != nil {
-		s.release(lease, place, outcome)
+		s.releaseUnsent(lease, place, outcome)
 		return string(verdict.As(err).Reason)
 	}
 	if !w.markSent(o) {
 		_ = conn.Close()
-		s.release(lease, place, pool.Abandoned)
+		s.releaseUnsent(lease, place, pool.Abandoned)
 		return offerResumed
 	}
 	o.conn = conn
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -135,7 +135,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.requests[h]; old != nil {
-		old.end()
+		old.end(false)
 	}
 	p.requests[h] = entry
 	return entry
@@ -183,7 +183,7 @@
 // lock.
 func (p *places) take(h placeHolder, controller *admission.Controller) {
 	if entry := p.requests[h]; entry != nil {
-		entry.end()
+		entry.end(false)
 	}
 	p.requests[h] = &placeRequest{
 		holder: h, cancel: func() {}, grant: controller.Count(placeRequestOf(0, 0, 0, 0)), counted: true,
@@ -224,13 +224,14 @@
 	i.untold = i.untold[n:]
 }
 
-// release gives a place back, or ends the wait for one.
-func (p *places) release(h placeHolder) {
+// release gives a place back, or ends the wait for one. ran says that the instance may have run the request: only then does its end
+// count as a completion, by whose rate the time in the queue is estimated.
+func (p *places) release(h placeHolder, ran bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if entry := p.requests[h]; entry != nil {
 		delete(p.requests, h)
-		entry.end()
+		entry.end(ran)
 	}
 }
 
@@ -242,7 +243,7 @@
 		if slices.Contains(routers, h.router) {
 			delete(p.requests, h)
 			entry.forgotten = true
-			entry.end()
+			entry.end(false)
 			released = append(released, h)
 		}
 	}
@@ -258,10 +259,14 @@
 }
 
 // end gives the place back, or ends the wait for it. The caller holds the lock of places.
-func (r *placeRequest) end() {
+func (r *placeRequest) end(ran bool) {
 	r.cancel()
-	if r.grant != nil {
+	switch {
+	case r.grant == nil:
+	case ran:
 		r.grant.Done()
+	default:
+		r.grant.Withdraw()
 	}
 }
 
@@ -299,7 +304,7 @@
 	for h, entry := range p.requests {
 		if entry.counted && !held(h.router, h.sequence) {
 			delete(p.requests, h)
-			entry.end()
+			entry.end(false)
 		}
 	}
 	for key := range p.instances {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -145,13 +145,13 @@
 	}
 	if !ok && ctx.Err() != nil {
 		lease.Release(pool.Abandoned)
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, nil, s.contextError(ctx, verdict.NotRun)
 	}
 	if !ok && !s.plain() && s.g.reservations.keeperOf(r) != asked {
 		s.g.metrics.reservations.Add("moved", 1)
 		lease.Withdraw()
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, nil, errKeeperChanged
 	}
 	if !ok {
@@ -161,7 +161,7 @@
 	if !ok && (!last || s.onlyFree || s.serviceIsFull() || lease.Cold || !lease.WithinShare()) {
 		s.g.metrics.reservations.Add("withdrawn", 1)
 		lease.Withdraw()
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, &pool.Answer{}, nil
 	}
 	if !ok {
@@ -173,7 +173,7 @@
 	if !answer.Granted && (answer.Unknown || s.g.reservations.keeperOf(r) != asked) {
 		s.g.metrics.reservations.Add("moved", 1)
 		lease.Confirm(answer)
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, nil, errKeeperChanged
 	}
 	if lease.Confirm(answer) {
@@ -183,7 +183,7 @@
 	}
 	if answer.Granted {
 		// A cold instance that its keeper does not know yet.
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, &pool.Answer{}, nil
 	}
 	s.g.reservations.refused(r)
@@ -270,12 +270,12 @@
 // returns once there is a place, or the time to wait for one is over.
 func (g *Gateway) reservePlace(controller *admission.Controller, q *pool.Reservation, r *peerpb.Reserve, entry *placeRequest) pool.Answer {
 	if g.registry.Closed(q.Instance) {
-		g.places.release(entry.holder)
+		g.places.release(entry.holder, false)
 		return g.registry.Reserve(q)
 	}
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
 	if q.Placed = wait > 0; !q.Placed && len(q.Parts) > 0 && g.registry.AtBound(q.Instance) {
-		g.places.release(entry.holder)
+		g.places.release(entry.holder, false)
 		return g.registry.Refusal(q)
 	}
 	defer g.registry.OnClosed(q.Instance, entry.cancel)()
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -428,3 +428,47 @@
 		}
 	})
 }
+
+// Guards against requests that a worker has not run and that count as completions: the time in the queue is then taken for shorter than
+// it is, and requests wait in vain.
+func TestRequestsThatDidNotRunAreNoCompletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		worker := pool.Instance{ID: "w-0", Pool: "plain", Slots: 2, StartedAt: 1, Sequence: 1}
+		// retryAfter returns what the keeper says once its places are taken, after some requests of 1.2 s that ran and others that did
+		// not.
+		retryAfter := func(unrun int, own bool, outcome pool.Outcome) time.Duration {
+			fleet := newPlainFleet(2, []pool.Instance{worker})
+			keeper, other := keeperOf(fleet, pool.KeyOf(worker.ID))
+			g := other
+			if own {
+				g = keeper
+			}
+			send := func(lasts time.Duration, o pool.Outcome) {
+				lease, place, err := newWaitingRequest(g).acquirePlace(t.Context())
+				is.NoErr(err)
+				time.Sleep(lasts)
+				lease.Release(pool.Abandoned)
+				g.reservations.end(place, o)
+				time.Sleep(2 * linkDelay)
+			}
+			for range 10 {
+				send(1200*time.Millisecond, pool.Served)
+			}
+			for range unrun {
+				send(time.Millisecond, outcome)
+			}
+			for range placeCapacity(worker.Slots) {
+				_, _, err := newWaitingRequest(keeper).acquirePlace(t.Context())
+				is.NoErr(err)
+			}
+			_, _, err := newWaitingRequest(keeper).acquirePlace(t.Context())
+			return verdict.As(err).RetryAfter
+		}
+		for _, own := range []bool{true, false} {
+			want := retryAfter(0, own, pool.Served)
+			is.True(retryAfter(30, own, pool.Served) < want) // those that ran shorten it
+			is.Equal(retryAfter(30, own, pool.Refused), want)
+		}
+	})
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -85,7 +85,7 @@
 		}
 		// The instance takes no more requests since this one began to wait for its place.
 		lease.Release(pool.Abandoned)
-		s.g.reservations.end(place, pool.Abandoned)
+		s.g.reservations.end(place, pool.Refused)
 	}
 }
 
@@ -161,13 +161,13 @@
 		answer, ok := s.g.reservations.ask(ctx, r, s.call.Prompt)
 		if !ok && (lease.Cold || s.onlyFree) {
 			lease.Withdraw()
-			s.g.reservations.end(r, pool.Abandoned)
+			s.g.reservations.end(r, pool.Refused)
 			s.g.metrics.reservations.Add("withdrawn", 1)
 			continue
 		}
 		if !ok && !lease.WithinShare() {
 			lease.Withdraw()
-			s.g.reservations.end(r, pool.Abandoned)
+			s.g.reservations.end(r, pool.Refused)
 			s.g.metrics.reservations.Add("over share", 1)
 			continue
 		}
@@ -182,7 +182,7 @@
 			return lease, r
 		}
 		if answer.Granted {
-			s.g.reservations.end(r, pool.Abandoned)
+			s.g.reservations.end(r, pool.Refused)
 			continue
 		}
 		s.g.reservations.refused(r)
@@ -233,7 +233,7 @@
 	delete(r.open, res.sequence)
 	r.mu.Unlock()
 	if moved {
-		r.end(res, pool.Abandoned)
+		r.end(res, pool.Refused)
 	}
 }
 
@@ -350,7 +350,8 @@
 	}
 }
 
-// end gives the place back and tells the keeper the outcome of the request. A nil reservation is allowed.
+// end gives the place back and tells the keeper the outcome of the request, pool.Refused if it was not run. A nil reservation is
+// allowed.
 func (r *reservations) end(res *reservation, o pool.Outcome) {
 	if res == nil {
 		return
@@ -360,7 +361,7 @@
 	r.tellEnd(placeHolder{res.keeper.Name, res.sequence}, untoldEnd{outcome: encodeOutcome(o), until: res.until, instance: res.instance})
 	r.mu.Unlock()
 	// It may have one at an instance that this router keeps, or has kept.
-	r.places.release(placeHolder{sequence: res.sequence})
+	r.places.release(placeHolder{sequence: res.sequence}, mayHaveRun(encodeOutcome(o)))
 }
 
 // tellEnd tells a keeper of the end of a reservation, now or once there is a link to it. The caller holds mu.
--- a/gateway/reserve_test.go
+++ b/gateway/reserve_test.go
@@ -168,7 +168,7 @@
 					t.Fatalf("%d requests wait, want 1", waiting)
 				}
 				keeper.MembersChanged(alive, nil, 0)
-				keeper.places.release(placeHolder{sequence: 0})
+				keeper.places.release(placeHolder{sequence: 0}, true)
 				synctest.Wait()
 				if holds, taken := keeper.ReservedPlaces(), controller.Load().InFlight; holds != 0 || taken != capacity-1 {
 					t.Errorf("the router that is gone has %d reservations; %d places are taken, want %d", holds, taken, capacity-1)
--- a/gateway/reservewire.go
+++ b/gateway/reservewire.go
@@ -20,11 +20,23 @@
 		return peerpb.Outcome_UNREACHABLE
 	case pool.Replaced:
 		return peerpb.Outcome_REPLACED
+	case pool.Refused:
+		return peerpb.Outcome_NOT_RUN
 	default:
 		return peerpb.Outcome_UNKNOWN
 	}
 }
 
+// mayHaveRun reports whether the instance may have run a request that has ended.
+func mayHaveRun(o peerpb.Outcome) bool {
+	switch o {
+	case peerpb.Outcome_UNREACHABLE, peerpb.Outcome_REPLACED, peerpb.Outcome_NOT_RUN:
+		return false
+	default:
+		return true
+	}
+}
+
 func decodeOutcome(o peerpb.Outcome) pool.Outcome {
 	switch o {
 	case peerpb.Outcome_SERVED:
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -109,7 +109,7 @@
 			g.places.countTaken(placeHolder{node, q.Sequence}, controller, func() { g.registry.Reserve(q) })
 		} else {
 			// It may wait for a place.
-			g.places.release(placeHolder{node, q.Sequence})
+			g.places.release(placeHolder{node, q.Sequence}, false)
 			g.registry.Reserve(q)
 		}
 		g.metrics.keeperDecisions.Add(decisionLabel(true, true), 1)
@@ -139,10 +139,10 @@
 func (g *Gateway) Release(node string, sequence uint64, outcome peerpb.Outcome) {
 	o := decodeOutcome(outcome)
 	// A request that is granted its place at this moment must find it given back before the registry counts it.
-	g.places.release(placeHolder{node, sequence})
+	g.places.release(placeHolder{node, sequence}, mayHaveRun(outcome))
 	i, ejected := g.registry.EndReservation(node, sequence, o)
 	// maintainPlaces may have given the request a place again meanwhile, because the registry still counted it.
-	g.places.release(placeHolder{node, sequence})
+	g.places.release(placeHolder{node, sequence}, mayHaveRun(outcome))
 	if i.ID != "" {
 		g.refreshPlaces(pool.KeyOf(i.ID))
 	}
