Keep ends of reservations until they are received

Cause: an end, or a forced reservation, counted as received 2.5 s after it was sent. A link to a router that does not read may be given up later than that, and the places of the requests then stayed taken until their time limits.

Change: routers tell how many such messages they have received on a link, with their answers or in a message of their own after 2 s, if both sides announce it with the hello. Until then a message is kept, 4,096 at most, and told again when the link ends. Routers of an older version do not announce it, and the rule of 2.5 s holds for them.

Without the change of link.end TestEndsAreKeptUntilTheyAreReceived fails with "0 != 5".

--- a/gateway/peer/link.go
+++ b/gateway/peer/link.go
@@ -31,10 +31,14 @@
 	// windowBytes is the flow control window. A fixed one also turns off the pings by which gRPC measures a
 	// connection to adapt its window, which would double the number of packets.
 	windowBytes = 1 << 20
-	// receiptTime is the time after which a message that was sent counts as received. What was sent less than that before a link
-	// was closed may be lost: messages wait in the buffers of both machines while a process gets no processor time, and
-	// a parent that is silent is given up after 1.6 s.
+	// receiptTime is the time after which a message that was sent counts as received by a router of an older version, which does
+	// not tell. What was sent less than that before a link was closed may be lost: messages wait in the buffers of both machines
+	// while a process gets no processor time, and a parent that is silent is given up after 1.6 s.
 	receiptTime = 2500 * time.Millisecond
+	// receiptInterval is the longest time after which a router tells what it has received. Its answers tell it as well.
+	receiptInterval = 2 * time.Second
+	// maxTold bounds the messages that are kept until they are received. A router has a few hundred requests in flight.
+	maxTold = 4096
 )
 
 // stream is the part of a gRPC stream that both sides of a link have in common.
@@ -59,10 +63,17 @@
 	// sentMembersAt is when the whole membership was last sent. It is guarded by the fleet's lock.
 	sentMembersAt time.Time
 	mu            sync.Mutex
-	// ended is set once nothing is sent any more. told are the messages without an answer that were sent within receiptTime. Both
-	// are guarded by mu.
-	ended bool
-	told  []toldMessage
+	// receipts is set if the other router tells what it has received.
+	receipts bool
+	// The fields below are guarded by mu. ended is set once nothing is sent any more. told are the messages without an answer that
+	// may not have been received, and forgotten is the number of those sent before them.
+	ended     bool
+	told      []toldMessage
+	forgotten uint64
+	// received is the number of such messages that were received on this link, acknowledged the number that was told, and
+	// acknowledging is set while the next message about it is due.
+	received, acknowledged uint64
+	acknowledging          bool
 }
 
 // toldMessage is a message without an answer that was sent.
@@ -103,11 +114,62 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	received := 0
-	for received < len(l.told) && now.Sub(l.told[received].at) > receiptTime {
-		received++
+	old := 0
+	for !l.receipts && old < len(l.told) && now.Sub(l.told[old].at) > receiptTime {
+		old++
 	}
-	l.told = append(l.told[received:], toldMessage{m, now})
+	if len(l.told) >= maxTold {
+		old = max(old, 1)
+	}
+	l.forget(old)
+	l.told = append(l.told, toldMessage{m, now})
+}
+
+// forget forgets the first messages that were told. The caller holds mu.
+func (l *link) forget(n int) {
+	l.told = l.told[n:]
+	l.forgotten += uint64(n)
+}
+
+// confirm records the number of messages that the other router has received.
+func (l *link) confirm(received uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if received > l.forgotten {
+		l.forget(int(min(received-l.forgotten, uint64(len(l.told)))))
+	}
+}
+
+// recordReceived counts a message that needs a receipt, once it is handled, and tells the other router of it soon.
+func (l *link) recordReceived() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received++
+	if l.receipts && !l.acknowledging {
+		l.acknowledging = true
+		time.AfterFunc(receiptInterval, l.acknowledge)
+	}
+}
+
+// acknowledge tells the other router what was received, unless it was told meanwhile.
+func (l *link) acknowledge() {
+	l.mu.Lock()
+	l.acknowledging = false
+	due := l.acknowledged < l.received && !l.ended
+	l.mu.Unlock()
+	if due {
+		l.send(l.withReceipt(&peerpb.Message{}))
+	}
+}
+
+// withReceipt adds the number of messages received to one that is sent on this link only, if the other router asks for it.
+func (l *link) withReceipt(m *peerpb.Message) *peerpb.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.receipts && l.acknowledged < l.received {
+		m.Received, l.acknowledged = l.received, l.received
+	}
+	return m
 }
 
 // end makes send refuse further messages and returns those without an answer that may not have been received, in the order in
@@ -117,7 +179,7 @@
 	defer l.mu.Unlock()
 	l.ended = true
 	for _, t := range l.told {
-		if now.Sub(t.at) <= receiptTime {
+		if l.receipts || now.Sub(t.at) <= receiptTime {
 			undelivered = append(undelivered, t.message)
 		}
 	}
@@ -158,11 +220,12 @@
 	}
 }
 
-// serve runs a link whose hello has been received, until it ends. opened is called once it can be used.
-func (f *Fleet) serve(ctx context.Context, s stream, hello *peerpb.Member, opened func()) error {
-	l := newLink(ctx, hello)
+// serve runs a link whose first message has been received, until it ends. opened is called once it can be used.
+func (f *Fleet) serve(ctx context.Context, s stream, first *peerpb.Message, opened func()) error {
+	l := newLink(ctx, first.GetHello())
+	l.receipts = first.GetReceipts()
 	defer l.close()
-	if !f.addLink(l, hello) {
+	if !f.addLink(l, first.GetHello()) {
 		return errOwnLink
 	}
 	defer f.removeLink(l)
@@ -197,10 +260,10 @@
 	if client, ok := peer.FromContext(s.Context()); ok && f.limit != nil && first.GetHello().GetNode() != "" {
 		f.limit.Trust(client.Addr.String())
 	}
-	if err := s.Send(&peerpb.Message{Hello: f.self()}); err != nil {
+	if err := s.Send(&peerpb.Message{Hello: f.self(), Receipts: true}); err != nil {
 		return err
 	}
-	return f.serve(s.Context(), s, first.GetHello(), func() {})
+	return f.serve(s.Context(), s, first, func() {})
 }
 
 // dial opens a link to an address and runs it until it ends. opened is called once the hello has been received, or
@@ -218,7 +281,7 @@
 	timer := time.AfterFunc(f.linkTimeout(), cancel)
 	s, err := peerpb.NewPeerClient(conn).Link(ctx)
 	if err == nil {
-		err = s.Send(&peerpb.Message{Hello: f.self()})
+		err = s.Send(&peerpb.Message{Hello: f.self(), Receipts: true})
 	}
 	var first *peerpb.Message
 	if err == nil {
@@ -235,7 +298,7 @@
 		opened(err)
 		return
 	}
-	if err := f.serve(ctx, s, first.GetHello(), func() { opened(nil) }); err == errOwnLink {
+	if err := f.serve(ctx, s, first, func() { opened(nil) }); err == errOwnLink {
 		opened(err)
 	}
 }
--- a/gateway/peer/state.go
+++ b/gateway/peer/state.go
@@ -355,17 +355,23 @@
 	if s := m.GetState(); s != nil {
 		f.receiveState(l, s)
 	}
+	if n := m.GetReceived(); n > 0 {
+		l.confirm(n)
+	}
 	if l.outdated.Load() {
 		return
 	}
+	if needsReceipt(m) {
+		defer l.recordReceived()
+	}
 	if o := m.GetObserved(); o != nil {
 		f.handler.Observe(o)
 	}
 	if r := m.GetReserve(); r != nil {
-		f.handler.Reserve(l.node, r, func(answer *peerpb.Reserved) { l.send(&peerpb.Message{Reserved: answer}) })
+		f.handler.Reserve(l.node, r, func(answer *peerpb.Reserved) { l.send(l.withReceipt(&peerpb.Message{Reserved: answer})) })
 	}
 	if q := m.GetLocate(); q != nil {
-		l.send(&peerpb.Message{Located: f.handler.Locate(q)})
+		l.send(l.withReceipt(&peerpb.Message{Located: f.handler.Locate(q)}))
 	}
 	if r := m.GetReserved(); r != nil {
 		l.silence.heard(time.Now())
