End waits at a keeper that gives no sign of life

Cause: a request that waits for a place learned that its keeper was silent only after its wait and 40 ms, when it was too late for another one.

Change: while requests wait longer than 0.19 s at a keeper, they ask it together for a sign of life, every 0.2 s at most, with a question that all versions answer at once. Without one for 0.15 s the wait ends, as if there had been no answer. Time in which nobody looked, such as a pause of this process, does not count.

Without the change TestWaitAtASilentKeeperEnds/silent fails: the wait ended after 1.0 s with its caller. Waits shorter than 0.15 s end as before.

--- a/gateway/peer/reserve.go
+++ b/gateway/peer/reserve.go
@@ -15,8 +15,8 @@
 	return f.sequence
 }
 
-// Reserve asks a router for a place at an instance that it keeps. ok is false if it did not answer in time, and the
-// caller then decides alone; the place may be taken, or waited for, all the same.
+// Reserve asks a router for a place at an instance that it keeps. ok is false if it did not answer in time, or
+// is silent while the request may wait there, and the caller then decides alone; the place may be taken, or waited for, all the same.
 func (f *Fleet) Reserve(ctx context.Context, node string, r *peerpb.Reserve) (answer *peerpb.Reserved, ok bool) {
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
 	m := f.ask(ctx, node, r.GetSequence(), &peerpb.Message{Reserve: r}, f.answerTimeout+wait)
@@ -50,14 +50,31 @@
 	}()
 	askedAt := time.Now()
 	l.send(question)
+	var check <-chan time.Time
+	if timeout > f.answerTimeout+signTimeout {
+		// A keeper may be silent, rather than let the request wait.
+		ticker := time.NewTicker(checkInterval)
+		defer ticker.Stop()
+		check = ticker.C
+	}
+	for waiting := true; waiting; {
+		select {
+		case answer := <-answers:
+			return answer
+		case <-ctx.Done():
+			return nil
+		case <-l.ctx.Done():
+			return nil
+		case <-check:
+			waiting = !f.isSilent(l)
+		case <-timer.C:
+			waiting = false
+		}
+	}
 	select {
 	case answer := <-answers:
 		return answer
-	case <-ctx.Done():
-		return nil
-	case <-l.ctx.Done():
-		return nil
-	case <-timer.C:
+	default:
 	}
 	f.avoid(node)
 	if l.silence.timedOut(askedAt, time.Now()) {
@@ -66,6 +83,16 @@
 	return nil
 }
 
+// isSilent reports whether the router at the other side of a link has given no sign of life, and asks it for one now and then: for
+// the instances that hold no document, which every version answers at once.
+func (f *Fleet) isSilent(l *link) bool {
+	ask, silent := l.silence.check(time.Now())
+	if ask {
+		l.send(&peerpb.Message{Locate: &peerpb.Locate{Sequence: f.NextSequence()}})
+	}
+	return silent
+}
+
 // awaitLink returns a link to a router, and waits for one to open. It returns nil if the router cannot be reached in
 // time or has not answered just before.
 func (f *Fleet) awaitLink(ctx context.Context, node string, timeout <-chan time.Time) *link {
