--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -18,6 +18,10 @@
 	// saturation is how long requests wait at the first instance, after one has found unwaitedAsks of them full: asking for
 	// free places then only keeps the keepers busy.
 	saturation = 100 * time.Millisecond
+	// maxBodyPart is the part of its time to wait that the body of a request may take to arrive, so that its refusal says that the queue is
+	// too long for others. Time for which the router itself was late does count as a wait: when it is short of processor time,
+	// requests would otherwise ask keepers in vain (0.73 instead of 0.88 to 0.92 served in time at 4 times the capacity).
+	maxBodyPart = 0.5
 	// fullRetryAfter is the Retry-After value when the service is full and no keeper has said more.
 	fullRetryAfter = 200 * time.Millisecond
 )
@@ -82,8 +86,10 @@
 			}
 		default:
 			// A cold instance refuses for another reason than a full queue.
-			if refusal.RetryAfter > 0 || !lease.Cold {
-				s.recordFull(refusal.RetryAfter, s.g.admission.placeWait(s.pool))
+			usual := s.g.admission.placeWait(s.pool)
+			lateBody := len(s.triedInstances) == 0 && float64(s.bodyTime) > maxBodyPart*float64(usual)
+			if !lateBody && (refusal.RetryAfter > 0 || !lease.Cold) {
+				s.recordFull(refusal.RetryAfter, usual)
 			}
 			return nil, nil, unavailable(verdict.ReasonOverCapacity, "no place became free in time", max(refusal.RetryAfter, fullRetryAfter))
 		}
@@ -136,7 +142,7 @@
 		s.g.metrics.reservations.Add("forced", 1)
 		return r, nil, nil
 	}
-	m := r.message(false)
+	m, taken := r.message(false), time.Now()
 	m.WaitMs = uint32(wait.Milliseconds())
 	m.Organisation, m.Priority = organisationHash(s.organisation), uint32(max(0, s.priority))
 	if !s.plain() {
@@ -144,15 +150,18 @@
 	}
 	asked := s.g.reservations.keeperOf(r)
 	reserved, ok := s.g.keepers.Reserve(ctx, asked, m)
+	if !ok {
+		s.g.reservations.returnObservation(ctx, r.instance, m.GetObserved(), taken)
+	}
 	if !ok && ctx.Err() != nil {
 		lease.Release(pool.Abandoned)
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, nil, s.contextError(ctx, verdict.NotRun)
 	}
 	if !ok && !s.plain() && s.g.reservations.keeperOf(r) != asked {
 		s.g.metrics.reservations.Add("moved", 1)
 		lease.Withdraw()
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, nil, errKeeperChanged
 	}
 	if !ok {
@@ -162,7 +171,7 @@
 	if !ok && (!last || s.onlyFree || s.serviceIsFull() || lease.Cold || !lease.WithinShare()) {
 		s.g.metrics.reservations.Add("withdrawn", 1)
 		lease.Withdraw()
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, &pool.Answer{}, nil
 	}
 	if !ok {
@@ -174,7 +183,7 @@
 	if !answer.Granted && (answer.Unknown || s.g.reservations.keeperOf(r) != asked) {
 		s.g.metrics.reservations.Add("moved", 1)
 		lease.Confirm(answer)
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, nil, errKeeperChanged
 	}
 	if lease.Confirm(answer) {
@@ -184,7 +193,7 @@
 	}
 	if answer.Granted {
 		// A cold instance that its keeper does not know yet.
-		s.g.reservations.end(r, pool.Abandoned)
+		s.g.reservations.end(r, pool.Refused)
 		return nil, &pool.Answer{}, nil
 	}
 	s.g.reservations.refused(r)
@@ -273,12 +282,12 @@
 // returns once there is a place, or the time to wait for one is over.
 func (g *Gateway) reservePlace(controller *admission.Controller, q *pool.Reservation, r *peerpb.Reserve, entry *placeRequest) pool.Answer {
 	if g.registry.Closed(q.Instance) {
-		g.places.release(entry.holder)
+		g.places.release(entry.holder, false)
 		return g.registry.Reserve(q)
 	}
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
 	if q.Placed = wait > 0; !q.Placed && len(q.Parts) > 0 && g.registry.AtBound(q.Instance) {
-		g.places.release(entry.holder)
+		g.places.release(entry.holder, false)
 		return g.registry.Refusal(q)
 	}
 	defer g.registry.OnClosed(q.Instance, entry.cancel)()
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -10,8 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/verdict"
 )
 
 const (
@@ -400,3 +403,72 @@
 		}
 	})
 }
+
+// Guards against requests that are refused here although the queue may be short, because the body of another one took all the time
+// that it could wait, and against a full service that is not known as full.
+func TestRefusalOfALateBodySaysNothingOfTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const slots = 1
+		for _, late := range []bool{true, false} {
+			g := newPlainFleet(1, []pool.Instance{{ID: "w-0", Pool: "plain", Slots: slots, StartedAt: 1, Sequence: 1}})[0]
+			for range placeCapacity(slots) {
+				_, _, err := newWaitingRequest(g).acquirePlace(t.Context())
+				is.NoErr(err)
+			}
+			s := newWaitingRequest(g)
+			if late {
+				s.bodyTime = g.admission.placeWait("plain")
+				s.start = s.start.Add(-s.bodyTime)
+			}
+			_, _, err := s.acquirePlace(t.Context())
+			is.Equal(verdict.As(err).Reason, verdict.ReasonOverCapacity)
+			next := newWaitingRequest(g)
+			is.Equal(g.asks.full(time.Now(), next.question()), !late)
+		}
+	})
+}
+
+// Guards against requests that a worker has not run and that count as completions: the time in the queue is then taken for shorter than
+// it is, and requests wait in vain.
+func TestRequestsThatDidNotRunAreNoCompletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		worker := pool.Instance{ID: "w-0", Pool: "plain", Slots: 2, StartedAt: 1, Sequence: 1}
+		// retryAfter returns what the keeper says once its places are taken, after some requests of 1.2 s that ran and others that did
+		// not.
+		retryAfter := func(unrun int, own bool, outcome pool.Outcome) time.Duration {
+			fleet := newPlainFleet(2, []pool.Instance{worker})
+			keeper, other := keeperOf(fleet, pool.KeyOf(worker.ID))
+			g := other
+			if own {
+				g = keeper
+			}
+			send := func(lasts time.Duration, o pool.Outcome) {
+				lease, place, err := newWaitingRequest(g).acquirePlace(t.Context())
+				is.NoErr(err)
+				time.Sleep(lasts)
+				lease.Release(pool.Abandoned)
+				g.reservations.end(place, o)
+				time.Sleep(2 * linkDelay)
+			}
+			for range 10 {
+				send(1200*time.Millisecond, pool.Served)
+			}
+			for range unrun {
+				send(time.Millisecond, outcome)
+			}
+			for range placeCapacity(worker.Slots) {
+				_, _, err := newWaitingRequest(keeper).acquirePlace(t.Context())
+				is.NoErr(err)
+			}
+			_, _, err := newWaitingRequest(keeper).acquirePlace(t.Context())
+			return verdict.As(err).RetryAfter
+		}
+		for _, own := range []bool{true, false} {
+			want := retryAfter(0, own, pool.Served)
+			is.True(retryAfter(30, own, pool.Served) < want) // those that ran shorten it
+			is.Equal(retryAfter(30, own, pool.Refused), want)
+		}
+	})
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -85,7 +85,7 @@
 		}
 		// The instance takes no more requests since this one began to wait for its place.
 		lease.Release(pool.Abandoned)
-		s.g.reservations.end(place, pool.Abandoned)
+		s.g.reservations.end(place, pool.Refused)
 	}
 }
 
@@ -167,13 +167,13 @@
 		answer, ok := s.g.reservations.ask(ctx, r, s.call.Prompt)
 		if !ok && (lease.Cold || s.onlyFree) {
 			lease.Withdraw()
-			s.g.reservations.end(r, pool.Abandoned)
+			s.g.reservations.end(r, pool.Refused)
 			s.g.metrics.reservations.Add("withdrawn", 1)
 			continue
 		}
 		if !ok && !lease.WithinShare() {
 			lease.Withdraw()
-			s.g.reservations.end(r, pool.Abandoned)
+			s.g.reservations.end(r, pool.Refused)
 			s.g.metrics.reservations.Add("over share", 1)
 			continue
 		}
@@ -188,7 +188,7 @@
 			return lease, r
 		}
 		if answer.Granted {
-			s.g.reservations.end(r, pool.Abandoned)
+			s.g.reservations.end(r, pool.Refused)
 			continue
 		}
 		s.g.reservations.refused(r)
@@ -244,7 +244,7 @@
 	delete(r.open, res.sequence)
 	r.mu.Unlock()
 	if moved {
-		r.end(res, pool.Abandoned)
+		r.end(res, pool.Refused)
 	}
 }
 
@@ -259,15 +259,24 @@
 
 // ask asks the keeper for the place. ok is false if it did not answer.
 func (r *reservations) ask(ctx context.Context, res *reservation, parts []pool.PromptPart) (answer pool.Answer, ok bool) {
-	m := res.message(false)
+	m, taken := res.message(false), time.Now()
 	addParts(m, parts)
 	reserved, ok := r.fleet.Reserve(ctx, r.keeperOf(res), m)
 	if !ok {
+		r.returnObservation(ctx, res.instance, m.GetObserved(), taken)
 		return pool.Answer{}, false
 	}
 	return decodeAnswer(reserved), true
 }
 
+// returnObservation keeps an observation that a keeper was not told, or has not answered, for the next message to it. If the
+// question ended with ctx, the keeper may well have been told.
+func (r *reservations) returnObservation(ctx context.Context, instance pool.Key, o *peerpb.Observation, taken time.Time) {
+	if o != nil && ctx.Err() == nil {
+		r.registry.ReturnObservation(instance, decodeObservation(o), taken)
+	}
+}
+
 // addParts adds the parts of a prompt to a reservation.
 func addParts(m *peerpb.Reserve, parts []pool.PromptPart) {
 	for _, p := range parts {
@@ -302,7 +311,13 @@
 func (r *reservations) tell(res *reservation) {
 	keeper := res.keeper.Name
 	delete(r.untoldEnds, placeHolder{keeper, res.sequence})
-	res.untold = keeper != "" && !r.fleet.Tell(keeper, &peerpb.Message{Reserve: res.message(true)})
+	if res.untold = false; keeper == "" {
+		return
+	}
+	m, taken := res.message(true), time.Now()
+	if res.untold = !r.fleet.Tell(keeper, &peerpb.Message{Reserve: m}); res.untold {
+		r.returnObservation(context.Background(), res.instance, m.GetObserved(), taken)
+	}
 }
 
 // own returns the sequence numbers of this router's requests that have their place at an instance that it keeps.
@@ -346,7 +361,8 @@
 	}
 }
 
-// end gives the place back and tells the keeper the outcome of the request. A nil reservation is allowed.
+// end gives the place back and tells the keeper the outcome of the request, pool.Refused if it was not run. A nil reservation is
+// allowed.
 func (r *reservations) end(res *reservation, o pool.Outcome) {
 	if res == nil {
 		return
@@ -356,7 +372,7 @@
 	r.tellEnd(placeHolder{res.keeper.Name, res.sequence}, untoldEnd{outcome: encodeOutcome(o), until: res.until, instance: res.instance})
 	r.mu.Unlock()
 	// It may have one at an instance that this router keeps, or has kept.
-	r.places.release(placeHolder{sequence: res.sequence})
+	r.places.release(placeHolder{sequence: res.sequence}, mayHaveRun(encodeOutcome(o)))
 }
 
 // tellEnd tells a keeper of the end of a reservation, now or once there is a link to it. The caller holds mu.
@@ -365,11 +381,12 @@
 		delete(r.untoldEnds, h)
 		return
 	}
-	observed := encodeObservation(e.instance, r.registry.TakeObservation(e.instance))
+	observed, taken := encodeObservation(e.instance, r.registry.TakeObservation(e.instance)), time.Now()
 	if r.fleet.Tell(h.router, &peerpb.Message{Released: h.sequence, Outcome: e.outcome, Observed: observed}) {
 		delete(r.untoldEnds, h)
 		return
 	}
+	r.returnObservation(context.Background(), e.instance, observed, taken)
 	if len(r.untoldEnds) < maxUntoldEnds {
 		r.untoldEnds[h] = e
 	}
@@ -417,13 +434,14 @@
 	}
 }
 
-// report tells the keeper of an instance at once what was observed of it. Without a link that is lost.
+// report tells the keeper of an instance at once what was observed of it, or with the next message if there is no link.
 func (r *reservations) report(id string) {
 	keeper, instance := r.registry.KeeperOf(id).Name, pool.KeyOf(id)
 	if keeper == "" {
 		return
 	}
-	if observed := encodeObservation(instance, r.registry.TakeObservation(instance)); observed != nil {
-		r.fleet.Tell(keeper, &peerpb.Message{Observed: observed})
+	observed, taken := encodeObservation(instance, r.registry.TakeObservation(instance)), time.Now()
+	if observed != nil && !r.fleet.Tell(keeper, &peerpb.Message{Observed: observed}) {
+		r.returnObservation(context.Background(), instance, observed, taken)
 	}
 }
