Read callers' connections without allocations

Cause: each read of a caller's connection allocated its closure and results, 7 objects per refused request, and each check for unread data three.

Change: the state of a read and of a check is kept in pools.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -137,22 +137,12 @@
 		defer c.mu.Unlock()
 		return c.count(len(p), n, err)
 	}
-	failure := c.raw.Read(func(fd uintptr) (done bool) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.retired {
-			err = net.ErrClosed
-			return true
-		}
-		n, err = socket.ReadNow(fd, p)
-		n, err = c.count(len(p), n, err)
-		c.waiting = errors.Is(err, syscall.EAGAIN)
-		if c.waiting && c.closing && c.reads == c.idleReads && !c.begun {
-			c.retired, err = true, net.ErrClosed
-			return true
-		}
-		return !c.waiting
-	})
+	o := readOps.Get().(*readOp)
+	o.c, o.p = c, p
+	failure := c.raw.Read(o.try)
+	n, err = o.n, o.err
+	o.c, o.p, o.n, o.err = nil, nil, 0, nil
+	readOps.Put(o)
 	c.setWaiting(false)
 	if errors.Is(failure, os.ErrDeadlineExceeded) && len(p) > readAheadBytes {
 		n, err, failure = c.readArrived(p, failure)
@@ -166,6 +156,41 @@
 	return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failure}
 }
 
+// readOp is a read in progress. It is reused, because a function that package net calls takes memory, as do its results.
+type readOp struct {
+	c   *tracked
+	p   []byte
+	n   int
+	err error
+	// try is tryRead.
+	try func(fd uintptr) (done bool)
+}
+
+var readOps = sync.Pool{New: func() any {
+	o := &readOp{}
+	o.try = o.tryRead
+	return o
+}}
+
+// tryRead reads once and reports whether the read is done.
+func (o *readOp) tryRead(fd uintptr) (done bool) {
+	c := o.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		o.err = net.ErrClosed
+		return true
+	}
+	n, err := socket.ReadNow(fd, o.p)
+	o.n, o.err = c.count(len(o.p), n, err)
+	c.waiting = errors.Is(o.err, syscall.EAGAIN)
+	if c.waiting && c.closing && c.reads == c.idleReads && !c.begun {
+		c.retired, o.err = true, net.ErrClosed
+		return true
+	}
+	return !c.waiting
+}
+
 // readArrived reads after the deadline the data with which a request begins, if it has arrived. Both may have happened while
 // the process did not run, and the deadline is noticed first. Without such data, failure is that of the deadline.
 func (c *tracked) readArrived(p []byte, deadline error) (n int, err, failure error) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 )
 
@@ -23,14 +24,29 @@
 	if err != nil {
 		return false, err
 	}
-	var failure error
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return !errors.Is(failure, syscall.EAGAIN), err
+	p := peeks.Get().(*peek)
+	p.failure = nil
+	err = control.Control(p.run)
+	readable := !errors.Is(p.failure, syscall.EAGAIN)
+	peeks.Put(p)
+	return readable, err
 }
 
+// peek looks for data on a descriptor. It is reused, because Readable is called for each request.
+type peek struct {
+	one     [1]byte
+	failure error
+	run     func(fd uintptr)
+}
+
+var peeks = sync.Pool{New: func() any {
+	p := &peek{}
+	p.run = func(fd uintptr) {
+		_, _, p.failure = syscall.Recvfrom(int(fd), p.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return p
+}}
+
 // ReadNow reads from a non-blocking descriptor. The error is io.EOF at the end of the data, and syscall.EAGAIN if there is
 // none yet.
 func ReadNow(fd uintptr, p []byte) (int, error) {
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -91,3 +91,15 @@
 	_, err = AcceptPending(listener)
 	is.True(err != nil)
 }
+
+// Guards against memory for each check for data besides that of package net.
+func TestReadableAllocatesOneObject(t *testing.T) {
+	is := is.New(t)
+	listener := listen(t)
+	conn := dial(t, listener)
+	is.True(testing.AllocsPerRun(200, func() {
+		if readable, err := Readable(conn); readable || err != nil {
+			t.Fatal(readable, err)
+		}
+	}) <= 1)
+}
