End requests of a stopping gateway without a context function each

Cause: each request registered two functions with contexts of the gateway, which took about 8 objects and the locks of contexts that all requests share.

Change: requestGroup holds the requests that end together. A request that has left is not ended afterwards.

--- a/gateway/allocations_test.go
+++ b/gateway/allocations_test.go
@@ -121,3 +121,20 @@
 		body.Close()
 	}) <= 2) // the buffer and its content
 }
+
+// Guards against a request that a stop does not end, or ends after it has left, and against memory for each member.
+func TestRequestGroupEndsItsMembersOnly(t *testing.T) {
+	is := is.New(t)
+	var g requestGroup
+	member, left, late := &requestState{}, &requestState{}, &requestState{}
+	g.enter(member)
+	g.enter(left)
+	g.leave(left)
+	is.Equal(testing.AllocsPerRun(100, func() { g.enter(left); g.leave(left) }), 0.)
+	var ended []*requestState
+	g.endAll(func(s *requestState) { ended = append(ended, s) })
+	is.Equal(ended, []*requestState{member})
+	g.leave(member)
+	g.enter(late)
+	is.Equal(ended, []*requestState{member, late})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,16 +97,14 @@
 	// refusing is set when it is too late in a stop for a request that has just been read.
 	refusing atomic.Bool
 	// lastAnswer is when a router that stops gives up the requests that are not answered. It is nil until requests are refused
-	// that were sent to no instance yet and may last longer: unsent is then cancelled with errStopped.
+	// that were sent to no instance yet and may last longer: those of unsent end then with errStopped.
 	lastAnswer atomic.Pointer[time.Time]
-	unsent     context.Context
-	endUnsent  context.CancelCauseFunc
+	unsent     requestGroup
 	// requests is the context of all callers' requests. endRequests cancels it with errStopped.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
-	// unanswered is the same for requests whose response has not begun.
-	unanswered     context.Context
-	endUnanswered  context.CancelCauseFunc
+	// unanswered are the requests whose response has not begun.
+	unanswered     requestGroup
 	callerServer   *http.Server
 	readyServer    *http.Server
 	callerListener *callerconn.Listener
@@ -135,8 +133,6 @@
 	g.buffers = buffer.NewBudget(totalBufferBytes, g.memory.Part(memory.Responses))
 	g.limits = newCallerLimits(g)
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
-	g.unanswered, g.endUnanswered = context.WithCancelCause(g.requests)
-	g.unsent, g.endUnsent = context.WithCancelCause(g.requests)
 	g.crashes = newCrashDetector(func(i pool.Instance, at time.Time, failed []failedRequest) {
 		g.recordCrash(i, at, failed)
 		g.peers.Changed()
@@ -378,12 +374,12 @@
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.settings.GracePeriod-stopMargin))
 	defer cancel()
 	lastAnswer := end.Add(-stopMargin)
-	answering := time.AfterFunc(time.Until(lastAnswer), func() { g.endUnanswered(errStopped) })
+	answering := time.AfterFunc(time.Until(lastAnswer), func() { g.unanswered.endAll((*requestState).stop) })
 	defer answering.Stop()
 	refusal := time.AfterFunc(lateArrival, func() {
 		g.refusing.Store(true)
 		g.lastAnswer.Store(&lastAnswer)
-		g.endUnsent(errStopped)
+		g.unsent.endAll((*requestState).stopUnsent)
 	})
 	defer refusal.Stop()
 	err := callerconn.Drain(ctx, g.callerServer, g.callerListener, g.callers)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -81,10 +81,11 @@
 	// the last event of a stream that the caller has.
 	responseStarted bool
 	lastEventID     string
-	// leaveUnanswered is called when the response begins: the request no longer ends with those that are unanswered.
-	leaveUnanswered func() bool
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
 	// unsent ends with the request, or when a router that stops refuses it because it was sent to no instance yet.
-	unsent context.Context
+	unsent       context.Context
+	cancelUnsent context.CancelCauseFunc
 	// plainStarted is set as well if the response is not a stream of events, so that nothing can follow it.
 	plainStarted bool
 	// budget is the retry budget of the pool. retryReserved is set when the next retry was already withdrawn
@@ -133,15 +134,18 @@
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	s.leaveUnanswered = context.AfterFunc(g.unanswered, func() { cancel(errStopped) })
+	s.cancel = cancel
+	g.unanswered.enter(s)
 	defer s.leaveUnanswered()
 	if !s.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, s.deadline)
 		defer cancel()
 	}
-	release := s.refuseWhenStopping(ctx)
-	defer release()
+	s.unsent, s.cancelUnsent = context.WithCancelCause(ctx)
+	defer s.cancelUnsent(nil)
+	g.unsent.enter(s)
+	defer g.unsent.leave(s)
 	defer s.releaseBody()
 	if err := s.readBody(s.unsent); err != nil {
 		s.rejectBody(err)
@@ -155,18 +159,16 @@
 // stopRetryAfter is the Retry-After value of a router that stops. The caller reaches another one.
 const stopRetryAfter = 50 * time.Millisecond
 
-// refuseWhenStopping sets unsent.
-func (s *requestState) refuseWhenStopping(ctx context.Context) (release func()) {
-	unsent, cancel := context.WithCancelCause(ctx)
-	s.unsent = unsent
-	stop := context.AfterFunc(s.g.unsent, func() {
-		if s.outlivesRouter() {
-			cancel(errStopped)
-		}
-	})
-	return func() {
-		stop()
-		cancel(nil)
+// leaveUnanswered is called when the response begins: the request no longer ends with those that are unanswered.
+func (s *requestState) leaveUnanswered() { s.g.unanswered.leave(s) }
+
+// stop ends a request that the router does not answer in time because it stops.
+func (s *requestState) stop() { s.cancel(errStopped) }
+
+// stopUnsent ends a request that was sent to no instance yet, if it may last longer than the router.
+func (s *requestState) stopUnsent() {
+	if s.outlivesRouter() {
+		s.cancelUnsent(errStopped)
 	}
 }
 
