--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -424,7 +424,8 @@
 			_, _, err := s.acquirePlace(t.Context())
 			is.Equal(verdict.As(err).Reason, verdict.ReasonOverCapacity)
 			next := newWaitingRequest(g)
-			is.Equal(g.asks.full(time.Now(), next.question()), !late)
+			question := next.question()
+			is.Equal(g.asks.full(time.Now(), &question), !late)
 		}
 	})
 }
--- a/gateway/refuselocal.go
+++ b/gateway/refuselocal.go
@@ -16,8 +16,8 @@
 func (s *requestState) waitsAtKeepers() bool { return s.plain() || s.contended() }
 
 // question describes the request to askLimits.
-func (s *requestState) question() *placeQuestion {
-	q := &placeQuestion{pool: s.pool, priority: s.priority, organisation: s.organisation, timeLeft: s.timeLeft(), byUrgency: !s.plain()}
+func (s *requestState) question() placeQuestion {
+	q := placeQuestion{pool: s.pool, priority: s.priority, organisation: s.organisation, timeLeft: s.timeLeft(), byUrgency: !s.plain()}
 	switch {
 	case s.plain():
 		q.wait = s.g.admission.placeWait(s.pool)
@@ -45,7 +45,8 @@
 	if s.choosePool() != nil || s.g.registry.HeldOff(s.pool) > 0 || !s.waitsAtKeepers() {
 		return nil
 	}
-	ok, retryAfter := mayAsk(time.Now(), s.question())
+	q := s.question()
+	ok, retryAfter := mayAsk(time.Now(), &q)
 	if ok {
 		return nil
 	}
@@ -78,7 +79,7 @@
 	}
 	q := s.question()
 	q.wait = min(q.wait, waited)
-	s.g.asks.refused(time.Now(), q, max(retryAfter, fullRetryAfter))
+	s.g.asks.refused(time.Now(), &q, max(retryAfter, fullRetryAfter))
 }
 
 // logRefusing logs the pools of which requests have begun or ceased to be refused without asking a keeper.
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -165,7 +165,8 @@
 // foretellPlain is acquirePlace.
 func (w *whereDecision) foretellPlain(rehearsal *pool.Rehearsal) {
 	s := w.state
-	search := plainSearch{saturated: s.g.places.saturated(s.pool) || s.g.asks.full(time.Now(), s.question())}
+	question := s.question()
+	search := plainSearch{saturated: s.g.places.saturated(s.pool) || s.g.asks.full(time.Now(), &question)}
 	for range maxForetold {
 		c, ok := rehearsal.Choose(s.poolRequest())
 		if !ok {
@@ -195,7 +196,8 @@
 // foretellPaced is acquirePacedPlace.
 func (w *whereDecision) foretellPaced(rehearsal *pool.Rehearsal) {
 	s := w.state
-	search := placeSearch{saturated: s.g.places.saturated(s.pool) || s.g.asks.full(time.Now(), s.question()), poolFull: s.isFull(rehearsal.PoolLimit)}
+	question := s.question()
+	search := placeSearch{saturated: s.g.places.saturated(s.pool) || s.g.asks.full(time.Now(), &question), poolFull: s.isFull(rehearsal.PoolLimit)}
 	for range maxForetold {
 		c, ok := rehearsal.Choose(s.poolRequest())
 		if !ok {
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -281,7 +281,8 @@
 	case "full":
 		r := f.g.ask(chatQuestion(f.kind))
 		r.pool = f.kind
-		f.g.asks.refused(time.Now(), r.question(), 100*time.Millisecond)
+		question := r.question()
+		f.g.asks.refused(time.Now(), &question, 100*time.Millisecond)
 	case "loads":
 		f.g.registry.SetFleetLoad(map[uint32]pool.PoolLoad{pool.PoolHash(f.kind): {Requests: uint32(s.n)}})
 	case "crash":
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 )
 
@@ -37,13 +38,30 @@
 	if err != nil {
 		return 0, syscall.EAGAIN, err
 	}
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	p := peeks.Get().(*peeked)
+	p.n, p.failure = 0, nil
+	err = control.Control(p.run)
+	n, failure = p.n, p.failure
+	peeks.Put(p)
 	return n, failure, err
 }
 
+// peeked is the result of a look for data on a descriptor. It is reused, because peek is called for each request.
+type peeked struct {
+	one     [1]byte
+	n       int
+	failure error
+	run     func(fd uintptr)
+}
+
+var peeks = sync.Pool{New: func() any {
+	p := &peeked{}
+	p.run = func(fd uintptr) {
+		p.n, _, p.failure = syscall.Recvfrom(int(fd), p.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return p
+}}
+
 // ReadNow reads from a non-blocking descriptor. The error is io.EOF at the end of the data, and syscall.EAGAIN if there is
 // none yet.
 func ReadNow(fd uintptr, p []byte) (int, error) {
