Refuse a part of the new requests of a gateway without processor time

Cause: for some seconds a small gateway gets more requests than its processor can handle, accepts all of them, and makes everything late while other gateways have processor time to spare.

Change: package gateway/overload limits the requests in progress while the scheduling delay lasts above 20 ms, and refuses a share of new requests near the limit, less urgent ones first. The gateway measures the delay every 10 ms. A goroutine that a timer wakes goes ahead of the run queue (0.01 ms late with 50 ms of work queued), so the measurement waits for another one that joins the end of the queue.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"jacinthfork.example/jacinthfork/gateway/extrawork"
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/memory"
+	"jacinthfork.example/jacinthfork/gateway/overload"
 	"jacinthfork.example/jacinthfork/gateway/peer"
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/gateway/poison"
@@ -74,6 +76,7 @@
 	admission     *admissionControllers
 	budgets       *retryBudgets
 	extraWork     *extrawork.Decider
+	overload      *overload.Controller
 	configuration *feed.Follower
 	instances     *feed.Follower
 	peers         *peer.Fleet
@@ -83,6 +86,8 @@
 	asks          askLimits
 	// refusingPools are the pools of which requests are refused without asking a keeper. It belongs to maintain.
 	refusingPools map[string]bool
+	// overloaded is set while requests are refused for want of processor time. It belongs to maintain.
+	overloaded bool
 	// pacedPools are the pools whose requests wait at keepers. It belongs to maintain.
 	pacedPools map[string]bool
 	// self is this router as MembersChanged was told of it last. A later version means that it was taken for lost.
@@ -127,6 +132,7 @@
 		poison:      poison.NewTable(),
 		budgets:     newRetryBudgets(settings),
 		extraWork:   extrawork.New(settings.ExtraWork),
+		overload:    overload.New(settings.Overload, rand.Float64),
 		callers:     callerconn.NewTracker(),
 		metrics:     newMetrics(env.Counters),
 		started:     make(chan struct{}),
@@ -209,6 +215,9 @@
 	go g.maintain(ctx)
 	go g.limits.run(ctx)
 	go g.pauses.run(ctx)
+	if g.settings.Overload.Enabled() {
+		go g.sampleDelay(ctx)
+	}
 	go g.awaitReady(ctx)
 	go g.serve(g.callerServer, g.callerListener)
 	go g.serve(g.readyServer, g.readyListener)
@@ -303,6 +312,7 @@
 		g.logPaced()
 		g.asks.setRouters(1 + g.registry.PeerCount())
 		g.logRefusing()
+		g.logOverload()
 		g.connections.CloseExpired()
 		rank := g.readRank()
 		g.configuration.SetRank(rank)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -33,6 +33,7 @@
 	ejections        *expvar.Map
 	reservations     *expvar.Map
 	localRefusals    *expvar.Map
+	overloadRefusals *expvar.Map
 	keeperDecisions  *expvar.Map
 	placeQueue       *expvar.Map
 	probes           *expvar.Map
@@ -63,6 +64,7 @@
 		ejections:        c.Map("ejections"),
 		reservations:     c.Map("reservations"),
 		localRefusals:    c.Map("local_refusals"),
+		overloadRefusals: c.Map("overload_refusals"),
 		keeperDecisions:  c.Map("keeper_decisions"),
 		placeQueue:       c.Map("place_queue"),
 		probes:           c.Map("probes"),
@@ -173,6 +175,10 @@
 		}
 		return out
 	})
+	c.Func("overload", func() any {
+		s := g.overload.State()
+		return map[string]any{"delay_ms": s.Delay.Milliseconds(), "refused_share": math.Round(100*s.Share) / 100, "pauses": s.Pauses}
+	})
 	c.Func("connections", func() any {
 		idle, dialled := g.connections.Stats()
 		closed := g.callers.UnusedClosed()
--- /dev/null
+++ b/gateway/overload/overload.go
@@ -0,0 +1,321 @@
+// Package overload decides which new requests a gateway refuses because its process has no processor time left. It does no
+// I/O.
+//
+// It answers a load pattern: for some seconds a gateway gets more requests than its processor can handle while other gateways
+// have processor time to spare. Accepting all of them makes everything late at the same time, also what was accepted before.
+// Refused callers come back on a new connection, which often ends at another gateway.
+package overload
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Settings are the settings that operators choose.
+type Settings struct {
+	// MaxDelayMS is the scheduling delay in ms above which requests are refused if it lasts. 0 refuses none.
+	MaxDelayMS int `toml:"max_delay_ms" min:"0" max:"200"`
+}
+
+const (
+	// DefaultMaxDelayMS is the default of MaxDelayMS. A request waits for the processor about five times before its first
+	// event, and may spend a third of an objective of 300 ms that way. Questions to keepers are given up after 40 ms. It is far
+	// below the 500 ms in which an instance must learn that a caller has left.
+	DefaultMaxDelayMS = 20
+	// minMaxDelayMS is above the delays of a process that gets its processor time in slices of some ms.
+	minMaxDelayMS = 10
+	// maxMaxDelayMS is the longest delay that is not taken for a pause.
+	maxMaxDelayMS = int(minPause / time.Millisecond)
+)
+
+// Validate returns one error for each setting that it finds invalid.
+func (s Settings) Validate() []error {
+	if s.MaxDelayMS != 0 && (s.MaxDelayMS < minMaxDelayMS || s.MaxDelayMS > maxMaxDelayMS) {
+		return []error{fmt.Errorf("max_delay_ms must be 0 or from %d to %d, not %d", minMaxDelayMS, maxMaxDelayMS, s.MaxDelayMS)}
+	}
+	return nil
+}
+
+// Enabled reports whether requests may be refused.
+func (s Settings) Enabled() bool { return s.MaxDelayMS > 0 }
+
+const (
+	// SampleInterval is the time between two measurements of the delay. A measurement takes some 10 µs of processor time.
+	SampleInterval = 10 * time.Millisecond
+	// window is the time, and minSamples the number of measurements, of which the shortest delay counts. Garbage collection and
+	// the slices of a processor quota delay single measurements, and under a quota the next one may be a whole period later.
+	window     = 60 * time.Millisecond
+	minSamples = 3
+	// minPause is the delay from which on the process counts as frozen, unless it was short of processor time already.
+	minPause = 200 * time.Millisecond
+	// pauseGrace is how long after a pause no delay counts: what has arrived meanwhile is handled then.
+	pauseGrace = 500 * time.Millisecond
+	// pauseSpacing is the time after a pause in which no other delay counts as one. A process short of processor time may be
+	// delayed for longer than minPause again and again.
+	pauseSpacing = 2 * time.Second
+
+	// shrinkRate is the part of the limit by which it shrinks per second for each MaxDelay by which the delay exceeds it,
+	// growRate the part by which it grows per second while there is no delay.
+	shrinkRate = 1.0
+	growRate   = 0.5
+	// refuseFrom is the number of requests in progress, as a part of the limit, from which on some are refused, refuseAll that at
+	// which maxShare of them are. A limit lower than that has no effect, and would have to grow again.
+	refuseFrom = 0.9
+	refuseAll  = 1.1
+	// forgetAfter is the time without delay and with fewer requests in progress than refuseFrom after which the limit is
+	// forgotten.
+	forgetAfter = time.Second
+	// minLimit is the smallest limit. It keeps a gateway that is slowed down by other programs measured.
+	minLimit = 4
+	// maxExcess bounds what one measurement counts, as a multiple of MaxDelay.
+	maxExcess = 3
+	// maxStep is the longest time that counts between two measurements.
+	maxStep = 100 * time.Millisecond
+	// maxShare is the largest share of requests that is refused.
+	maxShare = 0.9
+	// servedPerSecond is the number of requests per second of which none is refused, and maxServed how many of them may arrive
+	// at once. A gateway with 0.1 of a core serves some 70 per second. If a gateway with so few requests is short of processor
+	// time, refusing them changes nothing.
+	servedPerSecond = 10
+	maxServed       = 3
+
+	// levelFloor is the least chance of a level of urgency as a part of the average chance, organisationFloor that of an
+	// organisation as a part of the chance of its level. Together they are above a quarter.
+	levelFloor        = 0.4
+	organisationFloor = 0.7
+	// arrivalsWeight is the part of the share of an organisation that follows its arrivals; the rest is equal shares.
+	arrivalsWeight = 0.5
+	// levels is the number of levels of urgency, those of the priorities 0 to 9.
+	levels = 10
+	// countWindow is the time over which arrivals are counted, decayInterval the time between two reductions of the counts.
+	countWindow   = time.Second
+	decayInterval = 100 * time.Millisecond
+	// minCount is the decayed number of arrivals at which an organisation is forgotten.
+	minCount = 0.05
+
+	// minRetryAfter and retrySpread give the Retry-After: from minRetryAfter to retrySpread times the refused share later. The
+	// longest is about half of a tight objective, and other gateways get the callers spread over it.
+	minRetryAfter = 30 * time.Millisecond
+	retrySpread   = 200 * time.Millisecond
+	// spreadStep spreads successive points evenly over an interval, however many there will be: the golden ratio.
+	spreadStep = 0.6180339887
+)
+
+// Controller decides for all requests of one gateway. It is safe for concurrent use.
+type Controller struct {
+	maxDelay time.Duration
+	random   func() float64
+
+	mu sync.Mutex
+	// samples are the delays that were measured last, oldest first.
+	samples []sample
+	// graceUntil is the end of the time after a pause in which delays do not count.
+	graceUntil time.Time
+	// pausedAt is when the last pause was noticed.
+	pausedAt time.Time
+	// observedAt is the time of the last measurement.
+	observedAt time.Time
+	// limit is the number of requests in progress above which requests are refused, 0 if there is none. neededAt is when it was
+	// needed last.
+	limit      float64
+	neededAt   time.Time
+	inProgress int
+	delay      time.Duration
+	pauses     int
+	// served is the number of requests that are accepted whatever the share is, as of servedAt.
+	served   float64
+	servedAt time.Time
+	// byLevel and byOrganisation are the arrivals, with less weight the older they are, and total their sum.
+	byLevel        [levels]float64
+	byOrganisation map[string]float64
+	total          float64
+	decayedAt      time.Time
+	// spread is where in its spread the next caller is told to come back, between 0 and 1.
+	spread    float64
+	refusedAt time.Time
+}
+
+type sample struct {
+	at    time.Time
+	delay time.Duration
+}
+
+// New returns a controller that refuses nothing yet. random returns numbers from 0 to below 1.
+func New(s Settings, random func() float64) *Controller {
+	return &Controller{
+		maxDelay: time.Duration(s.MaxDelayMS) * time.Millisecond, random: random,
+		byOrganisation: make(map[string]float64), served: maxServed,
+	}
+}
+
+// Observe takes a measurement: the process ran delay later than it should have. Measurements must be taken one after the
+// other, each SampleInterval after the one before.
+func (c *Controller) Observe(now time.Time, delay time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delay = max(0, delay)
+	step := min(now.Sub(c.observedAt), maxStep)
+	c.observedAt = now
+	if delay >= minPause && !c.late() && now.Sub(c.pausedAt) >= pauseSpacing {
+		c.pauses++
+		c.pausedAt = now
+		c.graceUntil = now.Add(pauseGrace)
+	}
+	if now.Before(c.graceUntil) {
+		// Delays that last after the grace count as if they began then.
+		c.samples = c.samples[:0]
+		c.delay = 0
+		return
+	}
+	c.samples = append(c.samples, sample{now, delay})
+	c.delay = c.sustained(now)
+	c.adjust(now, step)
+}
+
+// late reports whether the last measurement that counts was above the bound.
+func (c *Controller) late() bool {
+	n := len(c.samples)
+	return n > 0 && c.samples[n-1].delay > c.maxDelay
+}
+
+// sustained returns the shortest delay within window, of minSamples measurements at least, and forgets older ones.
+func (c *Controller) sustained(now time.Time) time.Duration {
+	first := 0
+	for len(c.samples)-first > minSamples && now.Sub(c.samples[first].at) > window {
+		first++
+	}
+	c.samples = slices.Delete(c.samples, 0, first)
+	if len(c.samples) < minSamples {
+		return 0
+	}
+	least := c.samples[0].delay
+	for _, s := range c.samples[1:] {
+		least = min(least, s.delay)
+	}
+	return least
+}
+
+// adjust sets the limit after a delay that has lasted for step longer.
+func (c *Controller) adjust(now time.Time, step time.Duration) {
+	excess := min(maxExcess, float64(c.delay)/float64(c.maxDelay)-1)
+	if c.limit == 0 {
+		if excess <= 0 {
+			return
+		}
+		c.limit, c.neededAt = float64(c.inProgress), now
+	}
+	rate := growRate
+	if excess > 0 {
+		rate = shrinkRate
+	}
+	c.limit = max(minLimit, float64(c.inProgress)/refuseAll, c.limit*(1-rate*excess*step.Seconds()))
+	if excess > 0 || float64(c.inProgress) > refuseFrom*c.limit {
+		c.neededAt = now
+	}
+	if now.Sub(c.neededAt) >= forgetAfter {
+		c.limit = 0
+	}
+}
+
+// share returns the part of the new requests that is refused.
+func (c *Controller) share() float64 {
+	if c.limit == 0 {
+		return 0
+	}
+	return min(maxShare, max(0, maxShare*(float64(c.inProgress)/c.limit-refuseFrom)/(refuseAll-refuseFrom)))
+}
+
+// Admit counts a new request and reports whether it is accepted, and otherwise after what time its caller is to come back. Done
+// must be called at the end of each accepted request.
+func (c *Controller) Admit(now time.Time, priority int, organisation string) (accepted bool, retryAfter time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decay(now)
+	level := min(max(0, priority), levels-1)
+	c.byLevel[level]++
+	c.byOrganisation[organisation]++
+	c.total++
+	c.served = min(maxServed, c.served+servedPerSecond*now.Sub(c.servedAt).Seconds())
+	c.servedAt = now
+	share := c.share()
+	if share == 0 || c.served >= 1 || c.random() < c.chance(share, level, organisation) {
+		c.served = max(0, c.served-1)
+		c.inProgress++
+		return true, 0
+	}
+	c.refusedAt = now
+	c.spread = math.Mod(c.spread+spreadStep, 1)
+	return false, minRetryAfter + time.Duration(c.spread*share*float64(retrySpread))
+}
+
+// Done ends a request that was accepted.
+func (c *Controller) Done() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress--
+}
+
+// chance returns the chance of a request to be accepted while a share of all is refused.
+func (c *Controller) chance(refused float64, level int, organisation string) float64 {
+	// Each level keeps its floor. The rest goes to the most urgent levels.
+	average := 1 - refused
+	floor := levelFloor * average
+	left := (average - floor) * c.total
+	chance := floor
+	for n := range level + 1 {
+		extra := min(left, c.byLevel[n]*(1-floor))
+		left -= extra
+		if n == level {
+			chance += extra / c.byLevel[n]
+		}
+	}
+	// Organisations with more requests than others have a lower chance, those with fewer a higher one.
+	own := c.byOrganisation[organisation]
+	share := (1-arrivalsWeight)/float64(len(c.byOrganisation)) + arrivalsWeight*own/c.total
+	return min(1, chance*max(organisationFloor, share*c.total/own))
+}
+
+// decay reduces the counts.
+func (c *Controller) decay(now time.Time) {
+	if now.Sub(c.decayedAt) < decayInterval {
+		return
+	}
+	factor := math.Exp(-now.Sub(c.decayedAt).Seconds() / countWindow.Seconds())
+	c.decayedAt = now
+	for n := range c.byLevel {
+		c.byLevel[n] *= factor
+	}
+	c.total = 0
+	for name, n := range c.byOrganisation {
+		if n *= factor; n < minCount {
+			delete(c.byOrganisation, name)
+			continue
+		}
+		c.byOrganisation[name] = n
+		c.total += n
+	}
+}
+
+// State is the state of a controller.
+type State struct {
+	// Delay is the scheduling delay that has lasted, Share the part of the new requests that is refused.
+	Delay time.Duration
+	Share float64
+	// Limit is the limit of requests in progress, 0 if there is none.
+	Limit      float64
+	InProgress int
+	// Pauses counts the times in which the process was frozen.
+	Pauses int
+	// RefusedAt is when a request was last refused, zero if none was.
+	RefusedAt time.Time
+}
+
+// State returns the current state.
+func (c *Controller) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return State{Delay: c.delay, Share: c.share(), Limit: c.limit, InProgress: c.inProgress, Pauses: c.pauses, RefusedAt: c.refusedAt}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -128,6 +128,10 @@
 		s.rejectUnread(err)
 		return
 	}
+	if s.refuseOverloaded() {
+		return
+	}
+	defer g.overload.Done()
 	if s.refuseFull() {
 		return
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -8,6 +8,7 @@
 
 	"jacinthfork.example/jacinthfork/gateway/extrawork"
 	"jacinthfork.example/jacinthfork/gateway/feed"
+	"jacinthfork.example/jacinthfork/gateway/overload"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 )
 
@@ -62,6 +63,8 @@
 	Pool                    pool.Settings
 	// ExtraWork limits the work of second instances that are asked because a response is late.
 	ExtraWork extrawork.Settings
+	// Overload sets from which scheduling delay on new requests are refused.
+	Overload overload.Settings
 }
 
 // DefaultSettings returns the default settings. Addresses are empty.
@@ -132,6 +135,7 @@
 		}
 	}
 	faults = append(faults, s.ExtraWork.Validate()...)
+	faults = append(faults, s.Overload.Validate()...)
 	if s.StartHold < 0 {
 		faults = append(faults, fmt.Errorf("start hold %s is negative", s.StartHold))
 	}
