--- a/gateway/overload/overload.go
+++ b/gateway/overload/overload.go
@@ -45,10 +45,13 @@
 const (
 	// SampleInterval is the time between two measurements of the delay. A measurement takes some 10 µs of processor time.
 	SampleInterval = 10 * time.Millisecond
-	// window is the time, and minSamples the number of measurements, of which the shortest delay counts. Garbage collection and
-	// the slices of a processor quota delay single measurements, and under a quota the next one may be a whole period later.
-	window     = 60 * time.Millisecond
+	// window is the time, and minSamples the number of measurements, in which a delay must last. A process with a quota of its
+	// processor runs at the beginning of each period, usually of 100 ms, and two of them tell a lasting delay from a single one.
+	window     = 200 * time.Millisecond
 	minSamples = 3
+	// lastingPart is the part of the window for which the process must have been late. A quota of 0.144 that is used up leaves
+	// it late for 0.86 of the time.
+	lastingPart = 0.75
 	// minPause is the delay from which on the process counts as frozen, unless it was short of processor time already.
 	minPause = 200 * time.Millisecond
 	// pauseGrace is how long after a pause no delay counts: what has arrived meanwhile is handled then.
@@ -59,12 +62,12 @@
 
 	// shrinkRate is the part of the limit by which it shrinks per second for each MaxDelay by which the delay exceeds it,
 	// growRate the part by which it grows per second while there is no delay.
-	shrinkRate = 1.0
+	shrinkRate = 2.0
 	growRate   = 0.5
 	// refuseFrom is the number of requests in progress, as a part of the limit, from which on some are refused, refuseAll that at
 	// which maxShare of them are. A limit lower than that has no effect, and would have to grow again.
-	refuseFrom = 0.9
-	refuseAll  = 1.1
+	refuseFrom = 0.8
+	refuseAll  = 1.2
 	// forgetAfter is the time without delay and with fewer requests in progress than refuseFrom after which the limit is
 	// forgotten.
 	forgetAfter = time.Second
@@ -112,6 +115,8 @@
 	mu sync.Mutex
 	// samples are the delays that were measured last, oldest first.
 	samples []sample
+	// sorted is used by sustained.
+	sorted []time.Duration
 	// graceUntil is the end of the time after a pause in which delays do not count.
 	graceUntil time.Time
 	// pausedAt is when the last pause was noticed.
@@ -157,7 +162,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delay = max(0, delay)
-	step := min(now.Sub(c.observedAt), maxStep)
+	step := min(max(0, now.Sub(c.observedAt)), maxStep)
 	c.observedAt = now
 	if delay >= minPause && !c.late() && now.Sub(c.pausedAt) >= pauseSpacing {
 		c.pauses++
@@ -181,7 +186,8 @@
 	return n > 0 && c.samples[n-1].delay > c.maxDelay
 }
 
-// sustained returns the shortest delay within window, of minSamples measurements at least, and forgets older ones.
+// sustained returns the delay that the process had for lastingPart of window at least, of minSamples measurements, and forgets
+// older ones. The longest one does not count: it may be the end of a short pause.
 func (c *Controller) sustained(now time.Time) time.Duration {
 	first := 0
 	for len(c.samples)-first > minSamples && now.Sub(c.samples[first].at) > window {
@@ -191,11 +197,23 @@
 	if len(c.samples) < minSamples {
 		return 0
 	}
-	least := c.samples[0].delay
-	for _, s := range c.samples[1:] {
-		least = min(least, s.delay)
+	c.sorted = c.sorted[:0]
+	total := time.Duration(0)
+	for _, s := range c.samples {
+		c.sorted = append(c.sorted, s.delay)
+		total += s.delay + SampleInterval
 	}
-	return least
+	slices.Sort(c.sorted)
+	longest := len(c.sorted) - 1
+	total -= c.sorted[longest] + SampleInterval
+	before := time.Duration(0)
+	for _, delay := range c.sorted[:longest] {
+		// A measurement stands for the time since the one before it.
+		if before += delay + SampleInterval; float64(before) > (1-lastingPart)*float64(total) {
+			return delay
+		}
+	}
+	return 0
 }
 
 // adjust sets the limit after a delay that has lasted for step longer.
