Refuse for want of processor time only where the platform asks for it

Cause: with the refusals on by default, TestResponsesWithoutEndHarmNobodyElse fails: beside 200 responses without end on a busy machine, 5 of 10 requests to a sound worker are refused (status line, idempotent), although their objective is 20 s. That gateway is short of processor time, and its callers do not come back.

The bound on the delay is no setting any more: it is a 15th of the shortest objective of the routes, from 20 to 50 ms.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,7 +132,7 @@
 		poison:      poison.NewTable(),
 		budgets:     newRetryBudgets(settings),
 		extraWork:   extrawork.New(settings.ExtraWork),
-		overload:    overload.New(settings.Overload, rand.Float64),
+		overload:    overload.New(rand.Float64),
 		callers:     callerconn.NewTracker(),
 		metrics:     newMetrics(env.Counters),
 		started:     make(chan struct{}),
@@ -215,7 +215,7 @@
 	go g.maintain(ctx)
 	go g.limits.run(ctx)
 	go g.pauses.run(ctx)
-	if g.settings.Overload.Enabled() {
+	if g.settings.Overload.Refuse {
 		go g.sampleDelay(ctx)
 	}
 	go g.awaitReady(ctx)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -177,7 +177,8 @@
 	})
 	c.Func("overload", func() any {
 		s := g.overload.State()
-		return map[string]any{"delay_ms": s.Delay.Milliseconds(), "refused_share": math.Round(100*s.Share) / 100, "pauses": s.Pauses}
+		return map[string]any{"delay_ms": s.Delay.Milliseconds(), "max_delay_ms": s.MaxDelay.Milliseconds(),
+			"limit": math.Round(s.Limit), "in_progress": s.InProgress, "refused_share": math.Round(100*s.Share) / 100, "pauses": s.Pauses}
 	})
 	c.Func("connections", func() any {
 		idle, dialled := g.connections.Stats()
--- a/gateway/overload/overload.go
+++ b/gateway/overload/overload.go
@@ -7,41 +7,30 @@
 package overload
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"sync"
 	"time"
 )
 
-// Settings are the settings that operators choose.
+// Settings are the settings of a gateway.
 type Settings struct {
-	// MaxDelayMS is the scheduling delay in ms above which requests are refused if it lasts. 0 refuses none.
-	MaxDelayMS int `toml:"max_delay_ms" min:"0" max:"200"`
+	// Refuse is set if a part of the new requests is refused while the process has no processor time left.
+	Refuse bool
 }
 
 const (
-	// DefaultMaxDelayMS is the default of MaxDelayMS. A request waits for the processor about five times before its first
-	// event, and may spend a third of an objective of 300 ms that way. Questions to keepers are given up after 40 ms. It is far
-	// below the 500 ms in which an instance must learn that a caller has left.
-	DefaultMaxDelayMS = 20
-	// minMaxDelayMS is above the delays of a process that gets its processor time in slices of some ms.
-	minMaxDelayMS = 10
-	// maxMaxDelayMS is the longest delay that is not taken for a pause.
-	maxMaxDelayMS = int(minPause / time.Millisecond)
+	// waitsPerObjective is how many delays at the bound fit in the shortest objective. A request waits for the processor about five
+	// times before its first event, which may take a third of the objective.
+	waitsPerObjective = 15
+	// minMaxDelay is the lowest bound, above the delays of a process that gets its processor time in slices of some ms. Keepers must
+	// answer within twice as long.
+	minMaxDelay = 20 * time.Millisecond
+	// maxMaxDelay is the highest bound. The delay may exceed the bound four times until refusals have an effect; within 500 ms after
+	// a caller has left, the gateway must be able to notice that and to tell the instance.
+	maxMaxDelay = 50 * time.Millisecond
 )
 
-// Validate returns one error for each setting that it finds invalid.
-func (s Settings) Validate() []error {
-	if s.MaxDelayMS != 0 && (s.MaxDelayMS < minMaxDelayMS || s.MaxDelayMS > maxMaxDelayMS) {
-		return []error{fmt.Errorf("max_delay_ms must be 0 or from %d to %d, not %d", minMaxDelayMS, maxMaxDelayMS, s.MaxDelayMS)}
-	}
-	return nil
-}
-
-// Enabled reports whether requests may be refused.
-func (s Settings) Enabled() bool { return s.MaxDelayMS > 0 }
-
 const (
 	// SampleInterval is the time between two measurements of the delay. A measurement takes some 10 µs of processor time.
 	SampleInterval = 10 * time.Millisecond
@@ -60,7 +49,7 @@
 	// delayed for longer than minPause again and again.
 	pauseSpacing = 2 * time.Second
 
-	// shrinkRate is the part of the limit by which it shrinks per second for each MaxDelay by which the delay exceeds it,
+	// shrinkRate is the part of the limit by which it shrinks per second for each maxDelay by which the delay exceeds it,
 	// growRate the part by which it grows per second while there is no delay.
 	shrinkRate = 2.0
 	growRate   = 0.5
@@ -73,7 +62,7 @@
 	forgetAfter = time.Second
 	// minLimit is the smallest limit. It keeps a gateway that is slowed down by other programs measured.
 	minLimit = 4
-	// maxExcess bounds what one measurement counts, as a multiple of MaxDelay.
+	// maxExcess bounds what one measurement counts, as a multiple of maxDelay.
 	maxExcess = 3
 	// maxStep is the longest time that counts between two measurements.
 	maxStep = 100 * time.Millisecond
@@ -109,10 +98,11 @@
 
 // Controller decides for all requests of one gateway. It is safe for concurrent use.
 type Controller struct {
-	maxDelay time.Duration
-	random   func() float64
+	random func() float64
 
 	mu sync.Mutex
+	// maxDelay is the bound on the delay.
+	maxDelay time.Duration
 	// samples are the delays that were measured last, oldest first.
 	samples []sample
 	// sorted is used by sustained.
@@ -148,11 +138,18 @@
 	delay time.Duration
 }
 
-// New returns a controller that refuses nothing yet. random returns numbers from 0 to below 1.
-func New(s Settings, random func() float64) *Controller {
-	return &Controller{
-		maxDelay: time.Duration(s.MaxDelayMS) * time.Millisecond, random: random,
-		byOrganisation: make(map[string]float64), served: maxServed,
+// New returns a controller that refuses nothing until delays are observed. random returns numbers from 0 to below 1.
+func New(random func() float64) *Controller {
+	return &Controller{maxDelay: maxMaxDelay, random: random, byOrganisation: make(map[string]float64), served: maxServed}
+}
+
+// SetObjective derives the bound on the delay from the shortest objective of the routes, 0 if there is none.
+func (c *Controller) SetObjective(shortest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxDelay = maxMaxDelay
+	if shortest > 0 {
+		c.maxDelay = min(maxMaxDelay, max(minMaxDelay, shortest/waitsPerObjective))
 	}
 }
 
@@ -320,8 +317,9 @@
 // State is the state of a controller.
 type State struct {
 	// Delay is the scheduling delay that has lasted, Share the part of the new requests that is refused.
-	Delay time.Duration
-	Share float64
+	// MaxDelay is the bound on the delay.
+	Delay, MaxDelay time.Duration
+	Share           float64
 	// Limit is the limit of requests in progress, 0 if there is none.
 	Limit      float64
 	InProgress int
@@ -335,5 +333,5 @@
 func (c *Controller) State() State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return State{Delay: c.delay, Share: c.share(), Limit: c.limit, InProgress: c.inProgress, Pauses: c.pauses, RefusedAt: c.refusedAt}
+	return State{Delay: c.delay, MaxDelay: c.maxDelay, Share: c.share(), Limit: c.limit, InProgress: c.inProgress, Pauses: c.pauses, RefusedAt: c.refusedAt}
 }
--- a/gateway/overload/overload_test.go
+++ b/gateway/overload/overload_test.go
@@ -10,7 +10,11 @@
 	"pgregory.net/rapid"
 )
 
-const testDelay = DefaultMaxDelayMS * time.Millisecond
+// testObjective is the shortest objective in the tests, testDelay the bound that follows from it.
+const (
+	testObjective = 300 * time.Millisecond
+	testDelay     = testObjective / waitsPerObjective
+)
 
 // process is a process whose delays are given, with a controller.
 type process struct {
@@ -19,7 +23,9 @@
 }
 
 func newProcess() *process {
-	return &process{New(Settings{MaxDelayMS: DefaultMaxDelayMS}, rand.New(rand.NewPCG(1, 2)).Float64), time.Unix(1000, 0)}
+	p := &process{New(rand.New(rand.NewPCG(1, 2)).Float64), time.Unix(1000, 0)}
+	p.SetObjective(testObjective)
+	return p
 }
 
 // measure takes one measurement.
@@ -54,7 +60,7 @@
 			if rapid.Bool().Draw(t, "single delay") {
 				p.measure(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
 			}
-			bound := time.Duration(rapid.IntRange(0, DefaultMaxDelayMS).Draw(t, "bound")) * time.Millisecond
+			bound := time.Duration(rapid.IntRange(0, int(testDelay.Milliseconds())).Draw(t, "bound")) * time.Millisecond
 			p.measureFor(window, bound)
 			n := rapid.IntRange(0, 500).Draw(t, "requests")
 			if got := p.admits(n, rapid.IntRange(-1, 12).Draw(t, "priority"), "o"); got != n {
@@ -192,14 +198,16 @@
 	is.Equal(p.admits(100, 0, "o"), 100)
 }
 
-// Guards against settings that refuse requests of a process that merely gets its processor time in slices.
-func TestInvalidSettingsAreReported(t *testing.T) {
+// Guards against a bound that a process meets which gets its processor time in slices, or one at which callers that have left
+// are noticed too late.
+func TestBoundFollowsFromTheObjectives(t *testing.T) {
 	is := is.New(t)
-	for _, ms := range []int{-1, 1, minMaxDelayMS - 1, maxMaxDelayMS + 1} {
-		is.Equal(len(Settings{MaxDelayMS: ms}.Validate()), 1)
-	}
-	for _, ms := range []int{0, minMaxDelayMS, DefaultMaxDelayMS, maxMaxDelayMS} {
-		is.Equal(len(Settings{MaxDelayMS: ms}.Validate()), 0)
+	p := newProcess()
+	for objective, want := range map[time.Duration]time.Duration{
+		0: maxMaxDelay, time.Millisecond: minMaxDelay, testObjective: testDelay, 600 * time.Millisecond: 40 * time.Millisecond, time.Hour: maxMaxDelay,
+	} {
+		p.SetObjective(objective)
+		is.Equal(p.State().MaxDelay, want)
 	}
 }
 
--- a/gateway/overload/replay_test.go
+++ b/gateway/overload/replay_test.go
@@ -263,7 +263,8 @@
 		g := &node{r: r, core: core, supply: s.supply}
 		if s.refuse {
 			random := rand.New(rand.NewPCG(1, uint64(n)))
-			g.controller = New(Settings{MaxDelayMS: DefaultMaxDelayMS}, random.Float64)
+			g.controller = New(random.Float64)
+			g.controller.SetObjective(gapObjective)
 		}
 		r.nodes = append(r.nodes, g)
 		g.sample()
--- a/gateway/overloaded.go
+++ b/gateway/overloaded.go
@@ -53,5 +53,5 @@
 	}
 	g.overloaded = overloaded
 	g.log.Info("router overloaded", "refused", overloaded, "delay_ms", state.Delay.Milliseconds(),
-		"refused_share", math.Round(100*state.Share)/100, "max_delay_ms", g.settings.Overload.MaxDelayMS)
+		"refused_share", math.Round(100*state.Share)/100, "max_delay_ms", state.MaxDelay.Milliseconds())
 }
--- a/gateway/routes/routes.go
+++ b/gateway/routes/routes.go
@@ -226,6 +226,22 @@
 	return 0
 }
 
+// ShortestObjective returns the shortest objective of all routes, for a response, a first event or the time between two events, 0
+// if none is set.
+func (t *Table) ShortestObjective() time.Duration {
+	var shortest time.Duration
+	for _, list := range t.hosts {
+		for _, r := range list {
+			for _, objective := range []time.Duration{r.LatencyObjective, r.EventGapObjective} {
+				if objective > 0 && (shortest == 0 || objective < shortest) {
+					shortest = objective
+				}
+			}
+		}
+	}
+	return shortest
+}
+
 // TightestObjective returns the shortest latency objective of the routes to a pool, 0 if none is set.
 func (t *Table) TightestObjective(pool string) time.Duration {
 	var tightest time.Duration
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -63,7 +63,7 @@
 	Pool                    pool.Settings
 	// ExtraWork limits the work of second instances that are asked because a response is late.
 	ExtraWork extrawork.Settings
-	// Overload sets from which scheduling delay on new requests are refused.
+	// Overload sets whether new requests are refused while the process has no processor time left.
 	Overload overload.Settings
 }
 
@@ -135,7 +135,6 @@
 		}
 	}
 	faults = append(faults, s.ExtraWork.Validate()...)
-	faults = append(faults, s.Overload.Validate()...)
 	if s.StartHold < 0 {
 		faults = append(faults, fmt.Errorf("start hold %s is negative", s.StartHold))
 	}
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -33,6 +33,7 @@
 		return false
 	}
 	g.table.Store(next)
+	g.overload.SetObjective(next.ShortestObjective())
 	tokens := make(map[string]int)
 	for name, p := range next.Pools {
 		if p.Engine != nil {
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -162,6 +162,8 @@
 		return
 	}
 	switch into.Kind() {
+	case reflect.Pointer:
+		d.decodePointer(key, value, into, tag)
 	case reflect.Struct:
 		d.decodeStruct(key, value, into)
 	case reflect.Slice:
@@ -221,6 +223,15 @@
 	}
 }
 
+// decodePointer decodes an optional value. It stays nil without its key.
+func (d *decoder) decodePointer(key string, value any, into reflect.Value, tag reflect.StructTag) {
+	element := reflect.New(into.Type().Elem())
+	before := len(d.errors)
+	if d.decodeValue(key, value, element.Elem(), tag); len(d.errors) == before {
+		into.Set(element)
+	}
+}
+
 func (d *decoder) decodeStruct(key string, value any, into reflect.Value) {
 	table, ok := asTable(value)
 	if !ok {
--- a/kernel/settings/settings_test.go
+++ b/kernel/settings/settings_test.go
@@ -109,3 +109,19 @@
 		}
 	})
 }
+
+// Guards against an optional value that cannot be told from its zero value, and against one that is set although it is invalid.
+func TestOptionalValueIsNilWithoutItsKey(t *testing.T) {
+	is := is.New(t)
+	var s struct {
+		Flag  *bool    `toml:"flag"`
+		Share *float64 `toml:"share" max:"1"`
+	}
+	is.NoErr(Parse("none.toml", "", &s))
+	is.True(s.Flag == nil)
+	is.True(Parse("bad.toml", "flag = 1\nshare = 2", &s) != nil)
+	is.True(s.Flag == nil && s.Share == nil)
+	is.NoErr(Parse("good.toml", "flag = false\nshare = 0.5", &s))
+	is.Equal(*s.Flag, false)
+	is.Equal(*s.Share, 0.5)
+}
