Tell pauses in succession from overload

Cause: in 1 of 10 runs on a busy machine, a request got 503 in TestPauseOfAGatewayRefusesNothing. The second pause came within 2 s after the first one, where no delay counted as a pause, so what had arrived during it was handled without a grace.

Change: a delay of 200 ms or more is a pause if the measurement before it was not late, whenever the last pause was. A process that is short of processor time and late by that much each time still counts as overloaded.

--- a/gateway/overload/overload.go
+++ b/gateway/overload/overload.go
@@ -41,13 +41,11 @@
 	// lastingPart is the part of the window for which the process must have been late. A quota of 0.144 that is used up leaves
 	// it late for 0.86 of the time.
 	lastingPart = 0.75
-	// minPause is the delay from which on the process counts as frozen, unless it was short of processor time already.
+	// minPause is the delay from which on the process counts as frozen, unless the measurement before was late as well: a process
+	// short of processor time may be delayed for longer than that again and again.
 	minPause = 200 * time.Millisecond
 	// pauseGrace is how long after a pause no delay counts: what has arrived meanwhile is handled then.
 	pauseGrace = 500 * time.Millisecond
-	// pauseSpacing is the time after a pause in which no other delay counts as one. A process short of processor time may be
-	// delayed for longer than minPause again and again.
-	pauseSpacing = 2 * time.Second
 
 	// shrinkRate is the part of the limit by which it shrinks per second for each maxDelay by which the delay exceeds it,
 	// growRate the part by which it grows per second while there is no delay.
@@ -109,8 +107,8 @@
 	sorted []time.Duration
 	// graceUntil is the end of the time after a pause in which delays do not count.
 	graceUntil time.Time
-	// pausedAt is when the last pause was noticed.
-	pausedAt time.Time
+	// lastDelay is the delay that was measured last.
+	lastDelay time.Duration
 	// observedAt is the time of the last measurement.
 	observedAt time.Time
 	// limit is the number of requests in progress above which requests are refused, 0 if there is none. neededAt is when it was
@@ -161,11 +159,11 @@
 	delay = max(0, delay)
 	step := min(max(0, now.Sub(c.observedAt)), maxStep)
 	c.observedAt = now
-	if delay >= minPause && !c.late() && now.Sub(c.pausedAt) >= pauseSpacing {
+	if delay >= minPause && c.lastDelay <= c.maxDelay {
 		c.pauses++
-		c.pausedAt = now
 		c.graceUntil = now.Add(pauseGrace)
 	}
+	c.lastDelay = delay
 	if now.Before(c.graceUntil) {
 		// Delays that last after the grace count as if they began then.
 		c.samples = c.samples[:0]
@@ -177,12 +175,6 @@
 	c.adjust(now, step)
 }
 
-// late reports whether the last measurement that counts was above the bound.
-func (c *Controller) late() bool {
-	n := len(c.samples)
-	return n > 0 && c.samples[n-1].delay > c.maxDelay
-}
-
 // sustained returns the delay that the process had for lastingPart of window at least, of minSamples measurements, and forgets
 // older ones. The longest one does not count: it may be the end of a short pause.
 func (c *Controller) sustained(now time.Time) time.Duration {
--- a/gateway/overload/overload_test.go
+++ b/gateway/overload/overload_test.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// Guards against the same when the process is frozen again soon after.
+func TestPausesInSuccessionAreNotOverload(t *testing.T) {
+	is := is.New(t)
+	p := newProcess()
+	p.measureFor(time.Second, time.Millisecond)
+	for range 5 {
+		p.measure(minPause)
+		p.measureFor(100*time.Millisecond, 30*time.Millisecond)
+		p.measure(time.Millisecond)
+		is.Equal(p.admits(200, 2, "o"), 200)
+	}
+	is.Equal(p.State().Limit, 0.0)
+}
+
 // Guards against a process that is taken for a frozen one, and refuses nothing, because each of its measurements is late by more
 // than a pause.
 func TestLongDelaysAreOverload(t *testing.T) {
