Measure the scheduling delay every 20 ms, and check that refusals are steady

Cause: a measurement every 10 ms takes an idle process 4 ms of processor time per second, 2.8% of 0.144 of a core.

Change: every 20 ms. The replay checks that each half second of the burst refuses a part and not all.

--- a/gateway/overload/overload.go
+++ b/gateway/overload/overload.go
@@ -32,8 +32,9 @@
 )
 
 const (
-	// SampleInterval is the time between two measurements of the delay. A measurement takes some 10 µs of processor time.
-	SampleInterval = 10 * time.Millisecond
+	// SampleInterval is the time between two measurements of the delay. 50 per second take an idle
+	// process 3 ms of processor time.
+	SampleInterval = 20 * time.Millisecond
 	// window is the time, and minSamples the number of measurements, in which a delay must last. A process with a quota of its
 	// processor runs at the beginning of each period, usually of 100 ms, and two of them tell a lasting delay from a single one.
 	window     = 200 * time.Millisecond
--- a/gateway/overload/replay_test.go
+++ b/gateway/overload/replay_test.go
@@ -83,7 +83,8 @@
 	queue        []*work
 	running      bool
 	controller   *Controller
-	shares       []float64
+	// shares are the refused shares by half seconds, as sums and numbers of measurements.
+	shares [][2]float64
 }
 
 // run adds work to what the processor shares its time among.
@@ -145,7 +146,11 @@
 		g.run(sampleCost, func() {
 			if g.controller != nil {
 				g.controller.Observe(g.r.time(), g.r.now-due)
-				g.shares = append(g.shares, g.controller.State().Share)
+				for len(g.shares) <= int(g.r.now/sharePart) {
+					g.shares = append(g.shares, [2]float64{})
+				}
+				part := &g.shares[g.r.now/sharePart]
+				part[0], part[1] = part[0]+g.controller.State().Share, part[1]+1
 			}
 			g.sample()
 		})
@@ -244,6 +249,8 @@
 	burstTime  = 10 * time.Second
 	calmTime   = 5 * time.Second
 	heavyBurst = 2.6
+	// sharePart is the time over which refused shares are averaged. A burst is noticed and forgotten within twice as long.
+	sharePart = 500 * time.Millisecond
 	// usualRate is the number of requests/s at each gateway in calm times: 0.6 of what a small one can serve.
 	usualRate = 57.0
 )
@@ -353,18 +360,17 @@
 		shares = append(shares, fmt.Sprintf("%.2f", o.share()))
 	}
 	t.Logf("%s, in time by organisation: %v", name, shares)
-	for n, g := range r.nodes {
-		var seconds []string
-		for from := 0; from < len(g.shares); from += 25 {
-			part := g.shares[from:min(len(g.shares), from+25)]
-			sum := 0.0
-			for _, s := range part {
-				sum += s
-			}
-			seconds = append(seconds, fmt.Sprintf("%.2f", sum/float64(len(part))))
-		}
-		t.Logf("%s, gateway %d, refused share by 25 measurements: %v", name, n, seconds)
+	for n := range r.nodes {
+		t.Logf("%s, gateway %d, refused share by half seconds: %.2f", name, n, r.refusedShares(n))
+	}
+}
+
+// refusedShares returns the mean share that a gateway refused in each half second.
+func (r *replay) refusedShares(n int) (means []float64) {
+	for _, part := range r.nodes[n].shares {
+		means = append(means, part[0]/max(1, part[1]))
 	}
+	return means
 }
 
 // during returns what became of the callers of the burst.
@@ -409,6 +415,12 @@
 			if refused, _ := after.outcome(warmTime+burstTime+time.Second, time.Hour, func(c *caller) bool { return c.repeats > 0 }); refused.callers > 0 {
 				t.Errorf("%d callers refused a second after the burst", refused.callers)
 			}
+			shares := after.refusedShares(0)
+			for n, share := range shares[(warmTime+2*sharePart)/sharePart : (warmTime+burstTime)/sharePart] {
+				if share == 0 || share >= maxShare {
+					t.Errorf("half second %d of the burst: a share of %.2f refused, want one between none and all", n+2, share)
+				}
+			}
 			if after.nodes[1].controller.State().RefusedAt != (time.Time{}) {
 				t.Error("the gateway with processor time to spare refused")
 			}
