--- a/cmd/jacinthfork/where.go
+++ b/cmd/jacinthfork/where.go
@@ -274,6 +274,9 @@
 			text += ", if its keeper " + a.Instance.Keeper + " grants the place, which was not asked"
 		}
 	}
+	if a.OverloadRefused > 0 {
+		text += fmt.Sprintf("; unless it is among the %.0f in 100 new requests that are refused for want of processor time", 100*a.OverloadRefused)
+	}
 	return text
 }
 
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -35,6 +35,7 @@
 	ejections        *expvar.Map
 	reservations     *expvar.Map
 	localRefusals    *expvar.Map
+	overloadRefusals *expvar.Map
 	keeperDecisions  *expvar.Map
 	placeQueue       *expvar.Map
 	contentions      *expvar.Map
@@ -67,6 +68,7 @@
 		ejections:        c.Map("ejections"),
 		reservations:     c.Map("reservations"),
 		localRefusals:    c.Map("local_refusals"),
+		overloadRefusals: c.Map("overload_refusals"),
 		keeperDecisions:  c.Map("keeper_decisions"),
 		placeQueue:       c.Map("place_queue"),
 		contentions:      c.Map("contentions"),
@@ -197,6 +199,11 @@
 		}
 		return out
 	})
+	c.Func("overload", func() any {
+		s := g.overload.State()
+		return map[string]any{"delay_ms": s.Delay.Milliseconds(), "max_delay_ms": s.MaxDelay.Milliseconds(),
+			"limit": math.Round(s.Limit), "in_progress": s.InProgress, "refused_share": math.Round(100*s.Share) / 100, "pauses": s.Pauses}
+	})
 	c.Func("connections", func() any {
 		idle, dialled := g.connections.Stats()
 		closed := g.callers.UnusedClosed()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -8,6 +8,7 @@
 
 	"jacinthfork.example/jacinthfork/gateway/extrawork"
 	"jacinthfork.example/jacinthfork/gateway/feed"
+	"jacinthfork.example/jacinthfork/gateway/overload"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 )
 
@@ -64,6 +65,8 @@
 	Pool                    pool.Settings
 	// ExtraWork limits the work of second instances that are asked because a response is late.
 	ExtraWork extrawork.Settings
+	// Overload sets whether new requests are refused while the process has no processor time left.
+	Overload overload.Settings
 }
 
 // DefaultSettings returns the default settings. Addresses are empty.
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -97,6 +97,7 @@
 		w.refuse(stoppingError())
 		return
 	}
+	w.answer.OverloadRefused = s.g.overload.State().Share
 	if err := s.knownFull(s.g.asks.wouldAsk); err != nil {
 		w.refuse(err)
 		return
--- a/gateway/whereapi.go
+++ b/gateway/whereapi.go
@@ -113,6 +113,9 @@
 	Provisional bool    `json:"provisional"`
 	// Random is set if random choices among tied instances led to the outcome. The request may then get another one.
 	Random bool `json:"random,omitempty"`
+	// OverloadRefused is the part of new requests, chosen at random, that the gateway refuses now for want of processor time. The
+	// outcome is that of a request that is not among them.
+	OverloadRefused float64 `json:"overload_refused,omitempty"`
 	// WaitMillis is the estimated wait, 0 if it is not known, and LongestWaitMillis how long the request may wait.
 	WaitMillis        int64         `json:"wait_ms,omitempty"`
 	LongestWaitMillis int64         `json:"longest_wait_ms,omitempty"`
