--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -19,6 +20,7 @@
 	"pgregory.net/rapid"
 
 	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
+	"jacinthfork.example/jacinthfork/gateway/overload"
 	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
@@ -53,6 +55,7 @@
 	})
 	for _, g := range fleet {
 		g.log = slog.New(slog.DiscardHandler)
+		g.overload = overload.New(rand.Float64)
 		g.poison, g.crashes = poison.NewTable(), newCrashDetector(func(pool.Instance, time.Time, []failedRequest) {})
 		if kind != "plain" {
 			g.registry.SetCacheTokens(map[string]int{kind: 100_000})
