Ask fewer keepers in a pool that was just found full

Cause: with small gateways (0.144 of a core) questions to keepers use up the processor time that answers need. A request whose first queue refuses it asks a second one, and a gateway whose questions are not answered goes on to ask for free places.

The request then waits at the first engine of its order, which holds its prompt.

TestPlaceSearchWaitsSoonOnlyInAFullPool has two checks more.

--- a/gateway/paced.go
+++ b/gateway/paced.go
@@ -14,8 +14,8 @@
 	// fullShare is the part of its limit at which a paced pool counts as full: between the end of one request and the arrival
 	// of the next a place counts as free.
 	fullShare = 0.9
-	// waitedAsks is the number of engines at which a request asks to wait. The first may have the longest queue of the pool,
-	// if its prompt is much in demand.
+	// waitedAsks is the number of engines at which a request asks to wait, if its router has not just found the pool full. The
+	// first may have the longest queue of the pool, if its prompt is much in demand.
 	waitedAsks = 2
 	// offerPlaceWait is how long an offer to another engine waits for a place. An instance has been silent for its request,
 	// which may go on there at any moment.
@@ -48,7 +48,9 @@
 //
 // It answers two load patterns. In a pool with room, some engines are full, because they are slow or hold a document that is
 // much in demand: the request asks others, and no other request is kept from asking. In a full pool, questions for free places
-// only keep the keepers busy: the request soon waits.
+// only keep the keepers busy: the request soon waits. If this router has just found the pool full, each question costs it and the
+// keepers processor time that answers need: the request waits at the engine that holds its prompt, and asks no other one if that
+// refuses it.
 type placeSearch struct {
 	// saturated is set if requests of this router have just found the pool full, poolFull if there is no room by the totals that
 	// the routers exchange.
@@ -82,7 +84,11 @@
 	default:
 		p.other++
 	}
-	return p.waited >= waitedAsks || p.other >= maxReservations || !timeLeft
+	asks := waitedAsks
+	if p.saturated && p.poolFull {
+		asks = 1
+	}
+	return p.waited >= asks || p.other >= maxReservations || !timeLeft
 }
 
 // pacedWaitEnd returns until when the request may wait for a place: a part of its own route's objective after its arrival, or
@@ -149,7 +155,8 @@
 			}
 			return nil, nil, s.pacedRefusal(&search)
 		}
-		if search.poolFull && search.asked == unwaitedAsks {
+		// Without an answer the keepers of a full pool are as busy as if they had refused.
+		if search.poolFull && (search.asked == unwaitedAsks || search.other > 0) {
 			s.g.places.saturate(s.pool)
 		}
 	}
--- a/gateway/paced_test.go
+++ b/gateway/paced_test.go
@@ -311,6 +311,8 @@
 	}
 	is.True((&placeSearch{saturated: true, poolFull: true}).waits(false))
 	is.True(!(&placeSearch{saturated: true}).waits(false))
+	is.True((&placeSearch{saturated: true, poolFull: true}).refused(full, true, true)) // one queue of a pool that was just found full
+	is.True(!(&placeSearch{saturated: true}).refused(full, true, true))
 	p := placeSearch{poolFull: true}
 	is.True(!p.refused(other, true, true))
 	is.True(p.refused(full, true, false)) // its time is over
