--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -19,8 +19,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/gateway/overload"
+	"jacinthfork.example/jacinthfork/gateway/peer/peerpb"
 	"jacinthfork.example/jacinthfork/gateway/poison"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
