Look at the contention of a pool only when that is due

Cause: each candidate of a request asked whether the pool is paced and then whether it is contended, three more map lookups for each engine.

--- a/gateway/pool/contention.go
+++ b/gateway/pool/contention.go
@@ -66,17 +66,22 @@
 	return r.contendedNow(pool, r.now())
 }
 
+// contendedNow is called for each candidate of a request, so it looks at the load, and whether the pool is paced still, only
+// when that is due.
 func (r *Registry) contendedNow(pool string, now time.Time) bool {
-	if !r.pacedNow(pool, now) {
+	p := r.paced[pool]
+	if p == nil {
 		return false
 	}
-	c := &r.paced[pool].contention
-	if c.due(now) {
-		// The limits are stepped on the way, also while nobody asks for places.
-		inFlight, serves := r.contentionLoad(pool, now)
-		c.update(inFlight, serves, now)
+	if p.contention.due(now) {
+		inFlight, serves := 0.0, 0.0
+		if r.pacedNow(pool, now) {
+			// The limits are stepped on the way, also while nobody asks for places.
+			inFlight, serves = r.contentionLoad(pool, now)
+		}
+		p.contention.update(inFlight, serves, now)
 	}
-	return c.contended
+	return p.contention.contended
 }
 
 // contentionLoad returns the requests in flight of a pool and the number that its usable engines serve in time: their slots
