Let refusals of paced pools limit the requests that follow

Cause: a refusal counted only for requests that may wait no longer than the refused one had left, and each has spent some time before it asks, so requests to paced pools were hardly ever refused without a question (0 of 6 in a trial). Change: a request with three quarters of its time left stands for all. The test fails without it.

--- a/gateway/asklimit_test.go
+++ b/gateway/asklimit_test.go
@@ -10,10 +10,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"jacinthfork.example/jacinthfork/gateway/pool"
+
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -189,3 +192,18 @@
 	is.Equal(exhaust(&a, at(2), other), 0)
 	is.Equal(exhaust(&a, at(2), urgent), 1)
 }
+
+// Guards against refusals that count for no other request, because each has spent some time before it asks, and against one that
+// could wait for a small part of its time and counts for those that have all of it.
+func TestRefusalOfARequestWithMostOfItsTimeCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for part, counts := range map[float64]bool{1: true, 0.95: true, 0.5: false, 0: false} {
+			g := newPlainFleet(1, []pool.Instance{{ID: "w-0", Pool: "plain", Slots: 1, StartedAt: 1, Sequence: 1}})[0]
+			usual := g.admission.placeWait("plain")
+			newWaitingRequest(g).recordFull(100*time.Millisecond, time.Duration(part*float64(usual)))
+			question := newWaitingRequest(g).question()
+			is.Equal(g.asks.full(time.Now(), &question), counts) // by the part of the time that was left
+		}
+	})
+}
--- a/gateway/refuselocal.go
+++ b/gateway/refuselocal.go
@@ -70,6 +70,10 @@
 	}
 }
 
+// representativeWait is the part of the time that requests like it may wait from which on a refused request stands for all of them.
+// The rest is what a request has spent before it asks: with none, no refusal would count for the next request.
+const representativeWait = 0.75
+
 // recordFull records that a request got no place: a keeper said after what time its caller is to come back, or none answered
 // while the pool is full by the totals of the fleet. waited is how long it could have waited.
 func (s *requestState) recordFull(retryAfter, waited time.Duration) {
@@ -78,7 +82,9 @@
 		return
 	}
 	q := s.question()
-	q.wait = min(q.wait, waited)
+	if float64(waited) < representativeWait*float64(q.wait) {
+		q.wait = waited
+	}
 	s.g.asks.refused(time.Now(), &q, max(retryAfter, fullRetryAfter))
 }
 
