--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,7 +52,7 @@
 	s.limitSilence(resp)
 	for {
 		e, err := in.next()
-		// Reading the clock takes as long as everything else that is done for an event outside of system calls.
+		// The clock is read once for all that is done for an event. Six times took a tenth of its processor time.
 		now := time.Now()
 		if err == io.EOF && !s.mayBeEmpty(resp) {
 			err = io.ErrUnexpectedEOF
