Let a keeper's own requests wait behind those that wait at its engine

Cause: a keeper that does not know yet that the pool is contended sent its own requests to an engine that it keeps without a place, also while requests of other gateways waited for one there. They passed those, and the engine got more than its places. The same question from another gateway was refused or queued.

Where nobody waits nothing changes.

TestOwnRequestOfTheKeeperDoesNotPassThoseThatWait fails without the change (the engine holds 3 requests with 2 places), and so does TestWhereAtAKeeperThatDoesNotKnowOfTheContention without that in where.go (run instead of wait). With it both pass, and the other tests of contention and of where with the race detector.

--- a/gateway/contention_test.go
+++ b/gateway/contention_test.go
@@ -93,6 +93,32 @@
 	})
 }
 
+// Guards against a keeper that does not know yet that the pool is contended, and sends its own requests to an engine at which
+// requests of other gateways wait for a place.
+func TestOwnRequestOfTheKeeperDoesNotPassThoseThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const places = 2
+		fleet := newEngineFleet(2, 1, places, true)
+		keeper, asker := keeperOf(fleet, pool.KeyOf("e-00"))
+		contended(false, keeper)
+		c := newChats()
+		for n := range places {
+			c.send(context.Background(), fmt.Sprint("runs ", n), newChat(asker, 0, "a", 1), 100*time.Millisecond)
+		}
+		c.send(context.Background(), "waits", newChat(asker, 0, "a", 1), 10*time.Millisecond)
+		time.Sleep(4 * linkDelay)
+		c.send(context.Background(), "own", newChat(keeper, 2, "b", 1), 10*time.Millisecond)
+		c.requests.Wait()
+		is.Equal(c.most, places)
+		is.Equal(c.order[places:], []string{"waits", "own"})
+		for _, err := range c.errs {
+			is.NoErr(err)
+		}
+		checkNothingLeft(t, fleet)
+	})
+}
+
 // Guards against requests that wait in vain when the contention ends, and against requests in flight that have no places when it
 // begins again, so that the engine gets its places once more.
 func TestContentionEndsAndBeginsWhileRequestsWaitAndRun(t *testing.T) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -140,8 +140,8 @@
 
 // reserve chooses an instance and asks its keeper for a place, until one is granted. A keeper that does not answer in
 // time leaves the decision to this router. It returns nil when no instance is eligible, and when a keeper refuses for want of
-// places: the pool is contended by what that one knows, and neither this request nor the next ones must be forced onto a
-// full engine.
+// places, or requests of other routers wait for one at an engine that this router keeps: the pool is contended by what others
+// know, and neither this request nor the next ones must be forced onto a full engine.
 func (s *requestState) reserve(ctx context.Context) (*pool.Lease, *reservation) {
 	for n := 1; ; n++ {
 		q := s.poolRequest()
@@ -154,6 +154,11 @@
 			lease.Release(pool.Abandoned)
 			return nil, nil
 		}
+		if s.wouldPass(lease.Instance.ID, lease.Keeper, lease.Forced) {
+			lease.Confirm(pool.Answer{})
+			s.limit()
+			return nil, nil
+		}
 		r := s.g.reservations.begin(lease, s.reservationTTL())
 		if lease.Keeper == "" {
 			s.g.reservations.force(r)
@@ -194,13 +199,24 @@
 		s.g.reservations.refused(r)
 		s.g.metrics.reservations.Add("refused", 1)
 		if answer.RetryAfter > 0 {
-			s.g.places.saturate(s.pool)
-			s.limited = true
+			s.limit()
 			return nil, nil
 		}
 	}
 }
 
+// limit makes this request, and the next ones of the router, wait for places in turn.
+func (s *requestState) limit() {
+	s.g.places.saturate(s.pool)
+	s.limited = true
+}
+
+// wouldPass reports whether the request, sent to an engine without a place, would pass others that wait for one there at this
+// router.
+func (s *requestState) wouldPass(instance, keeper string, forced bool) bool {
+	return keeper == "" && !forced && s.g.places.awaited(pool.KeyOf(instance))
+}
+
 // reservationTTL returns how long the request can take at most.
 func (s *requestState) reservationTTL() time.Duration {
 	if left := s.timeLeft(); left > 0 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,7 +44,7 @@
 	limitedBy string
 	// pool is the pool that runs the request, set before admission.
 	pool string
-	// limited is set by reserve if a keeper had no place for the request.
+	// limited is set by reserve if a keeper had no place for the request, which then waits for one in turn.
 	limited bool
 	// triedInstances are the instances tried so far. attemptsSent counts the attempts that may have run.
 	triedInstances []string
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -160,6 +160,11 @@
 		w.refuse(w.state.noInstance())
 		return
 	}
+	if w.state.wouldPass(c.Instance.ID, c.Keeper, c.Forced) {
+		w.passedBy(rehearsal, c)
+		w.foretellPaced(rehearsal)
+		return
+	}
 	w.choose(c, c.Keeper != "" && (c.Cold || !(c.Forced || c.Denied)))
 }
 
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -434,6 +434,43 @@
 	}
 }
 
+// Guards against an answer that a request of a keeper runs at once at an engine at which requests of other gateways wait for a
+// place, while the keeper does not know yet that the pool is contended.
+func TestWhereAtAKeeperThatDoesNotKnowOfTheContention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newWhereFleet("paced", 2, 1)
+		keeper, asker := keeperOf(fleet, pool.KeyOf("i-0"))
+		keeper.registry.SetContended("paced", false)
+		var open []admitted
+		for range whereSlots {
+			open = append(open, asker.ask(chatQuestion("paced")).obtain(context.Background()))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		waits, own := make(chan admitted, 1), make(chan admitted, 1)
+		go func() { waits <- asker.ask(chatQuestion("paced")).obtain(ctx) }()
+		time.Sleep(10 * linkDelay)
+		before := stateOf(keeper, "paced")
+		answer, err := keeper.Where(chatQuestion("paced"))
+		is.True(err == nil)
+		is.Equal(stateOf(keeper, "paced"), before)
+		is.Equal(answer.Outcome, OutcomeWait)
+		is.Equal(answer.Instance.Instance, "i-0")
+		go func() { own <- keeper.ask(chatQuestion("paced")).obtain(ctx) }()
+		synctest.Wait()
+		is.Equal(len(own), 0)
+		controller, _ := keeper.placesAt(pool.KeyOf("i-0"))
+		is.Equal(controller.Load().Waiting, 2)
+		cancel()
+		<-waits
+		<-own
+		for _, a := range open {
+			a.end()
+		}
+		time.Sleep(10 * linkDelay)
+	})
+}
+
 // silentLink fails a test in which a keeper is asked or told anything.
 type silentLink struct{ t *testing.T }
 
