Name limits and the pace in answers of where only while they apply

Cause: since limits apply only while a pool is contended, the command where still called an engine of a paced pool limited, and gave the factor of its pace in placement, in a pool that was not contended: "limit 64 of 64 slots, pace 300%". Neither counts there.

Change: limited and pace_factor follow from the contention, the factor from the same function that the choice by load uses. The pace is told as before.

--- a/gateway/pool/choose.go
+++ b/gateway/pool/choose.go
@@ -259,7 +259,15 @@
 	if !r.contendedNow(m.Pool, now) {
 		return e.load(m, now)
 	}
-	return (e.load(m, now) + 1) * r.paceFactor(m, now)
+	return (e.load(m, now) + 1) * r.placementFactor(m, now)
+}
+
+// placementFactor returns the factor by which the work at an instance counts in the choice by load.
+func (r *Registry) placementFactor(m *member, now time.Time) float64 {
+	if !r.contendedNow(m.Pool, now) {
+		return 1
+	}
+	return r.paceFactor(m, now)
 }
 
 // Rule says why an instance is chosen among the candidates.
--- a/gateway/pool/rehearsal.go
+++ b/gateway/pool/rehearsal.go
@@ -77,11 +77,11 @@
 	// Own is the number of requests of this router there, Bound the load above which it gets no prompts.
 	Own   int
 	Bound float64
-	// Limit is the number of requests that it may have in flight: its slots, or what it serves in time in a paced pool.
-	Limit int
-	Paced bool
-	// Pace is its smoothed pace in percent and PaceFactor the factor of its work in placement. PaceAge is the age of the last
-	// report, -1 without one.
+	// Limit is the number of requests that it may have in flight: its slots, or what it serves in time in a contended pool.
+	Limit     int
+	Contended bool
+	// Pace is its smoothed pace in percent and PaceFactor the factor of its work in placement, 1 in a pool that is not contended.
+	// PaceAge is the age of the last report, -1 without one.
 	Pace, PaceFactor float64
 	PaceAge          time.Duration
 	// EjectedFor is how much longer it is ejected by this router, EjectedByKeeperFor by its keeper. Unreachable is set if no
@@ -136,7 +136,7 @@
 	r, now := p.copy, p.at
 	c := Considered{
 		Instance: m.Instance, Class: chosen.class, Rule: chosen.rule, Own: m.local.Requests, Bound: r.loadBound(chosen.load.poolMean),
-		Limit: r.placeLimit(m, now), Paced: r.pacedNow(m.Pool, now), Pace: m.engine.pace.get(now), PaceFactor: r.paceFactor(m, now), PaceAge: -1,
+		Limit: r.placeLimit(m, now), Contended: r.contendedNow(m.Pool, now), Pace: m.engine.pace.get(now), PaceFactor: r.placementFactor(m, now), PaceAge: -1,
 		EjectedFor: m.ejectionLeft(now), EjectedByKeeperFor: max(0, m.ejectedByKeeperUntil.Sub(now)),
 		Unreachable: m.health.unreachable, Probing: m.health.probing, Stalled: m.stalled(now, r.settings.StallTimeout), Lapsed: !m.expiredAt.IsZero(),
 	}
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -471,6 +471,33 @@
 	})
 }
 
+// Guards against an answer that names a limit or the pace as a reason in a pool that is paced but not contended, where neither
+// counts.
+func TestWhereNamesLimitsOnlyWhileTheyApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newWhereFleet("paced", 1, 2)[0]
+		for n, pace := range []int{100, 300} {
+			lease := g.registry.Acquire(&pool.Request{Pool: "paced", Exclude: []string{fmt.Sprintf("i-%d", 1-n)}})
+			is.True(lease.RecordPace(pace))
+			lease.Release(pool.Served)
+		}
+		time.Sleep(time.Second) // the mean pace of the pool is computed again
+		for _, contended := range []bool{true, false} {
+			g.registry.SetContended("paced", contended)
+			answer, err := g.Where(chatQuestion("paced"))
+			is.True(err == nil)
+			all := append(answer.Next, *answer.Instance)
+			is.Equal(len(all), 2)
+			for _, i := range all {
+				is.Equal(i.Limited, contended)
+				is.Equal(i.PaceFactor != 1, contended)
+				is.True(i.Pace > 0) // it is known all the same
+			}
+		}
+	})
+}
+
 // silentLink fails a test in which a keeper is asked or told anything.
 type silentLink struct{ t *testing.T }
 
--- a/gateway/whereapi.go
+++ b/gateway/whereapi.go
@@ -166,7 +166,8 @@
 	Bound         float64 `json:"bound"`
 	Keeper        string  `json:"keeper"`
 	LoadAgeMillis int64   `json:"load_age_ms"`
-	// Limit is the number of requests that it may have: Slots, or what it serves in time if Limited is set. Pace is in percent.
+	// Limit is the number of requests that it may have: Slots, or what it serves in time if Limited is set, which it is while the
+	// pool is contended. Pace is in percent, and PaceFactor the factor of its work in placement, 1 if Limited is not set.
 	Slots         int     `json:"slots"`
 	Limit         int     `json:"limit"`
 	Limited       bool    `json:"limited"`
@@ -259,7 +260,7 @@
 		Instance: c.Instance.ID, Domain: c.Instance.FailureDomain, Class: classNames[c.Class], Rule: string(c.Rule), TiedWith: c.Ties,
 		CachedTokens: c.CachedTokens, CachedKnown: known, FetchFrom: c.FetchFrom,
 		Load: c.Load, Own: c.Own, Mean: c.Mean, Bound: c.Bound, Keeper: c.Keeper, LoadAgeMillis: ageMillis(c.LoadAge),
-		Slots: c.Instance.Slots, Limit: c.Limit, Limited: c.Paced, Full: c.Full(), Pace: c.Pace, PaceFactor: c.PaceFactor, PaceAgeMillis: ageMillis(c.PaceAge),
+		Slots: c.Instance.Slots, Limit: c.Limit, Limited: c.Contended, Full: c.Full(), Pace: c.Pace, PaceFactor: c.PaceFactor, PaceAgeMillis: ageMillis(c.PaceAge),
 		RefusedLately: c.Denied, EjectedMillis: c.EjectedFor.Milliseconds(), EjectedByKeeperMillis: c.EjectedByKeeperFor.Milliseconds(),
 		Unreachable: c.Unreachable, Probing: c.Probing, Stalled: c.Stalled, Lapsed: c.Lapsed, ColdMillis: c.ColdFor.Milliseconds(),
 		CrashSuspected: w.state.g.crashes.suspects(c.Instance.ID),
