Hold refused gateways to their share at silent keepers

Cause: a gateway whose request a keeper has refused for want of a place makes its requests wait in turn, also while it does not know that the pool is contended. If the keeper then does not answer, the share of its limit was not applied, because that depended on the contention that the gateway knows: all these requests were sent to the full engine.

Change: for requests that wait in turn the share applies in every paced pool, as it did before limits depended on the contention. Reservations in a pool that is not contended are as before, and so are pools without limits.

TestRefusedGatewaySendsASilentKeepersEngineItsShareOnly fails without the change (the engine gets 6 of 6 requests, the share is 4) and passes with it.

--- a/gateway/pacedfailure_test.go
+++ b/gateway/pacedfailure_test.go
@@ -40,9 +40,9 @@
 		return nil, false
 	}
 	if l.silent {
-		if time.Now().After(l.avoidUntil) {
+		if !l.avoids() {
 			time.Sleep(answerTimeout + time.Duration(r.GetWaitMs())*time.Millisecond)
-			l.avoidUntil = time.Now().Add(500 * time.Millisecond)
+			l.avoid()
 		}
 		return nil, false
 	}
@@ -62,6 +62,18 @@
 	return l.keeperLink.Reserve(ctx, node, r)
 }
 
+func (l *failingLink) avoids() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !time.Now().After(l.avoidUntil)
+}
+
+func (l *failingLink) avoid() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.avoidUntil = time.Now().Add(500 * time.Millisecond)
+}
+
 func (l *failingLink) Tell(node string, m *peerpb.Message) bool {
 	return !l.isCut() && l.keeperLink.Tell(node, m)
 }
@@ -147,6 +159,34 @@
 	})
 }
 
+// Guards against a gateway that sends more than its share of the limit to an engine whose keeper is silent, after it was refused a
+// place there, because it does not know yet that the pool is contended.
+func TestRefusedGatewaySendsASilentKeepersEngineItsShareOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const places, asked = 8, 6
+		fleet := newEngineFleet(2, 1, places, true)
+		_, asker := keeperOf(fleet, pool.KeyOf("e-00"))
+		contended(false, asker)
+		wrapLink(asker).silent = true
+		c := newChats()
+		for n := range asked {
+			asker.places.saturate("chat")
+			c.send(context.Background(), fmt.Sprint(n), newChat(asker, 0, "a", 1), 2*time.Second)
+		}
+		c.requests.Wait()
+		is.Equal(c.most, places/len(fleet))
+		refused := 0
+		for _, err := range c.errs {
+			if err != nil {
+				refused++
+				is.Equal(verdict.As(err).Reason, verdict.ReasonOverCapacity)
+			}
+		}
+		is.Equal(refused, asked-places/len(fleet))
+	})
+}
+
 // newOutsider makes the first gateway of a fleet one that keeps nothing.
 func newOutsider(fleet []*Gateway) *Gateway {
 	fleet[0].registry.SetFleet("nobody", routersOf(fleet, fleet[0]))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -169,7 +169,7 @@
 		// The share counts this request.
 		lease.EndWait()
 	}
-	if !ok && (!last || s.onlyFree || s.serviceIsFull() || lease.Cold || !lease.WithinShare()) {
+	if !ok && (!last || s.onlyFree || s.serviceIsFull() || lease.Cold || !lease.WithinShareInTurn()) {
 		s.g.metrics.reservations.Add("withdrawn", 1)
 		lease.Withdraw()
 		s.g.reservations.end(r, pool.Refused)
--- a/gateway/pool/pace.go
+++ b/gateway/pool/pace.go
@@ -339,8 +339,20 @@
 	r := l.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := l.member
-	if m.Slots <= 0 || !r.contendedNow(m.Pool, r.now()) {
+	return !r.contendedNow(l.member.Pool, r.now()) || l.withinShare()
+}
+
+// WithinShareInTurn is WithinShare for a request that waits in turn: it holds as well while this router does not know that the pool
+// is contended, because a keeper that does has just refused a request.
+func (l *Lease) WithinShareInTurn() bool {
+	l.registry.mu.Lock()
+	defer l.registry.mu.Unlock()
+	return l.withinShare()
+}
+
+func (l *Lease) withinShare() bool {
+	r, m := l.registry, l.member
+	if m.Slots <= 0 || !r.pacedNow(m.Pool, r.now()) {
 		return true
 	}
 	limit := m.Slots
