Keep the error of a reset when looking for unread data

Cause: Readable peeked at the socket with recv. On a connection that was reset, that takes the error of the socket, and the next read returns io.EOF. Watches and timers of a request look for unread data while its response is read. A response without a length or chunks that ends with a reset then counts as whole.

Change: Readable asks poll, which leaves the error to the next read. Ended still peeks: it reports the reset itself.

The tests of internal/socket, internal/callerconn and gateway/backend pass, with the same bound on allocations.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -10,56 +10,72 @@
 	"os"
 	"sync"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Readable reports whether a read would return at once: data has arrived that was not read yet, or the other side has
 // closed the connection. It may be called while a read is in progress. A connection that is not one of the operating
 // system is never readable. It fails if the connection is closed.
 func Readable(conn net.Conn) (bool, error) {
-	_, failure, err := peek(conn)
-	return !errors.Is(failure, syscall.EAGAIN), err
+	l := looks.Get().(*look)
+	defer looks.Put(l)
+	l.ready = false
+	err := control(conn, l.poll)
+	return l.ready, err
 }
 
 // Ended reports whether the other side has closed or reset the connection and nothing is left to be read before that. It may
-// be called while a read is in progress, and knows before a reader that has not run yet.
+// be called while a read is in progress, and knows before a reader that has not run yet. After a reset, a later read returns
+// io.EOF.
 func Ended(conn net.Conn) bool {
-	n, failure, err := peek(conn)
-	return err == nil && (n == 0 && failure == nil || errors.Is(failure, syscall.ECONNRESET))
+	l := looks.Get().(*look)
+	defer looks.Put(l)
+	l.n, l.failure = 0, syscall.EAGAIN
+	err := control(conn, l.peek)
+	return err == nil && (l.n == 0 && l.failure == nil || errors.Is(l.failure, syscall.ECONNRESET))
 }
 
-// peek looks for one byte without reading it. failure is that of the system call, EAGAIN if there is no data or the connection
-// is not one of the operating system, and err says that the connection is closed.
-func peek(conn net.Conn) (n int, failure, err error) {
+// control runs a function on the descriptor of a connection. It does nothing if the connection is not one of the operating system.
+func control(conn net.Conn, run func(fd uintptr)) error {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0, syscall.EAGAIN, nil
+		return nil
 	}
-	control, err := raw.SyscallConn()
+	c, err := raw.SyscallConn()
 	if err != nil {
-		return 0, syscall.EAGAIN, err
+		return err
 	}
-	p := peeks.Get().(*peeked)
-	p.n, p.failure = 0, nil
-	err = control.Control(p.run)
-	n, failure = p.n, p.failure
-	peeks.Put(p)
-	return n, failure, err
+	return c.Control(run)
 }
 
-// peeked is the result of a look for data on a descriptor. It is reused, because peek is called for each request.
-type peeked struct {
-	one     [1]byte
+// look is a look for data on a descriptor. It is reused, because there is one for each request.
+type look struct {
+	// poll sets ready. It leaves the error of a reset to the next read.
+	poll  func(fd uintptr)
+	ready bool
+	fds   [1]unix.PollFd
+	// peek sets n and failure by looking for one byte without reading it.
+	peek    func(fd uintptr)
 	n       int
 	failure error
-	run     func(fd uintptr)
+	one     [1]byte
 }
 
-var peeks = sync.Pool{New: func() any {
-	p := &peeked{}
-	p.run = func(fd uintptr) {
-		p.n, _, p.failure = syscall.Recvfrom(int(fd), p.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+var looks = sync.Pool{New: func() any {
+	l := &look{}
+	l.poll = func(fd uintptr) {
+		l.fds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN}
+		n, err := unix.Poll(l.fds[:], 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(l.fds[:], 0)
+		}
+		l.ready = n > 0 || err != nil
+	}
+	l.peek = func(fd uintptr) {
+		l.n, _, l.failure = syscall.Recvfrom(int(fd), l.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	}
-	return p
+	return l
 }}
 
 // ReadNow reads from a non-blocking descriptor. The error is io.EOF at the end of the data, and syscall.EAGAIN if there is
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -1,8 +1,10 @@
 package socket
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,6 +119,24 @@
 	is.True(Ended(conn))
 }
 
+// Guards against a response that ends with a reset and counts as whole, because a check for data has taken the error: without a
+// length only the error tells a cut response from its end.
+func TestReadableKeepsAReset(t *testing.T) {
+	is := is.New(t)
+	listener := listen(t)
+	conn := dial(t, listener)
+	server, err := listener.Accept()
+	is.NoErr(err)
+	is.NoErr(server.(*net.TCPConn).SetLinger(0))
+	is.NoErr(server.Close())
+	for readable := false; !readable; time.Sleep(time.Millisecond) {
+		readable, err = Readable(conn)
+		is.NoErr(err)
+	}
+	_, err = conn.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
 // Guards against memory for each check for data besides that of package net.
 func TestReadableAllocatesOneObject(t *testing.T) {
 	is := is.New(t)
