Leave out sums of no answers in the fleet's response times

Cause: a root makes a sum each second of every kind that it has seen, also once no router has answers of it. The counter extra_work_sums and the log line "response times of the fleet" then went on to call such a kind known.

Change: Sums leaves out sums of no answers. Decisions do not change: they use such a sum for nothing.

Result: the new test TestSumsOfNothingAreNotKnown fails before (1 kind known, want 0) and passes after. The other tests of the sums pass.

--- a/gateway/extrawork/sums.go
+++ b/gateway/extrawork/sums.go
@@ -401,14 +401,19 @@
 	AgeMs int64 `json:"age_ms"`
 }
 
-// Sums returns the sums of the fleet by the kinds that this router has seen itself. Those that are too old are left out.
+// Sums returns the sums of the fleet by the kinds that this router has seen itself. Those that are too old, and those of no
+// answers, which a root makes of a kind without requests, are left out.
 func (d *Decider) Sums(now time.Time) map[Kind]SumSummary {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make(map[Kind]SumSummary)
 	for k := range d.kinds {
-		if s := d.sums.byKind[d.key(k)]; s != nil && !s.fleetAt.IsZero() && now.Sub(s.fleetAt) < sumsTTL {
-			out[k] = SumSummary{Answers: s.fleet.answers(), AgeMs: now.Sub(s.fleetAt).Milliseconds()}
+		s := d.sums.byKind[d.key(k)]
+		if s == nil || s.fleetAt.IsZero() || now.Sub(s.fleetAt) >= sumsTTL {
+			continue
+		}
+		if answers := s.fleet.answers(); answers > 0 {
+			out[k] = SumSummary{Answers: answers, AgeMs: now.Sub(s.fleetAt).Milliseconds()}
 		}
 	}
 	return out
--- a/gateway/extrawork/sums_test.go
+++ b/gateway/extrawork/sums_test.go
@@ -167,6 +167,17 @@
 	is.True(!ok)
 }
 
+// Guards against a root that reports the fleet's times of a kind as known although no router has had an answer for a while.
+func TestSumsOfNothingAreNotKnown(t *testing.T) {
+	is := is.New(t)
+	d := learned(0.2)
+	d.TakeDown(true, start())
+	is.Equal(len(d.Sums(start())), 1)
+	late := start().Add(3 * generation)
+	d.TakeDown(true, late)
+	is.Equal(len(d.Sums(late)), 0)
+}
+
 // Guards against sums that no router has made, or that are too old, and are used all the same.
 func TestImplausibleSumsAreIgnored(t *testing.T) {
 	many := make([]byte, 0, maxEncoded+1)
