Keep the sums of the kinds of requests in use

Cause: at the bound of 256 kinds, the kind whose sum the root has told least recently was dropped. A kind that has just been seen was never told, so the kinds in use replaced each other, and their answers were lost before they were sent. Kinds that nobody uses any more, such as those of removed pools, stayed for good.

Change: the kind that was answered or told least recently is dropped.

Result: the new test TestKindsInUseAreKept fails before (0 answers left, want 100) and passes after.

--- a/gateway/extrawork/sums.go
+++ b/gateway/extrawork/sums.go
@@ -62,6 +62,8 @@
 	changed bool
 	// sentUp and sentDown are when the kind was last sent in each direction.
 	sentUp, sentDown time.Time
+	// used is the value of sums.uses when the kind was last answered or told.
+	used uint64
 }
 
 // sums is what is known of all kinds from the fleet.
@@ -69,6 +71,8 @@
 	byKind   map[sumKind]*sum
 	hashes   map[string]uint32
 	up, down allowance
+	// uses counts the answers and messages about kinds.
+	uses uint64
 }
 
 // Told are the answers of one kind in a message between routers.
@@ -128,7 +132,7 @@
 	return sumKind{hash, k.Mode, k.Size}
 }
 
-// sumOf returns the sum of a kind. The caller holds the lock.
+// sumOf returns the sum of a kind that is in use. The caller holds the lock.
 func (d *Decider) sumOf(k sumKind) *sum {
 	s := d.sums.byKind[k]
 	if s == nil {
@@ -138,17 +142,18 @@
 		s = &sum{}
 		d.sums.byKind[k] = s
 	}
+	d.sums.uses++
+	s.used = d.sums.uses
 	return s
 }
 
-// dropOldestSum drops the sum that the root told least recently.
+// dropOldestSum drops the sum of the kind that was used least recently.
 func (d *Decider) dropOldestSum() {
 	var oldest sumKind
-	var at time.Time
-	first := true
+	used := d.sums.uses + 1
 	for k, s := range d.sums.byKind {
-		if first || s.fleetAt.Before(at) {
-			oldest, at, first = k, s.fleetAt, false
+		if s.used < used {
+			oldest, used = k, s.used
 		}
 	}
 	delete(d.sums.byKind, oldest)
--- a/gateway/extrawork/sums_test.go
+++ b/gateway/extrawork/sums_test.go
@@ -257,6 +257,27 @@
 	is.True(len(d.instances) <= maxInstances)
 }
 
+// Guards against answers that are dropped before they are sent, because the kinds in use replace each other once as many others
+// were told, and not those that nobody uses any more.
+func TestKindsInUseAreKept(t *testing.T) {
+	is := is.New(t)
+	d := New(Settings{Share: 0.02})
+	for n := range maxKinds {
+		d.MergeDown([]Told{{Pool: uint32(n), Kind: 2 << 3, Answered: []byte{20, 5}, Age: time.Second}}, start())
+	}
+	const answers = 100
+	used := []Kind{{Pool: "a"}, {Pool: "b"}}
+	for range answers {
+		for _, k := range used {
+			d.RecordAnswer(k, "i", time.Second, start())
+		}
+	}
+	for _, k := range used {
+		is.Equal(d.unsentOf(k).answers(), answers)
+	}
+	is.Equal(len(d.sums.byKind), maxKinds)
+}
+
 // Guards against a slow instance that is waited for like others, or that seems fast because its late requests are cancelled,
 // and against one late answer, or a pool that is slow everywhere, that is taken for a slow instance.
 func TestSlowInstanceIsLateSooner(t *testing.T) {
