--- a/gateway/extrawork/sums_test.go
+++ b/gateway/extrawork/sums_test.go
@@ -167,6 +167,17 @@
 	is.True(!ok)
 }
 
+// Guards against a root that reports the fleet's times of a kind as known although no router has had an answer for a while.
+func TestSumsOfNothingAreNotKnown(t *testing.T) {
+	is := is.New(t)
+	d := learned(0.2)
+	d.TakeDown(true, start())
+	is.Equal(len(d.Sums(start())), 1)
+	late := start().Add(3 * generation)
+	d.TakeDown(true, late)
+	is.Equal(len(d.Sums(late)), 0)
+}
+
 // Guards against sums that no router has made, or that are too old, and are used all the same.
 func TestImplausibleSumsAreIgnored(t *testing.T) {
 	many := make([]byte, 0, maxEncoded+1)
@@ -246,6 +257,27 @@
 	is.True(len(d.instances) <= maxInstances)
 }
 
+// Guards against answers that are dropped before they are sent, because the kinds in use replace each other once as many others
+// were told, and not those that nobody uses any more.
+func TestKindsInUseAreKept(t *testing.T) {
+	is := is.New(t)
+	d := New(Settings{Share: 0.02})
+	for n := range maxKinds {
+		d.MergeDown([]Told{{Pool: uint32(n), Kind: 2 << 3, Answered: []byte{20, 5}, Age: time.Second}}, start())
+	}
+	const answers = 100
+	used := []Kind{{Pool: "a"}, {Pool: "b"}}
+	for range answers {
+		for _, k := range used {
+			d.RecordAnswer(k, "i", time.Second, start())
+		}
+	}
+	for _, k := range used {
+		is.Equal(d.unsentOf(k).answers(), answers)
+	}
+	is.Equal(len(d.sums.byKind), maxKinds)
+}
+
 // Guards against a slow instance that is waited for like others, or that seems fast because its late requests are cancelled,
 // and against one late answer, or a pool that is slow everywhere, that is taken for a slow instance.
 func TestSlowInstanceIsLateSooner(t *testing.T) {
