Let half of the soak's seeds run with contended engines

Cause: the pool of engines of the soak was configured as a plain service, so its streams never met limits of engines, and the platform's contracts never asked for them. Change: with even seeds the pool has engines of one slot that report their pace, and the contracts contain pressure.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,6 +38,8 @@
 	plainWorkers  = 3
 	engineWorkers = 4
 	callerCount   = 12
+	// contendedSlots is the number of slots of an engine in the seeds with a contended pool: fewer than the streams of the callers.
+	contendedSlots = 1
 	// withdrawalBound is the time after which no request may reach a worker whose entry was removed, in the
 	// absence of faults: the platform allows two seconds, and one more is for a slow test machine.
 	withdrawalBound = 3 * time.Second
@@ -73,6 +75,8 @@
 	// nodeMu[n] serialises faults that signal, end or restart gateway n, and workerMu those that restart a worker.
 	nodeMu   [gatewayCount]sync.Mutex
 	workerMu sync.Mutex
+	// contended is set if the engines have so few slots that their pool is contended, and the gateways limit it then.
+	contended bool
 	// ends are the ends of gateway processes.
 	endsMu sync.Mutex
 	ends   []processEnd
@@ -80,6 +84,7 @@
 
 func newFleet(t *testing.T, seed uint64) *fleet {
 	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), host: fleettest.LoopbackIP(t), checker: NewChecker(), store: standin.NewStore(), incarnations: make([]atomic.Int32, gatewayCount)}
+	f.contended = seed%2 == 0
 	t.Cleanup(f.store.Close)
 	f.configure()
 	for n := range plainWorkers + engineWorkers {
@@ -94,6 +99,9 @@
 			PeerAddress: fleettest.FreeAddress(t, f.host), MetricsAddress: fleettest.FreeAddress(t, f.host), StoreAddress: link.Address(),
 			Seeds: seeds, GracePeriod: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 		}
+		if f.contended {
+			config.Contracts = []string{"pressure"}
+		}
 		peers := fleettest.NewRelay(t, f.host, config.PeerAddress)
 		f.peerLinks = append(f.peerLinks, peers)
 		seeds = append(seeds, peers.Address())
@@ -121,7 +129,11 @@
 	for n := 1; n <= version; n++ {
 		routes = append(routes, standin.Route{Prefix: fmt.Sprintf("/v%d/", n), Mode: "idempotent", Pool: "plain", Timeout: time.Second})
 	}
-	f.store.Configure(standin.Configuration{Version: version, Routes: routes})
+	c := standin.Configuration{Version: version, Routes: routes}
+	if f.contended {
+		c.EngineSlots = map[string]int{"engine": contendedSlots}
+	}
+	f.store.Configure(c)
 }
 
 func (f *fleet) addWorker(n int) {
@@ -135,6 +147,9 @@
 func (f *fleet) addWorkerTo(pool string) {
 	n := len(f.workers)
 	w := standin.NewWorker(fmt.Sprintf("w-%d-%d", n, n), pool, "zone-a")
+	if f.contended && strings.HasPrefix(pool, "engine") {
+		w.Slots = contendedSlots
+	}
 	f.t.Cleanup(w.Crash)
 	setHealthy(w)
 	link := fleettest.NewRelay(f.t, f.host, w.Address())
@@ -156,6 +171,7 @@
 		}
 		if strings.HasPrefix(w.Pool, "engine") {
 			b.Events, b.EventGap = streamEvents, 10*time.Millisecond
+			b.InstanceLoad = fmt.Sprintf("1,0,%d,100", w.Slots)
 		}
 		return b
 	})
