--- a/gateway/paced.go
+++ b/gateway/paced.go
@@ -179,7 +179,7 @@
 }
 
 // maintainPlaces keeps the places of all instances true: limits that have changed, requests that were sent before the pool
-// was known to be contended, and requests that have ended without a word.
+// was known to be contended, and requests that have ended without a message.
 func (g *Gateway) maintainPlaces() {
 	g.places.sweep(g.holds, g.keeps, g.placesApply)
 	for _, instance := range g.places.kept() {
--- a/gateway/peer/reserve.go
+++ b/gateway/peer/reserve.go
@@ -51,7 +51,7 @@
 	askedAt := time.Now()
 	l.send(question)
 	var check <-chan time.Time
-	if timeout > f.answerTimeout+signTimeout {
+	if timeout > f.answerTimeout+probeTimeout {
 		// A keeper may be silent, rather than let the request wait.
 		ticker := time.NewTicker(checkInterval)
 		defer ticker.Stop()
@@ -83,8 +83,8 @@
 	return nil
 }
 
-// isSilent reports whether the router at the other side of a link has given no sign of life, and asks it for one now and then: for
-// the instances that hold no document, which every version answers at once.
+// isSilent reports whether the router at the other side of a link has not answered a liveness probe, and sends one now and then: a
+// question for the instances that hold no document, which every version answers at once.
 func (f *Fleet) isSilent(l *link) bool {
 	ask, silent := l.silence.check(time.Now())
 	if ask {
--- a/gateway/peer/silence.go
+++ b/gateway/peer/silence.go
@@ -11,11 +11,11 @@
 const (
 	// checkInterval is the time between two looks of a waiting request whether its keeper is silent.
 	checkInterval = 50 * time.Millisecond
-	// signInterval is the time between two questions by which a router asks another one for a sign of life.
-	signInterval = 200 * time.Millisecond
-	// signTimeout is how long the other router may take. It is longer than reserveTimeout, because a request that waits keeps its
+	// probeInterval is the time between two liveness probes on a link whose answers are awaited.
+	probeInterval = 200 * time.Millisecond
+	// probeTimeout is how long the other router may take. It is longer than reserveTimeout, because a request that waits keeps its
 	// place in a queue, and shorter than most waits: half of the objective, some hundred milliseconds.
-	signTimeout = 150 * time.Millisecond
+	probeTimeout = 150 * time.Millisecond
 )
 
 // silence decides whether a link has gone silent for good. It does no I/O.
@@ -34,12 +34,12 @@
 	// countedAt is when the last counted question timed out, and rounds the number of those in a row.
 	countedAt time.Time
 	rounds    int
-	// askedAt is when a sign of life was last asked for, checkedAt when it was last looked for.
+	// askedAt is when the last liveness probe was sent, checkedAt when check was last called.
 	askedAt, checkedAt time.Time
 }
 
-// check is called now and then while requests wait for answers that may take long. It reports whether to ask for a sign of life,
-// and whether the other router has given none in time. Time in which nobody looked, perhaps because this process did not run,
+// check is called now and then while requests wait for answers that may take long. It reports whether to send a liveness probe,
+// and whether the last one was not answered in time. Time in which check was not called, perhaps because this process did not run,
 // does not count.
 func (s *silence) check(now time.Time) (ask, silent bool) {
 	s.mu.Lock()
@@ -47,7 +47,7 @@
 	gap := now.Sub(s.checkedAt)
 	s.checkedAt = now
 	if s.askedAt.IsZero() || !s.heardAt.Before(s.askedAt) {
-		if ask = now.Sub(s.askedAt) >= signInterval; ask {
+		if ask = now.Sub(s.askedAt) >= probeInterval; ask {
 			s.askedAt = now
 		}
 		return ask, false
@@ -55,7 +55,7 @@
 	if gap > 2*checkInterval {
 		s.askedAt = s.askedAt.Add(gap)
 	}
-	return false, now.Sub(s.askedAt) >= signTimeout
+	return false, now.Sub(s.askedAt) >= probeTimeout
 }
 
 // heard records an answer, also a late one, which proves that the link works.
--- a/gateway/peer/silence_test.go
+++ b/gateway/peer/silence_test.go
@@ -127,7 +127,7 @@
 			is.True(!ok)
 			t.Logf("ended after %v, %d signs of life", took, signs)
 			is.Equal(asking.Err() != nil, alive) // only a silent keeper ends the wait before its caller does
-			is.True(signs <= int(took/signInterval)+1)
+			is.True(signs <= int(took/probeInterval)+1)
 		})
 	}
 }
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -316,7 +316,7 @@
 	}
 }
 
-// sweep gives back the places of requests that have ended without a word, and forgets instances that this router no longer
+// sweep gives back the places of requests that have ended without a message, and forgets instances that this router no longer
 // keeps, and those at which places no longer apply once no request waits there. held reports whether the registry still
 // counts a request, keeps whether this router keeps an instance.
 func (p *places) sweep(held func(router string, sequence uint64) bool, keeps, apply func(instance pool.Key) bool) {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -12,8 +12,8 @@
 )
 
 // Listener bounds the connections that are open. Above the limit a new one takes the place of one for which Trust was not
-// called: of the client address that has most of them the oldest. A client that belongs to the server shows it within a few round
-// trips, and must not be kept out by a crowd that shows nothing. If there is none, the new one is closed as soon as it is made.
+// called: of the client address that has most of them the oldest. A trusted client identifies itself within a few round
+// trips, and must not be kept out by many that never do. If there is none, the new one is closed as soon as it is made.
 // It is safe for concurrent use.
 type Listener struct {
 	net.Listener
