--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -5,7 +5,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -272,28 +271,34 @@
 	return out
 }
 
-// heartbeat publishes a worker's entry now and at the interval of the platform, until the returned function is called.
+// heartbeat publishes a worker's entry now and at the interval of the platform, until the returned function is called. Nothing is
+// published once that has returned.
 func (l *lab) heartbeat(w *standin.Worker, state func() string) (stop func()) {
-	done := make(chan struct{})
-	l.store.Publish(w, state(), "")
+	var mu sync.Mutex
+	stopped := false
+	publish := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if !stopped {
+			l.store.Publish(w, state(), "")
+		}
+		return !stopped
+	}
+	publish()
 	go func() {
 		ticker := time.NewTicker(1200 * time.Millisecond)
 		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
+		for range ticker.C {
+			if !publish() {
 				return
-			case <-ticker.C:
-				l.store.Publish(w, state(), "")
 			}
 		}
 	}()
-	return sync.OnceFunc(func() { close(done) })
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+	}
 }
 
 func ready() string { return "ready" }
-
-func asJSON(v any) string {
-	text, _ := json.Marshal(v)
-	return string(text)
-}
