--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,7 +184,7 @@
 	cmd := exec.Command(g.l.program)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), environment}
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	if err := startOnLauncher(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
@@ -302,3 +303,25 @@
 }
 
 func ready() string { return "ready" }
+
+var (
+	launcher sync.Once
+	launches = make(chan func())
+)
+
+// startOnLauncher starts a process that ends with this one, from a thread that lives as long: the kernel ends it when that thread
+// ends.
+func startOnLauncher(cmd *exec.Cmd) error {
+	launcher.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for launch := range launches {
+				launch()
+			}
+		}()
+	})
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	result := make(chan error, 1)
+	launches <- func() { result <- cmd.Start() }
+	return <-result
+}
