--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -30,7 +30,6 @@
 	exitBroken  = 1
 	exitCannot  = 2
 	readyLimit  = 20 * time.Second
-	stopLimit   = 15 * time.Second
 	smallMemory = 284
 	smallFDs    = 4100
 )
@@ -224,11 +223,6 @@
 	}
 }
 
-func (g *gateway) signal(s syscall.Signal) {
-	g.l.note("%s: %s", g.name, s)
-	_ = g.cmd.Process.Signal(s)
-}
-
 func (g *gateway) kill() {
 	if g.running() {
 		_ = g.cmd.Process.Kill()
@@ -236,16 +230,6 @@
 	<-g.exited
 }
 
-// awaitExit waits until the process has ended.
-func (g *gateway) awaitExit(limit time.Duration) bool {
-	select {
-	case <-g.exited:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
 // memory returns the resident memory and its peak in bytes.
 func (g *gateway) memory() (resident, peak int64) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
