--- /dev/null
+++ b/review/lab-3/worker.go
@@ -0,0 +1,273 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// run is what a worker does for one request.
+type run struct {
+	id       string
+	began    time.Time
+	ended    time.Time
+	from     int
+	lastWork time.Time
+	made     int
+	complete bool
+}
+
+// worker is a model worker or a plain service behind a proxy of its own, whose address it publishes.
+type worker struct {
+	w              *world
+	id, pool       string
+	address        string
+	slots          int
+	born           int64
+	server         *http.Server
+	proxy          *proxy
+	mu             sync.Mutex
+	state          string
+	gone           bool
+	seq            int
+	runs           []*run
+	pausedUntil    time.Time
+	keepsWorking   bool
+	eventInterval  time.Duration
+	plainTime      time.Duration
+	refuse         func(r *http.Request) bool
+	arrived        map[string]int
+	connectionsAll int
+}
+
+func (w *world) addWorker(id, pool string, slots int) (*worker, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	one := &worker{w: w, id: id, pool: pool, slots: slots, born: time.Now().UnixMilli(), address: p.listener.Addr().String(), proxy: p, state: "ready",
+		eventInterval: 100 * time.Millisecond, plainTime: 60 * time.Millisecond, arrived: make(map[string]int)}
+	one.server = &http.Server{Handler: one}
+	go func() { _ = one.server.Serve(l) }()
+	w.mu.Lock()
+	w.workers = append(w.workers, one)
+	w.mu.Unlock()
+	w.publish(one)
+	return one, nil
+}
+
+func (o *worker) close() {
+	_ = o.server.Close()
+	o.proxy.close()
+}
+
+// ServeHTTP implements http.Handler.
+func (o *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	h := out.Header()
+	h.Set("X-Request-Id", id)
+	h.Set("X-Instance-Id", o.id)
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != o.id {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	o.mu.Lock()
+	o.arrived[id]++
+	refuse := o.refuse
+	o.mu.Unlock()
+	if refuse != nil && refuse(r) {
+		h.Set("X-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	one := &run{id: id, began: time.Now(), lastWork: time.Now()}
+	o.mu.Lock()
+	o.runs = append(o.runs, one)
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		one.ended = time.Now()
+		o.mu.Unlock()
+	}()
+	h.Set("X-Response-Stamp", "3e1b."+id)
+	if o.pool != modelPool {
+		time.Sleep(o.plainTime)
+		h.Set("Content-Length", "800")
+		_, _ = io.WriteString(out, strings.Repeat("x", 800))
+		one.complete = true
+		return
+	}
+	o.stream(out, r, one)
+}
+
+// stream sends the events of a generation: five tokens each.
+func (o *worker) stream(out http.ResponseWriter, r *http.Request, one *run) {
+	_, outputTokens, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
+	tokens, _ := strconv.Atoi(outputTokens)
+	events := max(1, tokens/5)
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		one.from, _ = strconv.Atoi(last)
+	}
+	out.Header().Set("Content-Type", "text/event-stream")
+	for n := one.from + 1; n <= events; n++ {
+		if !o.work(r, o.eventInterval) {
+			return
+		}
+		o.mu.Lock()
+		one.lastWork, one.made = time.Now(), n
+		o.mu.Unlock()
+		_, err := fmt.Fprintf(out, "id: %d\ndata: %s-%d\n\n", n, one.id, n)
+		if err == nil {
+			err = http.NewResponseController(out).Flush()
+		}
+		if err != nil && !o.keepsWorking {
+			return
+		}
+	}
+	one.complete = true
+}
+
+// work passes the time of one event, and the time for which the worker is busy with the prompts of others. It reports false if the
+// request is dropped.
+func (o *worker) work(r *http.Request, d time.Duration) bool {
+	until := time.Now().Add(d)
+	for {
+		o.mu.Lock()
+		if o.pausedUntil.After(until) {
+			until = o.pausedUntil
+		}
+		o.mu.Unlock()
+		left := time.Until(until)
+		if left <= 0 {
+			return true
+		}
+		timer := time.NewTimer(min(left, 20*time.Millisecond))
+		if o.keepsWorking {
+			<-timer.C
+			continue
+		}
+		select {
+		case <-r.Context().Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+	}
+}
+
+// snapshot returns copies of the runs.
+func (o *worker) snapshot() []run {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []run
+	for _, one := range o.runs {
+		out = append(out, *one)
+	}
+	return out
+}
+
+// proxy forwards connections to a worker. Those that are open when silence is called carry nothing any more, in either direction,
+// not even their end.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	pairs    map[*pair]bool
+	done     chan struct{}
+}
+
+type pair struct {
+	client, server net.Conn
+	silent         chan struct{}
+	once           sync.Once
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, pairs: make(map[*pair]bool), done: make(chan struct{})}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		one := &pair{client: client, server: server, silent: make(chan struct{})}
+		p.mu.Lock()
+		p.pairs[one] = true
+		p.mu.Unlock()
+		go p.copy(one, client, server)
+		go p.copy(one, server, client)
+	}
+}
+
+func (p *proxy) copy(one *pair, to, from net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-one.silent:
+			<-p.done
+			err = io.EOF
+		default:
+		}
+		if n > 0 && err == nil {
+			_, err = to.Write(buffer[:n])
+		}
+		if err != nil {
+			one.once.Do(func() {
+				_ = one.client.Close()
+				_ = one.server.Close()
+			})
+			return
+		}
+	}
+}
+
+// silence makes all open connections silent for good and returns their number.
+func (p *proxy) silence() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for one := range p.pairs {
+		select {
+		case <-one.silent:
+		default:
+			close(one.silent)
+			n++
+		}
+	}
+	return n
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	close(p.done)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for one := range p.pairs {
+		_ = one.client.Close()
+		_ = one.server.Close()
+	}
+}
