--- a/review/lab-3/caller.go
+++ b/review/lab-3/caller.go
@@ -22,6 +22,7 @@
 	deadline         time.Duration
 	patience         time.Duration
 	lastEvent        string
+	dialer           *net.Dialer
 
 	status   int
 	stamp    bool
@@ -41,7 +42,12 @@
 func (c *call) do(front string) {
 	begin := time.Now()
 	defer func() { c.took = time.Since(begin) }()
-	conn, err := net.DialTimeout("tcp", front, time.Second)
+	dialer := net.Dialer{}
+	if c.dialer != nil {
+		dialer = *c.dialer
+	}
+	dialer.Timeout = time.Second
+	conn, err := dialer.Dial("tcp", front)
 	if err != nil {
 		c.failure = "no connection"
 		return
--- a/review/lab-3/silent.go
+++ b/review/lab-3/silent.go
@@ -66,6 +66,11 @@
 		start(ask(fmt.Sprintf("cc%02d", i), 3))
 		time.Sleep(150 * time.Millisecond)
 	}
+	// A question on a new connection, while the requests below are run twice, shows that the gateway reaches the worker.
+	time.Sleep(time.Until(silentAt.Add(4300 * time.Millisecond)))
+	late := ask("dd01", 3)
+	late.do(front)
+	w.printf("request %s, sent 4.3 s after the silence: status %d, run by %s: %v", late.id, late.status, holder.id, holder.hasRun(late.id))
 	group.Wait()
 	time.Sleep(time.Second)
 	for _, c := range calls {
@@ -79,10 +84,20 @@
 			overlap := before.lastWork.Sub(after.began)
 			w.printf("request %s: run by %s up to event %d at %.3f s after the silence, goes on at %s after event %d at %.3f s: %.3f s together", before.id, holder.id, before.made,
 				before.lastWork.Sub(silentAt).Seconds(), other.id, after.from, after.began.Sub(silentAt).Seconds(), overlap.Seconds())
-			if overlap > stillWorking && after.began.Sub(silentAt) > stableTime {
+			if overlap > stillWorking && after.began.Sub(silentAt) > stableTime && holder.hasRun(late.id) {
 				broken = true
 			}
 		}
 	}
 	return broken, nil
 }
+
+// hasRun reports whether the worker has run a request.
+func (o *worker) hasRun(id string) bool {
+	for _, r := range o.snapshot() {
+		if r.id == id {
+			return true
+		}
+	}
+	return false
+}
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -24,23 +24,24 @@
 
 // worker is a model worker or a plain service behind a proxy of its own, whose address it publishes.
 type worker struct {
-	w              *world
-	id, pool       string
-	address        string
-	slots          int
-	born           int64
-	server         *http.Server
-	proxy          *proxy
-	mu             sync.Mutex
-	state          string
-	gone           bool
-	seq            int
-	runs           []*run
-	pausedUntil    time.Time
-	keepsWorking   bool
-	eventInterval  time.Duration
-	plainTime      time.Duration
-	refuse         func(r *http.Request) bool
+	w             *world
+	id, pool      string
+	address       string
+	slots         int
+	born          int64
+	server        *http.Server
+	proxy         *proxy
+	mu            sync.Mutex
+	state         string
+	gone          bool
+	seq           int
+	runs          []*run
+	pausedUntil   time.Time
+	keepsWorking  bool
+	eventInterval time.Duration
+	plainTime     time.Duration
+	// odd, if set, handles some requests in another way.
+	odd            func(out http.ResponseWriter, r *http.Request) (handled bool)
 	arrived        map[string]int
 	connectionsAll int
 }
@@ -83,11 +84,11 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	o.mu.Lock()
 	o.arrived[id]++
-	refuse := o.refuse
 	o.mu.Unlock()
-	if refuse != nil && refuse(r) {
-		h.Set("X-Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+	o.mu.Lock()
+	odd := o.odd
+	o.mu.Unlock()
+	if odd != nil && odd(out, r) {
 		return
 	}
 	one := &run{id: id, began: time.Now(), lastWork: time.Now()}
@@ -184,6 +185,7 @@
 	mu       sync.Mutex
 	pairs    map[*pair]bool
 	done     chan struct{}
+	ended    sync.Once
 }
 
 type pair struct {
@@ -263,7 +265,7 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
-	close(p.done)
+	p.ended.Do(func() { close(p.done) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for one := range p.pairs {
--- a/review/lab-3/world.go
+++ b/review/lab-3/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -122,11 +123,12 @@
 
 // gatewayProcess is a gateway that runs as a process of its own.
 type gatewayProcess struct {
-	name, front, ready, control string
-	settings                    string
-	cmd                         *exec.Cmd
-	exited                      chan struct{}
-	state                       *os.ProcessState
+	name, ip, front, ready, control string
+	port                            int
+	settings                        string
+	cmd                             *exec.Cmd
+	exited                          chan struct{}
+	state                           *os.ProcessState
 }
 
 // freePorts returns free ports of an address.
@@ -143,55 +145,17 @@
 	return ports, nil
 }
 
-// addGateways writes the settings of n gateways and starts them.
+// addGateways starts the first n gateways and waits until they are ready.
 func (w *world) addGateways(n int, edit func(map[string]any)) error {
-	type place struct {
-		ip    string
-		ports []int
-	}
-	var places []place
-	var seeds []string
 	for i := range n {
-		ip := fmt.Sprintf("127.0.77.%d", 11+i)
-		ports, err := freePorts(ip, 4)
-		if err != nil {
-			return err
-		}
-		places = append(places, place{ip, ports})
-		if i < 3 {
-			seeds = append(seeds, fmt.Sprintf("%s:%d", ip, ports[2]))
-		}
-	}
-	for i, p := range places {
-		g := &gatewayProcess{
-			name: fmt.Sprintf("front-bq-a-%d", i+1), front: fmt.Sprintf("%s:%d", p.ip, p.ports[0]), ready: fmt.Sprintf("%s:%d", p.ip, p.ports[1]),
-			control: fmt.Sprintf("%s:%d", p.ip, p.ports[2]),
-		}
-		settings := map[string]any{
-			"node": g.name, "role": "gateway", "class": "front", "serves": []string{"front", "control"}, "ip": p.ip, "zone": "bq-a", "region": "bq",
-			"zones": map[string]string{"bq-a": "bq"}, "listen": map[string]string{"front": g.front, "ready": g.ready, "control": g.control},
-			"port-range": []int{p.ports[3], p.ports[3]}, "seeds": seeds, "bootstrap": true, "loss-counts": false,
-			"limits":   map[string]any{"cpu-share": 0.304, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
-			"data-dir": nil, "discovery": "platform", "entry": "vip", "heartbeat-ms": heartbeat.Milliseconds(),
-			"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"},
-			"tolerate":  map[string]int{"machines": 2, "zones": 0, "regions": 0},
-			"bounds": map[string]any{"stable-ms": 3000, "drain-ms": 2000, "grace-s": 8, "loss-slack-ms": 200, "config-ms": 2000, "back-ms": 250,
-				"retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 54, "recover-s": 12, "pass-ms": 120, "cap-x": 2},
-			"provider": map[string]any{"addr": w.store.Address(), "form": "log", "writes-per-s": 400, "reads-per-s": 2000, "parts": 16, "keep_s": 300},
-		}
-		if edit != nil {
-			edit(settings)
-		}
-		text, err := json.Marshal(settings)
-		if err != nil {
-			return err
-		}
-		g.settings = filepath.Join(w.dir, g.name+".json")
-		if err := os.WriteFile(g.settings, text, 0o600); err != nil {
+		g := &gatewayProcess{name: fmt.Sprintf("front-bq-a-%d", i+1), ip: fmt.Sprintf("127.0.77.%d", 11+i)}
+		if err := g.choosePorts(); err != nil {
 			return err
 		}
 		w.gateways = append(w.gateways, g)
-		if err := w.start(g); err != nil {
+	}
+	for _, g := range w.gateways {
+		if err := w.startNew(g, true, edit); err != nil {
 			return err
 		}
 	}
@@ -203,6 +167,62 @@
 	return nil
 }
 
+// addGateway adds one to those that run, as on a machine that is added to the system, and waits until it is ready.
+func (w *world) addGateway(edit func(map[string]any)) (*gatewayProcess, error) {
+	n := len(w.gateways)
+	g := &gatewayProcess{name: fmt.Sprintf("front-bq-a-%d", n+1), ip: fmt.Sprintf("127.0.77.%d", 11+n)}
+	if err := g.choosePorts(); err != nil {
+		return nil, err
+	}
+	w.gateways = append(w.gateways, g)
+	if err := w.startNew(g, false, edit); err != nil {
+		return nil, err
+	}
+	return g, g.awaitReady(5 * time.Second)
+}
+
+func (g *gatewayProcess) choosePorts() error {
+	ports, err := freePorts(g.ip, 4)
+	if err != nil {
+		return err
+	}
+	g.front, g.ready = fmt.Sprintf("%s:%d", g.ip, ports[0]), fmt.Sprintf("%s:%d", g.ip, ports[1])
+	g.control, g.port = fmt.Sprintf("%s:%d", g.ip, ports[2]), ports[3]
+	return nil
+}
+
+// startNew writes the settings of a gateway and starts it.
+func (w *world) startNew(g *gatewayProcess, bootstrap bool, edit func(map[string]any)) error {
+	var seeds []string
+	for _, one := range w.gateways[:min(3, len(w.gateways))] {
+		seeds = append(seeds, one.control)
+	}
+	settings := map[string]any{
+		"node": g.name, "role": "gateway", "class": "front", "serves": []string{"front", "control"}, "ip": g.ip, "zone": "bq-a", "region": "bq",
+		"zones": map[string]string{"bq-a": "bq"}, "listen": map[string]string{"front": g.front, "ready": g.ready, "control": g.control},
+		"port-range": []int{g.port, g.port}, "seeds": seeds, "bootstrap": bootstrap, "loss-counts": false,
+		"limits":   map[string]any{"cpu-share": 0.304, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
+		"data-dir": nil, "discovery": "platform", "entry": "vip", "heartbeat-ms": heartbeat.Milliseconds(),
+		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"},
+		"tolerate":  map[string]int{"machines": 2, "zones": 0, "regions": 0},
+		"bounds": map[string]any{"stable-ms": 3000, "drain-ms": 2000, "grace-s": 8, "loss-slack-ms": 200, "config-ms": 2000, "back-ms": 250,
+			"retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 54, "recover-s": 12, "pass-ms": 120, "cap-x": 2},
+		"provider": map[string]any{"addr": w.store.Address(), "form": "log", "writes-per-s": 400, "reads-per-s": 2000, "parts": 16, "keep_s": 300},
+	}
+	if edit != nil {
+		edit(settings)
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	g.settings = filepath.Join(w.dir, g.name+".json")
+	if err := os.WriteFile(g.settings, text, 0o600); err != nil {
+		return err
+	}
+	return w.start(g)
+}
+
 // start starts the process of a gateway as the deploy file does.
 func (w *world) start(g *gatewayProcess) error {
 	log, err := os.OpenFile(filepath.Join(w.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -210,7 +230,7 @@
 		return err
 	}
 	defer log.Close()
-	g.cmd = exec.Command("target/jacinthfork-gateway")
+	g.cmd = exec.Command(cmp.Or(os.Getenv("GATEWAY"), "target/jacinthfork-gateway"))
 	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "JACINTHFORK_SETTINGS=" + g.settings}
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	if err := g.cmd.Start(); err != nil {
