--- a/review/lab-3/removed.go
+++ b/review/lab-3/removed.go
@@ -13,7 +13,7 @@
 	lingerTime = 9 * time.Second
 )
 
-// removed: model workers are replaced, the store forgets its history before the gateways have read of the removals, and a machine is
+// removed: model workers are replaced, the store forgets its history before the gateways have read of the removals, and three machines are
 // added to the system.
 func removed(w *world) (broken bool, err error) {
 	var workers []*worker
@@ -52,9 +52,13 @@
 	}
 	w.printf("the entries of 6 workers are removed; history forgotten: %v", trouble)
 	time.Sleep(time.Second)
-	g, err := w.addGateway(nil)
-	if err != nil {
-		return false, err
+	var added []*gatewayProcess
+	for range 3 {
+		g, err := w.addGateway(nil)
+		if err != nil {
+			return false, err
+		}
+		added = append(added, g)
 	}
 	// The store was disturbed, and the gateway was started, less than that ago.
 	calmAt := time.Now().Add(stableTime)
@@ -62,7 +66,7 @@
 	var mu sync.Mutex
 	calls := make(map[string]*call)
 	closed := false
-	for time.Since(goneAt) < lingerTime+2*time.Second {
+	for i := 0; time.Since(goneAt) < lingerTime+2*time.Second; i++ {
 		if !closed && time.Since(goneAt) > lingerTime {
 			closed = true
 			for _, one := range leavers {
@@ -75,7 +79,8 @@
 		mu.Lock()
 		calls[c.id] = c
 		mu.Unlock()
-		group.Go(func() { c.do(g.front) })
+		front := added[i%3].front
+		group.Go(func() { c.do(front) })
 		time.Sleep(40 * time.Millisecond)
 	}
 	group.Wait()
