--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -11,7 +11,7 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 func main() {
-	cases := map[string]func(w *world) (broken bool, err error){"silent": silent, "removed": removed, "hostile": hostile, "mixed": mixed, "store": silentStore, "preempted": preempted, "whole": whole}
+	cases := map[string]func(w *world) (broken bool, err error){"silent": silent, "removed": removed, "hostile": hostile, "mixed": mixed, "store": silentStore, "preempted": preempted, "whole": whole, "parts": parts}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab-3 CASE RECORD")
 		os.Exit(2)
