--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-2/lab ./review/lab-2
+go build -o target/review-2/lab-3 ./review/lab-3
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -245,23 +245,6 @@
 	return field("VmRSS"), field("VmHWM")
 }
 
-// processorTime returns the processor time of the process so far.
-func (g *gateway) processorTime() time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", g.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0
-	}
-	// Fields 14 and 15 of the file, in hundredths of a second.
-	user, _ := strconv.Atoi(fields[11])
-	system, _ := strconv.Atoi(fields[12])
-	return time.Duration(user+system) * 10 * time.Millisecond
-}
-
 // logLines returns the lines of the process with a text, without those of served requests.
 func (g *gateway) logLines(part string) (out []string) {
 	text, _ := os.ReadFile(g.log)
--- a/review/lab-3/caller.go
+++ b/review/lab-3/caller.go
@@ -21,7 +21,6 @@
 	body             string
 	deadline         time.Duration
 	patience         time.Duration
-	lastEvent        string
 	dialer           *net.Dialer
 
 	status   int
@@ -65,9 +64,6 @@
 	if c.prompt != "" {
 		fmt.Fprintf(&head, "X-Model: m\r\nX-Token-Count: 800,%d\r\nX-Prompt-Prefix: %s\r\n", c.output, c.prompt)
 	}
-	if c.lastEvent != "" {
-		fmt.Fprintf(&head, "Last-Event-Id: %s\r\n", c.lastEvent)
-	}
 	if c.method == "POST" {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(c.body))
 	}
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -5,13 +5,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // trouble is false if the case is to run without its disruption.
 var trouble = os.Getenv("TROUBLE") != "0"
 
 func main() {
-	cases := map[string]func(w *world) (broken bool, err error){"silent": silent, "removed": removed, "hostile": hostile, "mixed": mixed, "store": silentStore, "preempted": preempted, "whole": whole, "parts": parts}
+	cases := map[string]func(w *world) (broken bool, err error){"parts": parts, "silent": silent, "whole": whole}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab-3 CASE RECORD")
 		os.Exit(2)
@@ -21,6 +23,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		w.killGateways()
+		os.Exit(2)
+	}()
 	broken, err := cases[os.Args[1]](w)
 	w.close()
 	switch {
--- a/review/lab-3/whole.go
+++ b/review/lab-3/whole.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -121,3 +123,15 @@
 	w.printf("longest span in which the gateway said that it is ready and answered no new connection, while seven consumers or more tried: %.1f s", longest.Seconds())
 	return longest > stableTime, nil
 }
+
+// rss returns the resident memory of a process in MB.
+func rss(pid int) int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb >> 10
+		}
+	}
+	return 0
+}
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -15,13 +15,14 @@
 type run struct {
 	id       string
 	began    time.Time
-	ended    time.Time
 	from     int
 	lastWork time.Time
 	made     int
-	complete bool
 }
 
+// plainTime is the work of a request to a plain service.
+const plainTime = 60 * time.Millisecond
+
 // worker is a model worker or a plain service behind a proxy of its own, whose address it publishes.
 type worker struct {
 	w             *world
@@ -32,18 +33,9 @@
 	server        *http.Server
 	proxy         *proxy
 	mu            sync.Mutex
-	state         string
-	gone          bool
 	seq           int
 	runs          []*run
-	pausedUntil   time.Time
-	keepsWorking  bool
 	eventInterval time.Duration
-	plainTime     time.Duration
-	// odd, if set, handles some requests in another way.
-	odd            func(out http.ResponseWriter, r *http.Request) (handled bool)
-	arrived        map[string]int
-	connectionsAll int
 }
 
 func (w *world) addWorker(id, pool string, slots int) (*worker, error) {
@@ -55,8 +47,8 @@
 	if err != nil {
 		return nil, err
 	}
-	one := &worker{w: w, id: id, pool: pool, slots: slots, born: time.Now().UnixMilli(), address: p.listener.Addr().String(), proxy: p, state: "ready",
-		eventInterval: 100 * time.Millisecond, plainTime: 60 * time.Millisecond, arrived: make(map[string]int)}
+	one := &worker{w: w, id: id, pool: pool, slots: slots, born: time.Now().UnixMilli(), address: p.listener.Addr().String(), proxy: p,
+		eventInterval: 100 * time.Millisecond}
 	one.server = &http.Server{Handler: one}
 	go func() { _ = one.server.Serve(l) }()
 	w.mu.Lock()
@@ -82,30 +74,15 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	o.mu.Lock()
-	o.arrived[id]++
-	o.mu.Unlock()
-	o.mu.Lock()
-	odd := o.odd
-	o.mu.Unlock()
-	if odd != nil && odd(out, r) {
-		return
-	}
 	one := &run{id: id, began: time.Now(), lastWork: time.Now()}
 	o.mu.Lock()
 	o.runs = append(o.runs, one)
 	o.mu.Unlock()
-	defer func() {
-		o.mu.Lock()
-		one.ended = time.Now()
-		o.mu.Unlock()
-	}()
 	h.Set("X-Response-Stamp", "3e1b."+id)
 	if o.pool != modelPool {
-		time.Sleep(o.plainTime)
+		time.Sleep(plainTime)
 		h.Set("Content-Length", "800")
 		_, _ = io.WriteString(out, strings.Repeat("x", 800))
-		one.complete = true
 		return
 	}
 	o.stream(out, r, one)
@@ -131,38 +108,21 @@
 		if err == nil {
 			err = http.NewResponseController(out).Flush()
 		}
-		if err != nil && !o.keepsWorking {
+		if err != nil {
 			return
 		}
 	}
-	one.complete = true
 }
 
-// work passes the time of one event, and the time for which the worker is busy with the prompts of others. It reports false if the
-// request is dropped.
+// work passes the time of one event. It reports false if the request is dropped, because its connection has closed.
 func (o *worker) work(r *http.Request, d time.Duration) bool {
-	until := time.Now().Add(d)
-	for {
-		o.mu.Lock()
-		if o.pausedUntil.After(until) {
-			until = o.pausedUntil
-		}
-		o.mu.Unlock()
-		left := time.Until(until)
-		if left <= 0 {
-			return true
-		}
-		timer := time.NewTimer(min(left, 20*time.Millisecond))
-		if o.keepsWorking {
-			<-timer.C
-			continue
-		}
-		select {
-		case <-r.Context().Done():
-			timer.Stop()
-			return false
-		case <-timer.C:
-		}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
