--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -31,6 +31,8 @@
 		os.Exit(2)
 	}()
 	broken, err := cases[os.Args[1]](w)
+	w.printf("sent: %d requests", requestNumber.Load())
+	w.recordRuns()
 	w.close()
 	switch {
 	case err != nil:
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -233,3 +235,17 @@
 		_ = one.server.Close()
 	}
 }
+
+// recordRuns writes how many requests each pool has run.
+func (w *world) recordRuns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs, workers := map[string]int{}, map[string]int{}
+	for _, one := range w.workers {
+		runs[one.pool] += len(one.snapshot())
+		workers[one.pool]++
+	}
+	for _, pool := range slices.Sorted(maps.Keys(runs)) {
+		w.printf("run by the %d workers of pool %s: %d requests", workers[pool], pool, runs[pool])
+	}
+}
