gateway: refuse responses whose status line is malformed

What callers saw: a worker in trouble answered with the status 000, and the gateway skipped that as if it were an interim response. With an unframed body the caller got 502 at the end of its time, and if a sound response followed, it got that one as the answer. Statuses 600 and 999, HTTP/2.0, two blanks before the status, a control byte in the reason and lines that end with a bare LF were passed on as answers.

Cause: net/http takes any three digits, even with a sign, for a status, and any major version; everything below 200 counted as interim here.

Change: internal/httpcheck checks what is read from a connection before net/http parses it. It follows the framing, so that it knows where each response begins, and fails before the first byte of a malformed line; all further reads fail too, so that the connection is not used again. Status codes are 100 to 599 (RFC 9110, 15). An empty reason is legal. The error of the check replaces that of net/http, whose text quoted the worker's bytes to the caller.

--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
@@ -49,6 +50,7 @@
 	net.Conn
 	reader  *bufio.Reader
 	limiter *headLimiter
+	checked *httpcheck.Reader
 	server  string
 	// idleSince and keepAlive are set while the connection is idle.
 	idleSince time.Time
@@ -202,8 +204,9 @@
 }
 
 func newConn(raw net.Conn, server string) *Conn {
-	limiter := &headLimiter{Reader: raw}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBuffer), limiter: limiter, server: server}
+	checked := httpcheck.NewReader(raw)
+	limiter := &headLimiter{Reader: checked}
+	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBuffer), limiter: limiter, checked: checked, server: server}
 }
 
 // take removes and returns the most recently used idle connection, so that the others can expire.
@@ -230,7 +233,7 @@
 // server does not keep it open.
 func (p *Pool) Put(c *Conn, resp *http.Response) {
 	keep, ok := keepAliveTime(resp)
-	if !ok || c.reader.Buffered() > 0 {
+	if !ok || !c.drained() {
 		_ = c.Close()
 		return
 	}
@@ -337,9 +340,12 @@
 // reusable reports whether the backend server has neither closed the connection nor sent data on it. If a
 // request were sent on a connection closed in the meantime, nothing would prove that it did not run.
 func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if !c.drained() {
 		return false
 	}
 	readable, err := socket.Readable(c.Conn)
 	return err == nil && !readable
 }
+
+// drained reports whether nothing was read from the connection after the last response.
+func (c *Conn) drained() bool { return c.reader.Buffered() == 0 && c.checked.Err() == nil }
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
@@ -143,6 +144,7 @@
 		_ = c.Close()
 		return nil, f
 	}
+	c.checked.Begin(req.Method)
 	written, err := c.send(req)
 	if err != nil {
 		return fail(&ExchangeError{Sent: true, Err: fmt.Errorf("write: %w", err)})
@@ -197,7 +199,7 @@
 			return nil, c.limiter.exceeded
 		}
 		if err != nil {
-			return nil, err
+			return nil, c.readError(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -205,6 +207,15 @@
 	}
 }
 
+// readError returns the error of a read from the connection instead of that of net/http, which drops one that ends within a line.
+func (c *Conn) readError(err error) error {
+	var malformed *httpcheck.Error
+	if errors.As(c.checked.Err(), &malformed) {
+		return malformed
+	}
+	return err
+}
+
 // discardResponse reads a mismatched response to its end.
 func discardResponse(resp *http.Response) error {
 	if resp.Close {
