gateway: refuse responses whose framing is malformed or ambiguous

What callers saw: chunks in a response of HTTP/1.0 reached the caller with their sizes as its body. After a 101, which nobody had asked for, the bytes of the other protocol were read as the response. A response with a length and chunks, a 204 or an interim response with a body, and chunks with a malformed size line or trailer were passed on.

Cause: net/http drops a Transfer-Encoding in HTTP/1.0 and a Content-Length beside chunks, takes no notice of a body where there is none, and reads trailers as leniently as other fields.

Change: the check of responses refuses what RFC 9112, 6.1 and 6.3 call faulty or ask to be handled as an error, status 101, a 2xx to CONNECT, a framing field in a trailer, and chunk size lines and trailers that break the grammar. The same length given twice, a 204 of length 0, chunk extensions and trailers still pass.

--- a/internal/httpcheck/reader.go
+++ b/internal/httpcheck/reader.go
@@ -25,6 +25,7 @@
 	PartLineEnd    = "line end"
 	PartFraming    = "framing"
 	PartChunk      = "chunk"
+	PartTrailer    = "trailer"
 )
 
 // Error says that a server sent something else than a well-formed response.
@@ -66,6 +67,7 @@
 const (
 	otherRequest requestKind = iota
 	headRequest
+	connectRequest
 )
 
 // Reader passes on the responses that are read from a connection, up to the first byte of a line that is malformed. All further
@@ -89,10 +91,11 @@
 
 // head is what the head of a response says of its framing.
 type head struct {
-	status    int
-	hasLength bool
-	length    int64
-	chunked   bool
+	status       int
+	minorVersion byte
+	hasLength    bool
+	length       int64
+	chunked      bool
 }
 
 // NewReader returns a Reader of the responses that are read from src.
@@ -101,8 +104,11 @@
 // Begin is called before a request is sent.
 func (r *Reader) Begin(method string) {
 	kind := otherRequest
-	if method == http.MethodHead {
+	switch method {
+	case http.MethodHead:
 		kind = headRequest
+	case http.MethodConnect:
+		kind = connectRequest
 	}
 	r.request.Store(kind)
 	r.begun.Store(false)
@@ -219,8 +225,9 @@
 	case inTrailer:
 		if len(text) == 0 {
 			r.state = inStatusLine
+			return nil
 		}
-		return nil
+		return checkTrailer(text)
 	case inChunkSize:
 		return r.beginChunk(text)
 	default: // inChunkEnd
@@ -237,6 +244,13 @@
 	h, request := &r.head, r.request.Load()
 	noBody := h.status < http.StatusOK || h.status == http.StatusNoContent
 	switch {
+	case h.status == http.StatusSwitchingProtocols, request == connectRequest && h.status < http.StatusMultipleChoices:
+		// No request of ours asks for another protocol, and what follows would be one.
+		return &Error{Part: PartFraming, Text: "another protocol"}
+	case h.chunked && (h.hasLength || h.minorVersion == '0'):
+		return &Error{Part: PartFraming, Text: "chunks beside a length, or in HTTP/1.0"}
+	case noBody && (h.chunked || h.length > 0):
+		return &Error{Part: PartFraming, Text: "a body of a response that has none"}
 	case h.status < http.StatusOK:
 		r.state = inStatusLine
 	case noBody, h.status == http.StatusNotModified, request == headRequest:
--- a/internal/httpcheck/syntax.go
+++ b/internal/httpcheck/syntax.go
@@ -36,7 +36,7 @@
 	if reason := line[reasonAt:]; len(reason) > 0 && (reason[0] != ' ' || !isText(reason)) {
 		return malformed(PartStatusLine, line)
 	}
-	r.head = head{status: status}
+	r.head = head{status: status, minorVersion: line[len(protocol)]}
 	r.state = inFields
 	return nil
 }
@@ -95,11 +95,20 @@
 	return nil
 }
 
+// checkTrailer checks a trailer field, without its end. The framing of a message is known before its end.
+func checkTrailer(line []byte) error {
+	name, _, err := splitField(line)
+	if err != nil || framingOf(name) != noFraming {
+		return malformed(PartTrailer, line)
+	}
+	return nil
+}
+
 // beginChunk checks the line before a chunk, without its end: the size and extensions, which mean nothing here.
 func (r *Reader) beginChunk(line []byte) error {
-	digits, _, _ := bytes.Cut(line, []byte(";"))
+	digits, extensions, _ := bytes.Cut(line, []byte(";"))
 	significant := bytes.TrimLeft(digits, "0")
-	if len(digits) == 0 || len(significant) > maxSizeDigits {
+	if len(digits) == 0 || len(significant) > maxSizeDigits || !isText(extensions) {
 		return malformed(PartChunk, line)
 	}
 	size := int64(0)
