gateway: a response is not whole if its connection was reset during the upload

What callers saw: a worker answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part, framed as a complete answer.

Cause: a response without a length or chunks ends with its connection. The kernel reports a reset once, to whichever call comes first. The goroutine that writes the upload took the error and dropped it, and the reader then got the end of the data.

Change: at the end of such a response the reader waits for the write of the upload and takes its error. It also asks the system whether the connection was reset, which stays known whoever has taken the error (TCP_INFO). A response with a length or chunks is judged by these as before, however the upload ends. A refusal that ends with its connection, or comes before the upload was written, is not read to its end any more, as its connection is closed in any case.

--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -52,6 +52,8 @@
 	limiter *headLimiter
 	checked *httpcheck.Reader
 	server  string
+	// upload is the body of the current request, if it is written by a goroutine of its own.
+	upload *upload
 	// idleSince and keepAlive are set while the connection is idle.
 	idleSince time.Time
 	keepAlive time.Duration
@@ -204,9 +206,23 @@
 }
 
 func newConn(raw net.Conn, server string) *Conn {
-	checked := httpcheck.NewReader(raw)
-	limiter := &headLimiter{Reader: checked}
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limiter, readBuffer), limiter: limiter, checked: checked, server: server}
+	c := &Conn{Conn: raw, server: server}
+	c.checked = httpcheck.NewReader(raw, c.endsWhole)
+	c.limiter = &headLimiter{Reader: c.checked}
+	c.reader = bufio.NewReaderSize(c.limiter, readBuffer)
+	return c
+}
+
+// endsWhole is called at the end of a response that ends with its connection. It returns an error if the connection has failed,
+// which the write of the request may have learned before the reader, and instead of it.
+func (c *Conn) endsWhole() error {
+	if err := c.upload.wait(); err != nil {
+		return err
+	}
+	if socket.WasReset(c.Conn) {
+		return httpcheck.ErrReset
+	}
+	return nil
 }
 
 // take removes and returns the most recently used idle connection, so that the others can expire.
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -67,9 +65,8 @@
 	*http.Response
 	conn *Conn
 	pool *Pool
-	// written is closed once the request was written completely. It is nil if that was done before the
-	// response.
-	written chan struct{}
+	// upload is nil if the request was written completely before the response.
+	upload *upload
 	// stop keeps the end of the context from closing the connection. It is true once at most, for whoever decides on the
 	// connection.
 	stop func() bool
@@ -120,17 +117,7 @@
 }
 
 // BodySent reports whether the request was written completely, so that nothing refers to its body any more.
-func (r *Response) BodySent() bool {
-	if r.written == nil {
-		return true
-	}
-	select {
-	case <-r.written:
-		return true
-	default:
-		return false
-	}
-}
+func (r *Response) BodySent() bool { return r.upload.sent() }
 
 // SetReadDeadline sets the deadline for reading the body. Zero removes it.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
@@ -145,8 +132,8 @@
 		return nil, f
 	}
 	c.checked.Begin(req.Method)
-	written, err := c.send(req)
-	if err != nil {
+	c.upload = nil
+	if err := c.send(req); err != nil {
 		return fail(&ExchangeError{Sent: true, Err: fmt.Errorf("write: %w", err)})
 	}
 	if err := c.awaitFirstByte(req); err != nil {
@@ -163,7 +150,7 @@
 			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: errors.New("a response on a reused connection does not say which request it answers")})
 		}
 		if matches {
-			return &Response{Response: resp, conn: c, pool: p, written: written, stop: stop}, nil
+			return &Response{Response: resp, conn: c, pool: p, upload: c.upload, stop: stop}, nil
 		}
 		if err := discardResponse(resp); err != nil {
 			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: err})
@@ -232,8 +219,8 @@
 }
 
 // send writes the request. A long body is written by a separate goroutine, which ends when the connection
-// closes; the returned channel is then closed once the body was written.
-func (c *Conn) send(req *Request) (chan struct{}, error) {
+// closes.
+func (c *Conn) send(req *Request) error {
 	var head bytes.Buffer
 	head.Grow(512)
 	head.WriteString(req.Method)
@@ -243,7 +230,7 @@
 	head.WriteString(req.Host)
 	head.WriteString("\r\n")
 	if err := req.Header.Write(&head); err != nil {
-		return nil, err
+		return err
 	}
 	bodySize := 0
 	for _, piece := range req.Body {
@@ -260,20 +247,13 @@
 			head.Write(piece)
 		}
 		_, err := c.Write(head.Bytes())
-		return nil, err
+		return err
 	}
 	if _, err := c.Write(head.Bytes()); err != nil {
-		return nil, err
+		return err
 	}
-	written := make(chan struct{})
-	// WriteTo changes the list, and the body may be sent again.
-	pieces := net.Buffers(slices.Clone(req.Body))
-	go func() {
-		if _, err := pieces.WriteTo(c.Conn); err == nil {
-			close(written)
-		}
-	}()
-	return written, nil
+	c.upload = startUpload(c.Conn, req.Body)
+	return nil
 }
 
 func isTimeout(err error) bool {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -104,6 +104,10 @@
 
 // drain reads the body of a refusal, so that the connection can be reused, or closes the connection.
 func (s *requestState) drain(resp *backend.Response) {
+	if resp.Close || !resp.BodySent() {
+		resp.Abort()
+		return
+	}
 	resp.SetReadDeadline(time.Now().Add(refusalTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
 	if err != nil || n == maxRefusalBytes {
--- a/internal/httpcheck/reader.go
+++ b/internal/httpcheck/reader.go
@@ -8,6 +8,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,6 +19,10 @@
 // maxLineBytes bounds a line of a head, a chunk size or a trailer. Parsers have lower limits.
 const maxLineBytes = 64 << 10
 
+// ErrReset is the error of a response that ends with its connection if that was reset. The kernel reports a reset once, to a
+// write if there is one at that time. The reader then finds the end of the data.
+var ErrReset = errors.New("the connection was reset")
+
 // Parts of a response that an Error names. They are labels of counters.
 const (
 	PartStatusLine = "status line"
@@ -75,7 +81,10 @@
 //
 // Read must be called by one goroutine at a time. Begin may be called while a read is in progress.
 type Reader struct {
-	src     io.Reader
+	src io.Reader
+	// whole, if set, is called at the end of a response that ends with its connection. It returns an error if the connection has
+	// failed otherwise.
+	whole   func() error
 	request atomic.Uint32
 	// begun is set once data has arrived since Begin.
 	begun atomic.Bool
@@ -98,8 +107,9 @@
 	chunked      bool
 }
 
-// NewReader returns a Reader of the responses that are read from src.
-func NewReader(src io.Reader) *Reader { return &Reader{src: src} }
+// NewReader returns a Reader of the responses that are read from src. If whole is not nil, it is called at the end of a response
+// that ends with its connection, which then fails with its error.
+func NewReader(src io.Reader, whole func() error) *Reader { return &Reader{src: src, whole: whole} }
 
 // Begin is called before a request is sent.
 func (r *Reader) Begin(method string) {
@@ -151,6 +161,10 @@
 		return io.EOF
 	case r.state != inUnframedBody:
 		return io.ErrUnexpectedEOF
+	case r.whole != nil:
+		if err := r.whole(); err != nil {
+			return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
+		}
 	}
 	return io.EOF
 }
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -148,3 +148,31 @@
 		}
 	}) <= 1)
 }
+
+// Guards against a reset that goes unnoticed once a write has been told of it, and against the end of the other side's data that
+// is taken for one.
+func TestWasReset(t *testing.T) {
+	is := is.New(t)
+	listener := listen(t)
+	for _, reset := range []bool{false, true} {
+		caller := dial(t, listener)
+		conn, err := listener.Accept()
+		is.NoErr(err)
+		is.True(!WasReset(caller))
+		if reset {
+			is.NoErr(conn.(*net.TCPConn).SetLinger(0))
+			is.NoErr(conn.Close())
+			for err = nil; err == nil; time.Sleep(time.Millisecond) {
+				_, err = caller.Write([]byte("x"))
+			}
+		} else {
+			is.NoErr(conn.(*net.TCPConn).CloseWrite())
+		}
+		_, err = caller.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // in both cases
+		is.Equal(WasReset(caller), reset)
+		_ = conn.Close()
+	}
+	pipe, _ := net.Pipe()
+	is.True(!WasReset(pipe))
+}
