Check the responses of all other clients as gateways do

What callers saw: the sidecar of the first system passed on a status of 999, fields with a blank in their name, folded values, the chunk sizes of an HTTP/1.0 response and the first part of a response whose connection was reset during an upload. The client of the platform's store read a list of instances from such a response.

Cause: these clients use http.Transport, which reads responses as leniently as http.ReadResponse. Its goroutine that writes a request takes the error of a reset from the one that reads.

Change: httpcheck.Transport makes a transport check what it reads, and ask at the end of an unframed response whether the connection has failed. It is used by the sidecar's dialects, the platform's services and store, the operators' commands, the demo and the callers of the tests. Callers that the soak plays report malformed responses as violations, and its workers send some. A connection that was closed here counts as failed: the transport closes it once the write has failed.

--- a/cmd/jacinthfork/nodes.go
+++ b/cmd/jacinthfork/nodes.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/services"
 )
 
@@ -21,6 +22,9 @@
 	maxResponseBytes = 64 << 20
 )
 
+// nodeClient reads from the operators' addresses of nodes.
+var nodeClient = &http.Client{Transport: httpcheck.Transport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // nodeResponse is the decoded response of one node, or the error of its request.
 type nodeResponse[T any] struct {
 	node  services.Instance
@@ -57,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := nodeClient.Do(request)
 	if err != nil {
 		return err
 	}
--- a/cmd/jacinthfork/where.go
+++ b/cmd/jacinthfork/where.go
@@ -16,6 +16,7 @@
 
 	"github.com/integrii/flaggy"
 	"jacinthfork.example/jacinthfork/gateway"
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/platform"
 )
 
@@ -183,7 +184,7 @@
 		return nil, fmt.Errorf("invalid address: %w", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	response, err := httpcheck.Transport(&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
 		return nil, fmt.Errorf("gateway away: %w", err)
 	}
--- a/demo/client.go
+++ b/demo/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -51,7 +52,7 @@
 
 func newClient() *client {
 	return &client{http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+		Transport: httpcheck.Transport(&http.Transport{MaxIdleConnsPerHost: 256}),
 		Timeout:   30 * time.Second,
 	}}
 }
--- a/dialect/client.go
+++ b/dialect/client.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 )
 
 // dialTimeout bounds one connection attempt to the local backend server.
@@ -19,7 +21,7 @@
 func NewHTTPClient(maxConnections int) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpcheck.Transport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxConnections,
 			// net/http resends a request only after an idle connection failed, so there must be none.
@@ -27,7 +29,7 @@
 			DisableCompression: true,
 			// The default of net/http, 10 MB, could be held once for every request in flight.
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/fleettest/caller.go
+++ b/internal/fleettest/caller.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/standin/service"
 	"jacinthfork.example/jacinthfork/verdict"
 )
@@ -24,7 +25,7 @@
 
 // callerClient opens a connection for each request, because net/http may retry a request on a reused
 // connection.
-var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var callerClient = &http.Client{Transport: httpcheck.Transport(&http.Transport{DisableKeepAlives: true})}
 
 // Do sends a request to the router on behalf of an organisation.
 func (r *Router) Do(ctx context.Context, method, path, organisation, body string, header http.Header) Reply {
--- a/internal/httpcheck/reader.go
+++ b/internal/httpcheck/reader.go
@@ -84,7 +84,9 @@
 	src io.Reader
 	// whole, if set, is called at the end of a response that ends with its connection. It returns an error if the connection has
 	// failed otherwise.
-	whole   func() error
+	whole func() error
+	// onEnd, if set, is called at the end of each final response that does not end with its connection.
+	onEnd   func()
 	request atomic.Uint32
 	// begun is set once data has arrived since Begin.
 	begun atomic.Bool
@@ -96,6 +98,8 @@
 	// left is the number of bytes left of a body or chunk.
 	left int64
 	head head
+	// afterInterim is set from the end of an interim response to that of the final one.
+	afterInterim bool
 }
 
 // head is what the head of a response says of its framing.
@@ -157,7 +161,7 @@
 // end returns the error of the end of the connection.
 func (r *Reader) end() error {
 	switch {
-	case r.state == inStatusLine && len(r.line) == 0:
+	case r.state == inStatusLine && len(r.line) == 0 && !r.afterInterim:
 		return io.EOF
 	case r.state != inUnframedBody:
 		return io.ErrUnexpectedEOF
@@ -186,7 +190,7 @@
 				r.state = inChunkEnd
 				break
 			}
-			r.state = inStatusLine
+			r.endResponse()
 		default:
 			end := bytes.IndexByte(rest, '\n')
 			if end < 0 {
@@ -238,7 +242,7 @@
 		return r.checkField(text)
 	case inTrailer:
 		if len(text) == 0 {
-			r.state = inStatusLine
+			r.endResponse()
 			return nil
 		}
 		return checkTrailer(text)
@@ -266,13 +270,13 @@
 	case noBody && (h.chunked || h.length > 0):
 		return &Error{Part: PartFraming, Text: "a body of a response that has none"}
 	case h.status < http.StatusOK:
-		r.state = inStatusLine
+		r.state, r.afterInterim = inStatusLine, true
 	case noBody, h.status == http.StatusNotModified, request == headRequest:
-		r.state = inStatusLine
+		r.endResponse()
 	case h.chunked:
 		r.state = inChunkSize
 	case h.hasLength && h.length == 0:
-		r.state = inStatusLine
+		r.endResponse()
 	case h.hasLength:
 		r.state, r.left = inBody, h.length
 	default:
@@ -280,3 +284,11 @@
 	}
 	return nil
 }
+
+// endResponse is called at the end of a final response.
+func (r *Reader) endResponse() {
+	r.state, r.afterInterim = inStatusLine, false
+	if r.onEnd != nil {
+		r.onEnd()
+	}
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -46,6 +46,11 @@
 	{Reset: true}, {Truncate: true}, {Unsigned: true}, {MismatchedBefore: true}, {MismatchedAfter: true}, {Refuse: true}, {NoResponse: true},
 	{Flood: standin.FloodFields}, {Flood: standin.FloodStatusLine, FloodPause: time.Millisecond}, {Flood: standin.FloodMismatched}, {Flood: standin.FloodTrailer},
 	{MismatchedAfter: true, MismatchedAfterDelay: 20 * time.Millisecond}, {Status: 500}, {BreakAfter: 5}, {Delay: 400 * time.Millisecond},
+	{Raw: "HTTP/1.1 000 OK\r\n" + standin.SoundFields + "Content-Length: 5\r\n\r\nwrong"},
+	{Raw: "HTTP/1.1 200 OK\r\n" + standin.SoundFields + "Content-Length : 5\r\n\r\nwrong", RawEnd: standin.Close},
+	{Raw: "HTTP/1.1 200 OK\r\n" + standin.SoundFields, RawEnd: standin.Close},
+	{Raw: "HTTP/1.1 200 OK\r\n" + standin.SoundFields + "\r\n", RawEnd: standin.Reset},
+	{RepeatRefusal: true},
 }
 
 // processEnd is the end of a gateway process by SIGTERM or SIGKILL, from the signal until the process was gone.
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -8,11 +8,13 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"time"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/platform/standin"
 )
 
@@ -82,6 +84,10 @@
 func (c *Checker) CheckReply(r Request, reply standin.CallerResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var malformed *httpcheck.Error
+	if errors.As(reply.Err, &malformed) {
+		c.violatef("%s got a %v", r.ID, malformed)
+	}
 	switch {
 	case reply.Status == 503 || reply.Status == 429:
 		c.refused[r.ID] = true
--- a/internal/soak/kept_test.go
+++ b/internal/soak/kept_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/platform/standin"
 )
 
@@ -106,7 +107,7 @@
 }
 
 func (k *keptCallers) useUntilClosed(ctx context.Context, conn keptConnection, rng *rand.Rand) {
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(httpcheck.NewReader(conn, nil))
 	for ctx.Err() == nil {
 		r, ask, optional := k.nextChangingRequest(rng)
 		k.checker.RecordRequest(r)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"jacinthfork.example/jacinthfork/internal/fleettest"
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/platform/standin"
 )
 
@@ -180,7 +181,7 @@
 // sendRequests sends requests to random gateways until ctx ends, over persistent connections.
 func (f *fleet) sendRequests(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	transport := httpcheck.Transport(&http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1})
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
 		r, ask := f.nextRequest(rng)
@@ -203,7 +204,7 @@
 // watchVersions polls each gateway for its newest configuration version until ctx ends. It discards the
 // result when the gateway was restarted meanwhile.
 func (f *fleet) watchVersions(ctx context.Context) {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := httpcheck.Transport(&http.Transport{DisableKeepAlives: true})
 	for ctx.Err() == nil {
 		for n := range gatewayCount {
 			process := fmt.Sprintf("node-%d start %d", n, f.incarnations[n].Load())
@@ -286,7 +287,7 @@
 // probe sends an idempotent request to each gateway and returns an error if one is not served. It sleeps for
 // pause after a success.
 func (f *fleet) probe(pause time.Duration) error {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	transport := httpcheck.Transport(&http.Transport{DisableKeepAlives: true, DisableCompression: true})
 	for n := range gatewayCount {
 		r := Request{ID: fmt.Sprintf("id-%d", f.requests.Add(1)), Kind: Idempotent}
 		f.checker.RecordRequest(r)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -37,14 +37,15 @@
 }
 
 // WasReset reports whether the connection has failed, other than by the end of the data of the other side. Unlike an error, which
-// the kernel reports once, to a read or a write, this stays. It is false for a connection that is not one of the operating system.
+// the kernel reports once, to a read or a write, this stays. It is true for a connection that was closed here, and false for one
+// that is not of the operating system.
 func WasReset(conn net.Conn) bool {
 	closed := false
 	err := control(conn, func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
 	})
-	return err == nil && closed
+	return err != nil || closed
 }
 
 // control runs a function on the descriptor of a connection. It does nothing if the connection is not one of the operating system.
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -172,6 +172,8 @@
 		is.Equal(err, io.EOF) // in both cases
 		is.Equal(WasReset(caller), reset)
 		_ = conn.Close()
+		is.NoErr(caller.Close())
+		is.True(WasReset(caller))
 	}
 	pipe, _ := net.Pipe()
 	is.True(!WasReset(pipe))
--- a/plugin/internal/platformhttp/client.go
+++ b/plugin/internal/platformhttp/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 )
 
 // Limits of the client.
@@ -36,13 +38,13 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpcheck.Transport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
