gateway: do not believe a repeated refusal of a request with the same ID

What callers saw: a caller whose request was refused sent it again with the same ID on time. The worker wrote the earlier refusal once more on the kept connection and ran the request. The gateway took that for the refusal of the new request: the caller got 503 for an order that ran, or the order ran at a second worker too.

Cause: responses on a kept connection are told apart by the ID of the request, and callers may use an ID again after a refusal.

Change: a connection remembers which requests were refused on it, and is not reused for one with the same ID. After 32 refusals it is closed instead of reused.

Evidence: TestRepeatedRefusalIsNotBelieved failed in its four cases with the same ID before (503 for a request that ran with one worker, two runs with two) and passes. With another ID the promise was kept before; the cases stay in the test, and so does TestLateUnidentifiedResponseIsNotTrusted for refusals without an ID.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -272,6 +272,7 @@
 	i := lease.Instance
 	conn, err := s.g.connections.Get(ctx, backend.Target{
 		Server: connectionKey(i), Address: i.Address, MaxIdle: s.maxIdleTime(), DialTimeout: s.dialTimeout(lease),
+		RequestID: s.call.ID,
 	})
 	if err != nil {
 		if ctx.Err() != nil {
--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -10,8 +10,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +34,8 @@
 	idleMargin = time.Second
 	// maxIdlePerServer bounds the idle connections to one backend server.
 	maxIdlePerServer = 16
+	// maxRefused bounds the refusals that are remembered of one connection, which is then closed.
+	maxRefused = 32
 	// readBuffer is the size of a connection's read buffer in bytes. Events and responses of plain services
 	// are smaller.
 	readBuffer = 2 << 10
@@ -59,6 +63,8 @@
 	keepAlive time.Duration
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
+	// refused are hashes of the IDs of the requests that were refused on this connection.
+	refused []uint64
 	// onClose is called once, when the connection is closed. It may be nil.
 	onClose func()
 	closed  sync.Once
@@ -158,13 +164,16 @@
 	MaxIdle time.Duration
 	// DialTimeout bounds the time to connect.
 	DialTimeout time.Duration
+	// RequestID is the ID of the request. A connection on which a request with this ID was refused is not reused for it, because
+	// a copy of that refusal would look like that of this request.
+	RequestID string
 }
 
 // Get returns an open idle connection to a backend server, or a new one. An error proves that nothing was sent. It is
 // ErrNoDescriptor if the limit is reached or the process has no descriptor left, and closing idle connections has not helped.
 func (p *Pool) Get(ctx context.Context, t Target) (*Conn, error) {
 	for {
-		c := p.take(t.Server, t.MaxIdle)
+		c := p.take(&t)
 		if c == nil {
 			return p.dial(ctx, t)
 		}
@@ -226,17 +235,18 @@
 }
 
 // take removes and returns the most recently used idle connection, so that the others can expire.
-func (p *Pool) take(server string, maxIdle time.Duration) *Conn {
+func (p *Pool) take(t *Target) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[server]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		if maxIdle > 0 && p.now().Sub(c.idleSince) > maxIdle {
+	for i := len(p.idle[t.Server]) - 1; i >= 0; i-- {
+		c := p.idle[t.Server][i]
+		if t.MaxIdle > 0 && p.now().Sub(c.idleSince) > t.MaxIdle {
 			return nil
 		}
-		list = list[:len(list)-1]
-		p.idle[server] = list
+		if c.hasRefused(t.RequestID) {
+			continue
+		}
+		p.idle[t.Server] = slices.Delete(p.idle[t.Server], i, i+1)
 		if p.now().Sub(c.idleSince) < c.keepAlive {
 			return c
 		}
@@ -249,7 +259,7 @@
 // server does not keep it open.
 func (p *Pool) Put(c *Conn, resp *http.Response) {
 	keep, ok := keepAliveTime(resp)
-	if !ok || !c.drained() {
+	if !ok || !c.drained() || len(c.refused) > maxRefused {
 		_ = c.Close()
 		return
 	}
@@ -363,5 +373,16 @@
 	return err == nil && !readable
 }
 
+// idHashes hashes the IDs of requests.
+var idHashes = maphash.MakeSeed()
+
+// recordRefusal records that a request was refused on this connection.
+func (c *Conn) recordRefusal(id string) { c.refused = append(c.refused, maphash.String(idHashes, id)) }
+
+// hasRefused reports whether a request with an ID was refused on this connection.
+func (c *Conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(idHashes, id))
+}
+
 // drained reports whether nothing was read from the connection after the last response.
 func (c *Conn) drained() bool { return c.reader.Buffered() == 0 && c.checked.Err() == nil }
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -85,6 +85,12 @@
 	r.pool.Put(r.conn, r.Response)
 }
 
+// FinishRefusal is Finish for a response that refuses the request with an ID.
+func (r *Response) FinishRefusal(id string) {
+	r.conn.recordRefusal(id)
+	r.Finish()
+}
+
 // Abort closes the connection, which cancels the work at the backend server.
 func (r *Response) Abort() {
 	if r.stop() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -114,7 +114,7 @@
 		resp.Abort()
 		return
 	}
-	resp.Finish()
+	resp.FinishRefusal(s.call.ID)
 }
 
 // relayBuffered reads the whole response and passes it on.
