gateway: trust less what follows a foreign response

What callers saw: on a new connection a worker wrote a response to another request and then a refusal without an ID, while it ran the request. The gateway sent the request to a second worker. And a late copy of a response to GET, before the answer to HEAD, was skipped without its body, so that a text in that body could pass for the answer.

Cause: a response without an ID was trusted on each connection that had carried no earlier request, also after the worker had shown that it mixes responses up. The end of a foreign response was sought by the method of the current request.

Change: after a foreign response, one without an ID is none of this request. On a connection that has carried HEAD foreign responses are not skipped: the exchange fails, with an unknown verdict.

Evidence: TestRefusalAfterAForeignResponseIsNotBelieved and TestCopyOfAResponseToAnotherMethodIsNotSkipped (GET before HEAD) failed before and pass.

--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -63,6 +63,8 @@
 	keepAlive time.Duration
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
+	// carriedHead is set if a request to HEAD was sent on the connection.
+	carriedHead bool
 	// refused are hashes of the IDs of the requests that were refused on this connection.
 	refused []uint64
 	// onClose is called once, when the connection is closed. It may be nil.
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -139,26 +139,30 @@
 	}
 	c.checked.Begin(req.Method)
 	c.upload = nil
+	c.carriedHead = c.carriedHead || req.Method == http.MethodHead
 	if err := c.send(req); err != nil {
 		return fail(&ExchangeError{Sent: true, Err: fmt.Errorf("write: %w", err)})
 	}
 	if err := c.awaitFirstByte(req); err != nil {
 		return fail(&ExchangeError{Sent: true, TimedOut: isTimeout(err), Err: fmt.Errorf("read: %w", err)})
 	}
+	// A response that does not say which request it answers may be a late second copy of that to the request before, or of a server
+	// that has already mixed them up.
+	doubtful := c.Reused
 	for range maxMismatched {
 		resp, err := c.receive(req)
 		if err != nil {
 			return fail(&ExchangeError{Sent: true, TimedOut: isTimeout(err), Mismatched: isMalformed(err), Err: fmt.Errorf("read: %w", err)})
 		}
 		matches, unidentified := req.Matches(resp)
-		if unidentified && c.Reused {
-			// It may be a late second copy of the response to the request before.
-			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: errors.New("a response on a reused connection does not say which request it answers")})
+		if unidentified && doubtful {
+			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: errors.New("a response on a connection with others does not say which request it answers")})
 		}
 		if matches {
 			return &Response{Response: resp, conn: c, pool: p, upload: c.upload, stop: stop}, nil
 		}
-		if err := discardResponse(resp); err != nil {
+		doubtful = true
+		if err := c.discardResponse(resp); err != nil {
 			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: err})
 		}
 	}
@@ -209,8 +213,11 @@
 	return err
 }
 
-// discardResponse reads a mismatched response to its end.
-func discardResponse(resp *http.Response) error {
+// discardResponse reads a mismatched response to its end. Where that is depends on the method of its request, which is unknown.
+func (c *Conn) discardResponse(resp *http.Response) error {
+	if c.carriedHead {
+		return errors.New("a foreign response may be one to HEAD")
+	}
 	if resp.Close {
 		return errors.New("a foreign response ends with the connection")
 	}
