gateway: pass on no promise that a worker has not made

What callers saw: a worker ran a request and answered with a 503, 429 or 408 of its own. The caller got that status, which on this platform promises that the request has not run and never will, and could send the order again.

Cause: the status of a worker was passed on whatever it promises. Only X-Not-Executed states that a request has not run.

Change: such a status without the statement ends the attempt like another error of the worker: the caller gets 502 without a signature, or the answer of another worker if the request may run more than once. For the health of the instance a 503 counts as an error, as before, a 429 or 408 does not. An offer to a second worker is not taken over by one.

Evidence: TestStatusesThatPromiseNeedAStatement failed in its nine cases before and passes.

--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -347,7 +347,7 @@
 	if s.route.Mode == routes.Streaming {
 		return resp.StatusCode == http.StatusOK
 	}
-	return resp.StatusCode < http.StatusInternalServerError
+	return resp.StatusCode < http.StatusInternalServerError && !promisesNotRun(resp.StatusCode)
 }
 
 // endSent ends an offer that was sent. failure is that of a rejection.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -39,6 +39,8 @@
 	}
 	s.releaseSentBody(resp)
 	switch {
+	case promisesNotRun(resp.StatusCode):
+		return s.refuseUnstated(resp)
 	case s.route.Mode == routes.Streaming && resp.StatusCode == http.StatusOK:
 		return s.relayStream(ctx, lease, resp)
 	case s.responseStarted:
@@ -48,6 +50,25 @@
 	return s.relayBuffered(ctx, lease, resp)
 }
 
+// promisesNotRun reports whether a status tells a caller that its request has not run and will not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// refuseUnstated ends a response whose status makes a promise that its instance has not stated. The request counts as run.
+func (s *requestState) refuseUnstated(resp *backend.Response) (pool.Outcome, error) {
+	s.drain(resp)
+	outcome := pool.Served
+	if resp.StatusCode >= http.StatusInternalServerError {
+		outcome = pool.Errored
+	}
+	return outcome, verdict.New(verdict.Ran, verdict.ReasonEngineError, "status "+strconv.Itoa(resp.StatusCode)+" without the statement that the request has not run")
+}
+
 // screen records what the header of a response says and ends the response with an error if it is not an instance's answer
 // to the request.
 func (s *requestState) screen(lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
