gateway: a resumed stream goes on only with events that are its rest

What callers saw: a stream had begun and broke off, and the next worker answered with 200 and something else than the rest, such as JSON or a text that says what is wrong. Callers found that in the middle of their stream, or an empty body of another type ended it as if it were whole. So did a worker that stopped after its head, and an event without an ID.

Cause: with status 200 each body was taken for events. An unframed response without events ended a resumed stream, although it was known to look the same as a crash in a fresh one.

Change: the rest has the media type of the stream's begin, or is expressly text/event-stream; its events with data have IDs if those before had; without length and chunks it has an event. Otherwise the stream goes on elsewhere or is broken off. An offer to a second worker is not taken over by another type.

TestStreamGoesOnWithAnEquivalentType holds before and after.

--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -345,7 +345,7 @@
 // canRelay reports whether the request can go on with a response that is an instance's answer to it.
 func (s *requestState) canRelay(resp *backend.Response) bool {
 	if s.route.Mode == routes.Streaming {
-		return resp.StatusCode == http.StatusOK
+		return s.canStream(resp)
 	}
 	return resp.StatusCode < http.StatusInternalServerError && !promisesNotRun(resp.StatusCode)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,10 +38,11 @@
 		s.recordFirstByte(lease)
 	}
 	s.releaseSentBody(resp)
+	s.streaming = s.streaming && s.responseStarted
 	switch {
 	case promisesNotRun(resp.StatusCode):
 		return s.refuseUnstated(resp)
-	case s.route.Mode == routes.Streaming && resp.StatusCode == http.StatusOK:
+	case s.canStream(resp):
 		return s.relayStream(ctx, lease, resp)
 	case s.responseStarted:
 		resp.Abort()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,6 +83,9 @@
 	// the last event of a stream that the caller has.
 	responseStarted bool
 	lastEventID     string
+	// streaming is set once a stream is being relayed, and streamType is its media type.
+	streaming  bool
+	streamType string
 	// cancel ends the request.
 	cancel context.CancelCauseFunc
 	// unsent ends with the request, or when a router that stops refuses it because it was sent to no instance yet.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"jacinthfork.example/jacinthfork/gateway/backend"
 	"jacinthfork.example/jacinthfork/gateway/buffer"
 	"jacinthfork.example/jacinthfork/gateway/pool"
+	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -38,10 +40,33 @@
 // errStalled is the error of a stream whose instance sends no data on any of its requests.
 var errStalled = errors.New("the instance stalls")
 
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
+// canStream reports whether a response is a stream that can be relayed. One that goes on with another has the media type of that, or
+// is expressly a stream of events.
+func (s *requestState) canStream(resp *backend.Response) bool {
+	if s.route.Mode != routes.Streaming || resp.StatusCode != http.StatusOK {
+		return false
+	}
+	media := mediaType(resp.Response)
+	return !s.streaming || media == s.streamType || media == eventStream
+}
+
+// mediaType returns the media type of a response without its parameters.
+func mediaType(resp *http.Response) string {
+	name, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // relayStream passes on events as they arrive. Until the stream ends it writes complete events only, so that it
 // can be resumed at another instance after the last one.
 func (s *requestState) relayStream(ctx context.Context, lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
 	s.commit()
+	resumed := s.responseStarted
+	if !resumed {
+		s.streaming, s.streamType = true, mediaType(resp.Response)
+	}
 	watch := s.watchForStalls(ctx, lease, resp)
 	defer watch.stop()
 	in := newEventReader(resp.Body, s.g.buffers)
@@ -54,7 +79,7 @@
 		e, err := in.next()
 		// The clock is read once for all that is done for an event. Six times took a tenth of its processor time.
 		now := time.Now()
-		if err == io.EOF && !s.mayBeEmpty(resp) {
+		if err == io.EOF && events == 0 && !s.mayBeEmpty(resp, resumed) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF && watch.settle() {
@@ -64,6 +89,9 @@
 		if err != nil {
 			return s.streamFailed(ctx, lease, resp, watch, err)
 		}
+		if resumed && e.hasData && e.id == "" && s.lastEventID != "" {
+			return s.streamFailed(ctx, lease, resp, watch, errUnplaced)
+		}
 		// A server that has stalled may still send comments.
 		if e.hasData {
 			lease.RecordProgressAt(now)
@@ -109,6 +137,9 @@
 	}
 }
 
+// errUnplaced is the error of a resumed stream with an event that may not be the one after the last.
+var errUnplaced = errors.New("an event of a resumed stream has no ID")
+
 // errOnlyComments is the error of a stream that sends more than maxIdleBytes without an event with data.
 var errOnlyComments = &buffer.LimitError{What: "events without data", Limit: maxIdleBytes, Unit: "bytes"}
 
@@ -157,10 +188,10 @@
 	}
 }
 
-// mayBeEmpty reports whether a stream may end now, as far as its events tell: one that is framed by nothing but its
-// connection and has no event looks the same as a crash after the header.
-func (s *requestState) mayBeEmpty(resp *backend.Response) bool {
-	return framed(resp.Response) || s.responseStarted || s.lastEventID != ""
+// mayBeEmpty reports whether a stream may end without an event. One that is framed by nothing but its connection looks the same as a
+// crash after the header, unless it has sent a comment or the caller has asked for what follows an event.
+func (s *requestState) mayBeEmpty(resp *backend.Response, resumed bool) bool {
+	return framed(resp.Response) || !resumed && (s.responseStarted || s.lastEventID != "")
 }
 
 // endStream writes the blank bytes after the last event. Returning from the handler makes net/http end the
