gateway: a head that was cut off on a kept connection counts against the instance

What operators saw: a worker that stopped in the middle of its head on a kept connection, within 20 ms of the request, counted as sound, and kept getting requests.

Cause: a failure on a reused connection soon after the request was taken for that of a connection that had been closed before.

Change: if a part of a response has arrived, the request had reached the worker, and the attempt counts as broken.

Evidence: TestHeadCutOffOnAKeptConnectionCountsAsBroken failed before and passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -325,7 +325,9 @@
 	reused := conn.Reused
 	begin := time.Now()
 	resp, err := g.connections.Do(ctx, conn, req)
-	return exchangeResult{response: resp, err: err, stale: err != nil && reused && time.Since(begin) < staleConnectionWindow}
+	var failure *backend.ExchangeError
+	stale := errors.As(err, &failure) && !failure.Begun && reused && time.Since(begin) < staleConnectionWindow
+	return exchangeResult{response: resp, err: err, stale: stale}
 }
 
 // dialTimeout returns how long connecting to the leased instance may take.
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -53,7 +53,9 @@
 	TimedOut bool
 	// Mismatched is set if the data that arrived is not an HTTP response or responds to another request.
 	Mismatched bool
-	Err        error
+	// Begun is set if a part of a response had arrived, so that the connection was not closed before the request came.
+	Begun bool
+	Err   error
 }
 
 // Error implements the error interface.
@@ -149,6 +151,7 @@
 	fail := func(f *ExchangeError) (*Response, error) {
 		stop()
 		_ = c.Close()
+		f.Begun = c.checked.Begun()
 		return nil, f
 	}
 	c.checked.Begin(req.Method)
