gateway: count and log refused responses with their instance

What operators saw: "attempt failed" with the reason foreign-chunk for a malformed response as for one that belongs to another request, and nothing for a foreign response that was skipped.

Change: the counter responses_refused tells by part what was wrong, and the log line "response refused" names the instance, the request and the malformed line, for attempts, for offers to second workers and for skipped responses.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/callerconn"
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/retry"
 	"jacinthfork.example/jacinthfork/verdict"
 )
@@ -80,7 +81,7 @@
 			s.recordServed(lease, attempt)
 			return nil
 		}
-		s.recordExceededLimit(lease, err)
+		s.recordRefusedResponse(lease, err)
 		failure := verdict.As(err)
 		if failure.Reason != verdict.ReasonUnreachable {
 			s.failedAttempts++
@@ -172,15 +173,28 @@
 	return unavailable(verdict.ReasonNoCandidate, "no instance takes work", noInstanceRetryAfter)
 }
 
-// recordExceededLimit counts and logs a response that was larger than a limit.
-func (s *requestState) recordExceededLimit(lease *pool.Lease, err error) {
+// recordRefusedResponse counts and logs a response that was larger than a limit, is malformed or may be that to another request.
+func (s *requestState) recordRefusedResponse(lease *pool.Lease, err error) {
 	var exceeded *buffer.LimitError
-	if !errors.As(err, &exceeded) {
-		return
+	var malformed *httpcheck.Error
+	switch {
+	case errors.As(err, &exceeded):
+		s.g.metrics.limitsExceeded.Add(exceeded.What, 1)
+		s.g.log.WarnContext(failedContext, "backend server exceeded a limit", "instance", lease.Instance.ID, "id", s.call.ID,
+			"part", exceeded.What, "limit", exceeded.Limit, "unit", exceeded.Unit)
+	case errors.As(err, &malformed):
+		s.refuseResponse(lease, malformed.Part, malformed.Text)
+	case errors.Is(err, backend.ErrUnidentified):
+		s.refuseResponse(lease, "unidentified", "")
+	case errors.Is(err, backend.ErrAmbiguous):
+		s.refuseResponse(lease, "ambiguous", "")
 	}
-	s.g.metrics.limitsExceeded.Add(exceeded.What, 1)
-	s.g.log.WarnContext(failedContext, "backend server exceeded a limit", "instance", lease.Instance.ID, "id", s.call.ID,
-		"part", exceeded.What, "limit", exceeded.Limit, "unit", exceeded.Unit)
+}
+
+// refuseResponse counts and logs a response that was refused because of a part of it. text is what the part was, if known.
+func (s *requestState) refuseResponse(lease *pool.Lease, part, text string) {
+	s.g.metrics.responsesRefused.Add(part, 1)
+	s.g.log.WarnContext(failedContext, "response refused", "instance", lease.Instance.ID, "id", s.call.ID, "part", part, "text", text)
 }
 
 // shouldRetry decides whether the request is sent to another instance.
@@ -369,6 +383,7 @@
 		Body:    s.body,
 		HasBody: s.hasBody || s.request.ContentLength != 0 || s.request.Header.Get("Content-Length") != "",
 		Match:   s.matchResponse,
+		Skipped: func(*http.Response) { s.refuseResponse(lease, "foreign", "") },
 	}
 }
 
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -26,6 +26,8 @@
 	HasBody bool
 	// Match says to which request a response belongs.
 	Match func(resp *http.Response) Match
+	// Skipped, if set, is called for each foreign response that is skipped.
+	Skipped func(resp *http.Response)
 	// FirstByte, if set, is called once data of the response can be read. It reports whether the response is still wanted.
 	FirstByte func() bool
 }
@@ -64,6 +66,12 @@
 // Unwrap returns the wrapped error.
 func (f *ExchangeError) Unwrap() error { return f.Err }
 
+// Errors of responses that may belong to another request.
+var (
+	ErrUnidentified = errors.New("a response on a connection with others does not say which request it answers")
+	ErrAmbiguous    = errors.New("a response names several requests, or has several signatures")
+)
+
 // maxMismatched bounds the mismatched responses that are discarded on one connection.
 const maxMismatched = 3
 
@@ -176,11 +184,14 @@
 		case match == Own, match == Unidentified && !doubtful:
 			return &Response{Response: resp, conn: c, pool: p, upload: c.upload, stop: stop}, nil
 		case match == Unidentified:
-			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: errors.New("a response on a connection with others does not say which request it answers")})
+			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: ErrUnidentified})
 		case match == Ambiguous:
-			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: errors.New("a response names several requests")})
+			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: ErrAmbiguous})
 		}
 		doubtful = true
+		if req.Skipped != nil {
+			req.Skipped(resp)
+		}
 		if err := c.discardResponse(resp); err != nil {
 			return fail(&ExchangeError{Sent: true, Mismatched: true, Err: err})
 		}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -48,6 +48,7 @@
 	storeFailures    *expvar.Map
 	crashes          *expvar.Int
 	limitsExceeded   *expvar.Map
+	responsesRefused *expvar.Map
 	configRejected   *expvar.Int
 	instanceRejected *expvar.Int
 	admissionWait    *histogram
@@ -81,6 +82,7 @@
 		storeFailures:    c.Map("store_failures"),
 		crashes:          c.Int("crashes"),
 		limitsExceeded:   c.Map("limits_exceeded"),
+		responsesRefused: c.Map("responses_refused"),
 		configRejected:   c.Int("configuration_rejected"),
 		instanceRejected: c.Int("instance_rejected"),
 		admissionWait:    newHistogram(c, "waiting_ms"),
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -361,6 +361,7 @@
 		w.state.endOffer(o)
 		return offerResumed
 	}
+	w.state.recordRefusedResponse(o.lease, failure)
 	w.state.release(o.lease, o.place, outcome)
 	return string(verdict.As(failure).Reason)
 }
