gateway: a response to HEAD keeps its length

What callers saw: each response to HEAD said Content-Length: 0, which is that of a GET with an empty body, and one whose length is over 64 MB was refused.

Cause: the length of the body that was read was set, and a response to HEAD has none.

Change: the length that the worker gave is passed on, or none.

Evidence: TestResponseToHeadKeepsItsLength failed before and passes.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -142,13 +142,18 @@
 
 // relayBuffered reads the whole response and passes it on.
 func (s *requestState) relayBuffered(ctx context.Context, lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
-	if resp.ContentLength > maxResponseBytes {
+	// The length of a response to HEAD is that of the response to GET.
+	isHead := s.request.Method == http.MethodHead
+	if resp.ContentLength > maxResponseBytes && !isHead {
 		resp.Abort()
 		return pool.Broken, verdict.Wrap(verdict.Ran, verdict.ReasonTooLarge, errResponseTooLarge)
 	}
 	body := s.g.buffers.New("response", maxBufferedBytes)
 	defer body.Close()
-	body.Expect(resp.ContentLength)
+	length := resp.ContentLength
+	if !isHead {
+		body.Expect(length)
+	}
 	complete, err := body.Fill(resp.Body)
 	if err != nil {
 		resp.Abort()
@@ -173,7 +178,12 @@
 	s.commit()
 	resp.Finish()
 	s.copyHeader(resp.Response)
-	s.writer.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	if !isHead {
+		length = int64(body.Len())
+	}
+	if length >= 0 {
+		s.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	s.writer.WriteHeader(resp.StatusCode)
 	s.responseStarted = true
 	// An error means that the caller disconnected, which net/http handles.
