Read responses in tests and in the test fleet through the check

Callers that the tests play on a raw connection, and the requests of the test fleet to its processes, now refuse malformed responses as gateways do, so that each of these tests also checks that what the system itself sends is well-formed.

--- a/demo/badinput_test.go
+++ b/demo/badinput_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/router"
 )
 
@@ -96,7 +97,7 @@
 	defer conn.Close()
 	is.NoErr(conn.SetDeadline(time.Now().Add(runTimeout)))
 	fmt.Fprint(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nJacinthfork-Organisation: org\r\nContent-Length: 100\r\n\r\n{")
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(httpcheck.NewReader(conn, nil)), nil)
 	is.NoErr(err)
 	defer resp.Body.Close()
 	return resp.StatusCode
--- a/gateway/asklimit_test.go
+++ b/gateway/asklimit_test.go
@@ -17,6 +17,7 @@
 
 	"jacinthfork.example/jacinthfork/gateway/pool"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/verdict"
 )
 
@@ -136,7 +137,7 @@
 func TestRefusalPrecedesTheBody(t *testing.T) {
 	is := is.New(t)
 	conn := dialRefusing(t)
-	responses := bufio.NewReader(conn)
+	responses := bufio.NewReader(httpcheck.NewReader(conn, nil))
 	const length = 300 << 10 // net/http itself reads less than this of a body
 	for range 2 {
 		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", 1000))
@@ -165,7 +166,7 @@
 			conn := dialRefusing(t)
 			_, err := fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: x\r\n"+begin)
 			is.NoErr(err)
-			responses := bufio.NewReader(conn)
+			responses := bufio.NewReader(httpcheck.NewReader(conn, nil))
 			response, err := http.ReadResponse(responses, nil)
 			is.NoErr(err)
 			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
@@ -183,7 +184,7 @@
 	go func() { drained <- Drain(ctx, server, listener, conns) }()
 	time.Sleep(4 * drainCheckInterval)
 	close(tell)
-	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(httpcheck.NewReader(caller, nil)), nil)
 	is.NoErr(err) // the request is answered
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.NoErr(<-drained)
@@ -213,7 +214,7 @@
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	_, err = io.WriteString(caller, request+request)
 	is.NoErr(err)
-	reader := bufio.NewReader(caller)
+	reader := bufio.NewReader(httpcheck.NewReader(caller, nil))
 	for range 2 {
 		resp, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
@@ -263,7 +264,7 @@
 				go func() { drained <- Drain(t.Context(), server, listener, conns) }()
 				time.Sleep(2 * drainCheckInterval)
 				close(finish)
-				reader := bufio.NewReader(caller)
+				reader := bufio.NewReader(httpcheck.NewReader(caller, nil))
 				_, err = http.ReadResponse(reader, nil)
 				is.NoErr(err)
 				time.Sleep(4 * drainCheckInterval) // checks for unused connections
@@ -334,7 +335,7 @@
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	is.NoErr(err)
 	defer caller.Close()
-	reader := bufio.NewReader(caller)
+	reader := bufio.NewReader(httpcheck.NewReader(caller, nil))
 	// idleFor sends a request and lets its connection be idle for a time after the response.
 	idleFor := func(d time.Duration) {
 		_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return false
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		return false
 	}
--- a/internal/fleettest/standin.go
+++ b/internal/fleettest/standin.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := callerClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleettest/stop_test.go
+++ b/internal/fleettest/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"jacinthfork.example/jacinthfork/internal/daemon"
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 	"jacinthfork.example/jacinthfork/kernel/settings"
 )
 
@@ -118,7 +119,7 @@
 		conn, err := net.Dial("tcp", address)
 		is.NoErr(err)
 		t.Cleanup(func() { _ = conn.Close() })
-		return conn, bufio.NewReader(conn)
+		return conn, bufio.NewReader(httpcheck.NewReader(conn, nil))
 	}
 	// answered reads a response and reports whether the router keeps the connection.
 	answered := func(id string, reader *bufio.Reader) (kept bool) {
--- a/internal/requestbody/requestbody_test.go
+++ b/internal/requestbody/requestbody_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 )
 
 const testLimit = 100_000
@@ -46,7 +48,7 @@
 				_, err = fmt.Fprint(conn, "\r\n0\r\n\r\n")
 				is.NoErr(err)
 			}
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			resp, err := http.ReadResponse(bufio.NewReader(httpcheck.NewReader(conn, nil)), nil)
 			is.NoErr(err)
 			defer resp.Body.Close()
 			is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
@@ -63,7 +65,7 @@
 	defer conn.Close()
 	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", 2*testLimit)
 	is.NoErr(err)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(httpcheck.NewReader(conn, nil)), nil)
 	is.NoErr(err)
 	defer resp.Body.Close()
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
--- a/router/callers_test.go
+++ b/router/callers_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jacinthfork.example/jacinthfork/internal/httpcheck"
 )
 
 // Guards against a refusal that never reaches its caller, because the connection is reset: the router had refused the
@@ -29,7 +31,7 @@
 		_, err = conn.Write(make([]byte, bodyBytes/3))
 		is.NoErr(err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(httpcheck.NewReader(conn, nil)), nil)
 	is.NoErr(err)
 	defer resp.Body.Close()
 	is.Equal(resp.StatusCode, http.StatusBadRequest) // it names no organisation
