--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -61,7 +61,7 @@
 	// RetryAfter is how long the backend server wants no requests from this router, 0 if it does not say. Only a
 	// response to a request that it turned away says so.
 	RetryAfter time.Duration
-	// Misdirected is set when the address belongs to another backend server.
+	// Misdirected is set when the address belongs to another backend server, which has not run the request.
 	Misdirected bool
 	// Load is what the backend server reports of its load, the zero value if it reports none.
 	Load InstanceLoad
