Take the change of media types back, and describe the check of responses

A media type that the server of net/http guesses for a response without one is no such fault; it stays as it was and is named among the limits.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -265,12 +265,7 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// copyHeader copies the end-to-end header fields of a response. Without a media type the server of net/http would guess one from
-// the body, unless the field is there.
+// copyHeader copies the end-to-end header fields of a response.
 func (s *requestState) copyHeader(resp *http.Response) {
-	out := s.writer.Header()
-	copyEndToEnd(out, resp.Header)
-	if _, given := out["Content-Type"]; !given {
-		out["Content-Type"] = nil
-	}
+	copyEndToEnd(s.writer.Header(), resp.Header)
 }
--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -11,7 +11,8 @@
 	"jacinthfork.example/jacinthfork/internal/socket"
 )
 
-// Transport makes t check the responses that it reads, and returns t. It speaks HTTP/1.1 only. t must not be in use.
+// Transport makes t check the responses that it reads, and returns t. It speaks HTTP/1.1 only, and must not reach TLS servers through
+// a proxy. t must not be in use.
 func Transport(t *http.Transport) *http.Transport {
 	dial := t.DialContext
 	if dial == nil {
