--- a/gateway/backend/conn.go
+++ b/gateway/backend/conn.go
@@ -63,7 +63,7 @@
 	keepAlive time.Duration
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
-	// carriedHead is set if a request to HEAD was sent on the connection.
+	// carriedHead is set if a HEAD request was sent on the connection.
 	carriedHead bool
 	// refused are hashes of the IDs of the requests that were refused on this connection.
 	refused []uint64
@@ -261,7 +261,7 @@
 // server does not keep it open.
 func (p *Pool) Put(c *Conn, resp *http.Response) {
 	keep, ok := keepAliveTime(resp)
-	if !ok || !c.drained() || len(c.refused) > maxRefused {
+	if !ok || !c.drained() || len(c.refused) >= maxRefused {
 		_ = c.Close()
 		return
 	}
--- a/gateway/backend/exchange.go
+++ b/gateway/backend/exchange.go
@@ -171,8 +171,7 @@
 	if err := c.awaitFirstByte(req); err != nil {
 		return fail(&ExchangeError{Sent: true, TimedOut: isTimeout(err), Err: fmt.Errorf("read: %w", err)})
 	}
-	// A response that does not say which request it answers may be a late second copy of that to the request before, or of a server
-	// that has already mixed them up.
+	// A response without an ID may be a late copy of the one before, or come from a server that mixes responses up.
 	doubtful := c.Reused
 	for range maxMismatched {
 		resp, err := c.receive(req)
@@ -234,7 +233,8 @@
 	}
 }
 
-// readError returns the error of a read from the connection instead of that of net/http, which drops one that ends within a line.
+// readError returns the error of the check of responses instead of that of net/http, which drops the error of a read that ends within
+// a line.
 func (c *Conn) readError(err error) error {
 	var malformed *httpcheck.Error
 	if errors.As(c.checked.Err(), &malformed) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,7 +41,7 @@
 	s.streaming = s.streaming && s.responseStarted
 	switch {
 	case promisesNotRun(resp.StatusCode):
-		return s.refuseUnstated(lease, resp)
+		return s.refusePromise(lease, resp)
 	case s.canStream(resp):
 		return s.relayStream(ctx, lease, resp)
 	case s.responseStarted:
@@ -60,8 +60,8 @@
 	return false
 }
 
-// refuseUnstated ends a response whose status makes a promise that its instance has not stated. The request counts as run.
-func (s *requestState) refuseUnstated(lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
+// refusePromise ends a response whose status makes a promise that its instance has not stated. The request counts as run.
+func (s *requestState) refusePromise(lease *pool.Lease, resp *backend.Response) (pool.Outcome, error) {
 	s.refuseResponse(lease, "promise", strconv.Itoa(resp.StatusCode))
 	s.drain(resp)
 	outcome := pool.Served
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -90,7 +90,7 @@
 			return s.streamFailed(ctx, lease, resp, watch, err)
 		}
 		if resumed && e.hasData && e.id == "" && s.lastEventID != "" {
-			return s.streamFailed(ctx, lease, resp, watch, errUnplaced)
+			return s.streamFailed(ctx, lease, resp, watch, errEventWithoutID)
 		}
 		// A server that has stalled may still send comments.
 		if e.hasData {
@@ -137,8 +137,8 @@
 	}
 }
 
-// errUnplaced is the error of a resumed stream with an event that may not be the one after the last.
-var errUnplaced = errors.New("an event of a resumed stream has no ID")
+// errEventWithoutID is the error of a resumed stream with an event of which it is unknown whether the caller has it.
+var errEventWithoutID = errors.New("an event of a resumed stream has no ID")
 
 // errOnlyComments is the error of a stream that sends more than maxIdleBytes without an event with data.
 var errOnlyComments = &buffer.LimitError{What: "events without data", Limit: maxIdleBytes, Unit: "bytes"}
--- a/internal/httpcheck/reader.go
+++ b/internal/httpcheck/reader.go
@@ -67,11 +67,9 @@
 	inUnframedBody
 )
 
-// requestKind is what of a request decides on the framing of its response.
-type requestKind = uint32
-
+// Kinds of requests whose responses differ in their framing.
 const (
-	otherRequest requestKind = iota
+	otherRequest uint32 = iota
 	headRequest
 	connectRequest
 )
