--- a/gateway/feed/fake_test.go
+++ b/gateway/feed/fake_test.go
@@ -67,6 +67,11 @@
 	return slices.Clone(s.records[from:]), uint64(len(s.records)), nil
 }
 
+// Merge applies records and a position from the store.
+func (f *Follower) Merge(records []Record, next uint64, freshAt time.Time) {
+	f.merge(records, next, freshAt, Origin{Complete: next}, ownRead)
+}
+
 // fakeSink records the values that it is given.
 type fakeSink struct {
 	mu         sync.Mutex
@@ -77,7 +82,7 @@
 
 func newSink() *fakeSink { return &fakeSink{values: map[string]string{}} }
 
-func (s *fakeSink) Apply(r Record) bool {
+func (s *fakeSink) Apply(r Record, _ Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.values[r.Key] != string(r.Value)
@@ -85,7 +90,11 @@
 	return changed
 }
 
-func (s *fakeSink) SnapshotApplied(map[string]bool) { s.mu.Lock(); s.snapshots++; s.mu.Unlock() }
+func (s *fakeSink) SnapshotApplied(map[string]bool, Origin) {
+	s.mu.Lock()
+	s.snapshots++
+	s.mu.Unlock()
+}
 
 func (s *fakeSink) StoreRecovered() { s.mu.Lock(); s.recoveries++; s.mu.Unlock() }
 
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -40,6 +40,28 @@
 	Value []byte
 }
 
+// Origin is where a router has learned records, and how far the knowledge of that source reaches.
+type Origin struct {
+	// Peer is the router that has sent the records, "" if this one has read them from the store.
+	Peer string
+	// Snapshot is set if the records are part of a snapshot of the store.
+	Snapshot bool
+	// Complete is the position up to which the source knows the records, and RemovalsFrom the offset from which on it knows
+	// removals too.
+	Complete, RemovalsFrom uint64
+}
+
+// String returns the source as it appears in logs.
+func (o Origin) String() string {
+	switch {
+	case o.Peer != "":
+		return o.Peer
+	case o.Snapshot:
+		return "store snapshot"
+	}
+	return "store"
+}
+
 // ErrExpired means that the store no longer holds the requested records.
 var ErrExpired = errors.New("offset is older than the oldest retained record")
 
@@ -61,13 +83,13 @@
 type Sink interface {
 	// Apply applies a record, in the order of offsets of each key. It reports whether the record is passed on
 	// to peers, which a record that changed nothing need not be.
-	Apply(r Record) (changed bool)
+	Apply(r Record, from Origin) (changed bool)
 	// StoreRecovered is called before the first records after a period in which the store answered neither this
 	// router nor its peers.
 	StoreRecovered()
 	// SnapshotApplied is called after a snapshot of the whole feed has been applied. Keys that are not among keys have been
 	// removed.
-	SnapshotApplied(keys map[string]bool)
+	SnapshotApplied(keys map[string]bool, from Origin)
 }
 
 // PollPolicy says how often and in which way a feed is read.
@@ -134,6 +156,8 @@
 	OnAvailabilityChange func(id ID, err error)
 	// OnAdvance is called after each read that has succeeded. It may be nil.
 	OnAdvance func()
+	// OnLoad is called after the follower has taken a snapshot of the store, or a copy of a peer. It may be nil.
+	OnLoad func(id ID, from Origin, records int)
 	// OnFailure is called after each failed read. It may be nil.
 	OnFailure func(id ID, err error)
 
@@ -320,7 +344,7 @@
 		// The response confirms that there was nothing up to the end of the wait.
 		begin = f.now()
 	}
-	f.Merge(records, next, begin)
+	f.merge(records, next, begin, Origin{Complete: next, RemovalsFrom: from}, ownRead)
 	return nil
 }
 
@@ -340,11 +364,13 @@
 	if err != nil {
 		return err
 	}
-	f.Merge(records, next, begin)
+	from := Origin{Snapshot: true, Complete: next, RemovalsFrom: next}
+	f.merge(records, next, begin, from, ownRead)
 	keys := make(map[string]bool, len(records))
 	for _, r := range records {
 		keys[r.Key] = true
 	}
+	defer f.loaded(from, len(records))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.synced = true
@@ -355,10 +381,16 @@
 			keys[key] = true
 		}
 	}
-	f.sink.SnapshotApplied(keys)
+	f.sink.SnapshotApplied(keys, from)
 	return nil
 }
 
+func (f *Follower) loaded(from Origin, records int) {
+	if f.OnLoad != nil {
+		f.OnLoad(f.id, from, records)
+	}
+}
+
 // Position returns the offset of the next record to read.
 func (f *Follower) Position() uint64 {
 	f.mu.Lock()
@@ -366,6 +398,31 @@
 	return f.next
 }
 
+// Summary is what a follower knows.
+type Summary struct {
+	// Position is the offset up to which the feed is known completely, and RemovalsFrom the one from which on removals are known.
+	Position     uint64 `json:"position"`
+	RemovalsFrom uint64 `json:"removals_from"`
+	// InForce and Removed are the keys that have a value, and those of which the removal is known.
+	InForce int `json:"in_force"`
+	Removed int `json:"removed"`
+}
+
+// Summary returns what the follower knows.
+func (f *Follower) Summary() Summary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Summary{Position: f.next, RemovalsFrom: f.historyFrom}
+	for _, r := range f.records {
+		if len(r.Value) > 0 {
+			s.InForce++
+		} else {
+			s.Removed++
+		}
+	}
+	return s
+}
+
 // Failing reports whether the last read of the store failed.
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -4,12 +4,9 @@
 	"time"
 )
 
-// Merge applies records and a position from the store. freshAt is when the store had nothing beyond the position.
-func (f *Follower) Merge(records []Record, next uint64, freshAt time.Time) {
-	f.merge(records, next, freshAt, ownRead)
-}
-
-func (f *Follower) merge(records []Record, next uint64, freshAt time.Time, from source) {
+// merge applies records and a position. freshAt is when the store had nothing beyond the position. It reports whether the
+// router had no position before.
+func (f *Follower) merge(records []Record, next uint64, freshAt time.Time, origin Origin, from source) (first bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if next < f.next {
@@ -19,8 +16,8 @@
 	if !f.freshAt.IsZero() && freshAt.Sub(f.freshAt) > outageThreshold+f.pollPolicy.Wait {
 		f.sink.StoreRecovered()
 	}
-	first := f.next == 0 && !f.synced
-	f.applyEach(records)
+	first = f.next == 0 && !f.synced
+	f.applyEach(records, origin)
 	if first {
 		f.historyFrom = next
 		// A copy from a peer is as complete as a snapshot: this router reads on from it. If it took a snapshot of its own
@@ -31,10 +28,11 @@
 	if freshAt.After(f.freshAt) {
 		f.freshAt, f.freshFrom = freshAt, from
 	}
+	return first
 }
 
 // applyEach applies those records that are newer than the known ones of their keys. The caller holds mu.
-func (f *Follower) applyEach(records []Record) {
+func (f *Follower) applyEach(records []Record, from Origin) {
 	for _, r := range records {
 		known, ok := f.offsets[r.Key]
 		if ok && known >= r.Offset {
@@ -45,23 +43,25 @@
 			continue
 		}
 		f.offsets[r.Key] = r.Offset
-		if f.sink.Apply(r) {
+		if f.sink.Apply(r, from) {
 			f.records[r.Key] = r
 		}
 	}
 }
 
 // applyRecords applies records without a position. A router that has no position takes none: they may be old.
-func (f *Follower) applyRecords(records []Record) {
+func (f *Follower) applyRecords(records []Record, from Origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next > 0 {
-		f.applyEach(records)
+		f.applyEach(records, from)
 	}
 }
 
 // Delta is an update of a feed that one router sends to another.
 type Delta struct {
+	// Sender is the name of the router that has sent the update.
+	Sender string
 	// Base is the offset from which Records holds all records that changed something. HistoryFrom is the offset
 	// from which removals are among them.
 	Base, HistoryFrom uint64
@@ -97,8 +97,9 @@
 // instances that have left and keys that were withdrawn since are still in the copy.
 func (f *Follower) ApplyDelta(n Delta) {
 	position := f.Position()
+	origin := Origin{Peer: n.Sender, Complete: n.Next, RemovalsFrom: n.HistoryFrom}
 	if n.Base > position || (position > 0 && position < n.HistoryFrom) {
-		f.applyRecords(n.Records)
+		f.applyRecords(n.Records, origin)
 		return
 	}
 	if position == 0 && f.now().Sub(n.FreshAt) > outageThreshold && !f.Failing() {
@@ -108,5 +109,7 @@
 	if n.FromParent {
 		from = parent
 	}
-	f.merge(n.Records, n.Next, n.FreshAt, from)
+	if f.merge(n.Records, n.Next, n.FreshAt, origin, from) {
+		f.loaded(origin, len(n.Records))
+	}
 }
--- a/gateway/feed/merge_test.go
+++ b/gateway/feed/merge_test.go
@@ -65,7 +65,7 @@
 	applied  int
 }
 
-func (s *slowSink) Apply(Record) bool {
+func (s *slowSink) Apply(Record, Origin) bool {
 	s.applying <- struct{}{}
 	time.Sleep(10 * time.Millisecond)
 	s.applied++
@@ -74,7 +74,7 @@
 
 func (s *slowSink) StoreRecovered() {}
 
-func (s *slowSink) SnapshotApplied(map[string]bool) {}
+func (s *slowSink) SnapshotApplied(map[string]bool, Origin) {}
 
 // Guards against a router that becomes ready with only part of the instances that one read returned.
 func TestBetweenDoesNotSeePartialMerge(t *testing.T) {
@@ -180,7 +180,7 @@
 // snapshotSink drops the values that a snapshot does not have.
 type snapshotSink struct{ *fakeSink }
 
-func (s *snapshotSink) SnapshotApplied(keys map[string]bool) {
+func (s *snapshotSink) SnapshotApplied(keys map[string]bool, _ Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key := range s.values {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,7 @@
 	for _, f := range []*feed.Follower{g.configuration, g.instances} {
 		f.OnAvailabilityChange = g.logStoreState
 		f.OnFailure = g.countStoreFailure
+		f.OnLoad = g.logFeedLoaded
 		f.OnAdvance = func() { g.peers.Changed() }
 		f.SetRank(g.rankBeforeContact())
 		f.StartWait = g.startWait()
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -10,6 +10,7 @@
 
 	"jacinthfork.example/jacinthfork/admission"
 	"jacinthfork.example/jacinthfork/gateway/extrawork"
+	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 	"jacinthfork.example/jacinthfork/gateway/routes"
 	"jacinthfork.example/jacinthfork/internal/asynclog"
@@ -173,6 +174,13 @@
 		}
 		return map[string]any{"version": version, "age_ms": g.configuration.Age().Milliseconds()}
 	})
+	c.Func("feeds", func() any {
+		out := make(map[string]feed.Summary)
+		for _, f := range g.followers() {
+			out[f.id.String()] = f.follower.Summary()
+		}
+		return out
+	})
 	c.Func("instances_age_ms", func() any { return g.instances.Age().Milliseconds() })
 	c.Func("pools", func() any {
 		out := make(map[string]pool.Summary)
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"log/slog"
+
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/pool"
 )
@@ -9,10 +11,10 @@
 type configurationSink struct{ g *Gateway }
 
 // Apply implements feed.Sink. If a record cannot be decoded, the last valid configuration stays in force.
-func (s *configurationSink) Apply(r feed.Record) (changed bool) {
+func (s *configurationSink) Apply(r feed.Record, from feed.Origin) (changed bool) {
 	g := s.g
 	if domain, ok := g.env.Decoder.EvacuatedDomain(r.Key); ok {
-		s.setEvacuated(domain, len(r.Value) > 0)
+		s.setEvacuated(domain, len(r.Value) > 0, originAttr(from))
 		return true
 	}
 	if len(r.Value) == 0 {
@@ -20,7 +22,7 @@
 	}
 	next, ok, err := g.env.Decoder.Configuration(r.Key, r.Value)
 	if err != nil {
-		g.log.Error("configuration rejected", "key", r.Key, "offset", r.Offset, "error", err)
+		g.log.Error("configuration rejected", "key", r.Key, "offset", r.Offset, originAttr(from), "error", err)
 		g.metrics.configRejected.Add(1)
 		return false
 	}
@@ -29,7 +31,7 @@
 	}
 	current := g.table.Load()
 	if current != nil && next.Version <= current.Version {
-		g.log.Info("configuration ignored", "version", next.Version, "in_force", current.Version, "offset", r.Offset)
+		g.log.Info("configuration ignored", "version", next.Version, "in_force", current.Version, "offset", r.Offset, originAttr(from))
 		return false
 	}
 	g.table.Store(next)
@@ -48,7 +50,7 @@
 	g.registry.SetColdRates(coldRates)
 	g.admission.configure(next)
 	g.asks.keep(func(name string) bool { return next.Pools[name] != nil })
-	g.log.Info("configuration in force", "version", next.Version, "offset", r.Offset)
+	g.log.Info("configuration in force", "version", next.Version, "offset", r.Offset, originAttr(from))
 	if largest := g.memory.LargestBody(); next.Limits.BodyBytes > largest {
 		g.log.Warn("body limit exceeds the memory", "limit_bytes", next.Limits.BodyBytes, "memory_bytes", largest)
 	}
@@ -59,7 +61,7 @@
 func (s *configurationSink) StoreRecovered() {}
 
 // SnapshotApplied implements feed.Sink. It ends the evacuations that the snapshot no longer requests.
-func (s *configurationSink) SnapshotApplied(keys map[string]bool) {
+func (s *configurationSink) SnapshotApplied(keys map[string]bool, from feed.Origin) {
 	requested := make(map[string]bool)
 	for key := range keys {
 		if domain, ok := s.g.env.Decoder.EvacuatedDomain(key); ok {
@@ -68,14 +70,14 @@
 	}
 	for _, domain := range s.g.registry.Evacuated() {
 		if !requested[domain] {
-			s.setEvacuated(domain, false)
+			s.setEvacuated(domain, false, originAttr(from))
 		}
 	}
 }
 
-func (s *configurationSink) setEvacuated(domain string, evacuated bool) {
+func (s *configurationSink) setEvacuated(domain string, evacuated bool, from slog.Attr) {
 	if s.g.registry.SetEvacuated(domain, evacuated) {
-		s.g.log.Info("evacuation", "domain", domain, "evacuated", evacuated)
+		s.g.log.Info("evacuation", "domain", domain, "evacuated", evacuated, from)
 	}
 }
 
@@ -85,41 +87,41 @@
 // Apply implements feed.Sink. A record that cannot be decoded is ignored; known instances, also one of the same
 // key, are unaffected. A removal counts as a change even if the instance is unknown or stays usable for a grace
 // period.
-func (s *instancesSink) Apply(r feed.Record) (changed bool) {
+func (s *instancesSink) Apply(r feed.Record, from feed.Origin) (changed bool) {
 	g := s.g
 	if len(r.Value) == 0 {
-		s.logChange(r.Key, g.registry.Remove(r.Key), r.Offset)
+		s.logChange(r.Key, g.registry.Remove(r.Key), r.Offset, from)
 		return true
 	}
 	i, err := g.env.Decoder.Instance(r.Key, r.Value)
 	if err != nil {
 		g.metrics.instanceRejected.Add(1)
-		g.log.Warn("instance entry ignored", "instance", r.Key, "offset", r.Offset, "error", err)
+		g.log.Warn("instance entry ignored", "instance", r.Key, "offset", r.Offset, originAttr(from), "error", err)
 		return false
 	}
 	change := g.registry.ApplyEntry(i)
 	if change == pool.Stale {
-		g.log.Info("instance entry ignored", "instance", i.ID, "offset", r.Offset, "sequence", i.Sequence, "born", i.StartedAt, "leaving", i.Leaving)
+		g.log.Info("instance entry ignored", "instance", i.ID, "offset", r.Offset, originAttr(from), "sequence", i.Sequence, "born", i.StartedAt, "leaving", i.Leaving)
 		return false
 	}
-	s.logChange(i.ID, change, r.Offset)
+	s.logChange(i.ID, change, r.Offset, from)
 	if change != pool.Unchanged {
 		// Requests that arrive next are admitted by the slots of the entry.
 		g.admission.refresh()
 	}
 	if change == pool.Joined || change == pool.Restarted {
 		for _, id := range g.registry.EvictPredecessors(i) {
-			g.log.Info("instance", "instance", id, "change", "replaced", "by", i.ID, "offset", r.Offset)
+			g.log.Info("instance", "instance", id, "change", "replaced", "by", i.ID, "offset", r.Offset, originAttr(from))
 		}
 	}
 	return change != pool.Unchanged
 }
 
-func (s *instancesSink) logChange(id string, c pool.Change, offset uint64) {
+func (s *instancesSink) logChange(id string, c pool.Change, offset uint64, from feed.Origin) {
 	switch c {
 	case pool.Unchanged, pool.Updated:
 	default:
-		s.g.log.Info("instance", "instance", id, "change", c.String(), "offset", offset)
+		s.g.log.Info("instance", "instance", id, "change", c.String(), "offset", offset, originAttr(from))
 	}
 }
 
@@ -127,12 +129,23 @@
 func (s *instancesSink) StoreRecovered() { s.g.registry.RecordStoreRecovery() }
 
 // SnapshotApplied implements feed.Sink.
-func (s *instancesSink) SnapshotApplied(keys map[string]bool) {
+func (s *instancesSink) SnapshotApplied(keys map[string]bool, from feed.Origin) {
 	for _, id := range s.g.registry.RemoveMissing(keys) {
-		s.g.log.Info("instance", "instance", id, "change", "missing")
+		s.g.log.Info("instance", "instance", id, "change", "missing", originAttr(from))
 	}
 }
 
+// originAttr returns the fields that say where a record comes from and how far the knowledge of that source reaches.
+func originAttr(from feed.Origin) slog.Attr {
+	return slog.Group("", "from", from.String(), "complete_to", from.Complete, "removals_from", from.RemovalsFrom)
+}
+
+// logFeedLoaded logs that a feed was taken as a whole, from a snapshot of the store or a peer's copy. Its records bear the
+// same origin in their lines.
+func (g *Gateway) logFeedLoaded(id feed.ID, from feed.Origin, records int) {
+	g.log.Info("feed loaded", "feed", id.String(), originAttr(from), "records", records)
+}
+
 // logStoreState logs that the store stopped or resumed answering.
 func (g *Gateway) logStoreState(id feed.ID, err error) {
 	if err != nil {
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -286,7 +286,7 @@
 				continue
 			}
 			before := f.follower.FreshAt()
-			mergeFeed(state, position, f.follower, !state.GetUp())
+			mergeFeed(node, state, position, f.follower)
 			news = news || f.follower.FreshAt().After(before.Add(minAdvance))
 			behind = behind || (position.GetAgeMs() < 0 && position.GetNext() > f.follower.Position() && f.follower.Failing())
 		}
@@ -299,16 +299,17 @@
 const minAdvance = 50 * time.Millisecond
 
 // mergeFeed merges a peer's records and position in one feed.
-func mergeFeed(state *peerpb.State, position *peerpb.Position, follower *feed.Follower, fromParent bool) {
+func mergeFeed(node string, state *peerpb.State, position *peerpb.Position, follower *feed.Follower) {
 	if position.GetAgeMs() < 0 {
 		follower.RecordPeerPosition(position.GetNext())
 		return
 	}
 	n := feed.Delta{
+		Sender:      node,
 		Base:        position.GetBase(),
 		HistoryFrom: position.GetFollowed(),
 		Next:        position.GetNext(),
-		FromParent:  fromParent,
+		FromParent:  !state.GetUp(),
 		FreshAt:     time.Now().Add(-time.Duration(position.GetAgeMs())*time.Millisecond - peerDelay),
 	}
 	for _, r := range state.GetRecords() {
