--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -375,10 +375,16 @@
 	defer f.mu.Unlock()
 	f.synced = true
 	f.historyFrom = max(f.historyFrom, next)
-	// Peers may have sent newer records while the snapshot was on its way.
 	for key, offset := range f.offsets {
-		if offset >= next {
+		switch {
+		case offset >= next:
+			// Peers have sent newer records while the snapshot was on its way.
 			keys[key] = true
+		case !keys[key] && len(f.records[key].Value) > 0:
+			// Peers that take a copy must not get the record of a removed key. The offset of the removal is not known; those that
+			// are behind must take it for newer than the record.
+			removal := Record{Key: key, Offset: f.next - 1}
+			f.offsets[key], f.records[key] = removal.Offset, removal
 		}
 	}
 	f.sink.SnapshotApplied(keys, from)
--- /dev/null
+++ b/gateway/feed/removed_test.go
@@ -0,0 +1,77 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// deleteHistory makes the source forget all records but the newest of each key.
+func (s *fakeSource) deleteHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstOffset = uint64(len(s.records))
+}
+
+// startFollowing starts a follower that reads the source, and waits until it has a snapshot.
+func startFollowing(ctx context.Context, id ID, source Source) (*Follower, *snapshotSink) {
+	sink := &snapshotSink{newSink()}
+	f := NewFollower(id, source, sink, testPollPolicy)
+	go f.Run(ctx)
+	time.Sleep(time.Second)
+	return f, sink
+}
+
+// A key is removed, and the store deletes its history before the next read. Guards against a follower that removes the key from
+// its sink, after a snapshot, and goes on to pass its record on: a router that starts with a copy takes the copy for as complete
+// as a snapshot and would never hear of the removal. A removed worker would get requests, and a domain that is no longer
+// evacuated none.
+func TestCopyAfterASnapshotHoldsNoRemovedKeys(t *testing.T) {
+	for _, id := range []ID{Configuration, Instances} {
+		t.Run(id.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				source := &fakeSource{}
+				source.put("gone", "1")
+				source.put("kept", "1")
+				reader, sink := startFollowing(ctx, id, source)
+				cutOffSink := &snapshotSink{newSink()}
+				cutOff := NewFollower(id, source, cutOffSink, testPollPolicy)
+				cutOff.ApplyDelta(reader.Since(0))
+				source.put("gone", "")
+				source.deleteHistory()
+				time.Sleep(time.Second)
+				is.Equal(reader.Position(), uint64(3))
+				is.Equal(sink.get("gone"), "")
+
+				copySink, second := &snapshotSink{newSink()}, &snapshotSink{newSink()}
+				copied := NewFollower(id, source, copySink, testPollPolicy)
+				copied.ApplyDelta(reader.Since(0))
+				copyOfCopy := NewFollower(id, source, second, testPollPolicy)
+				copyOfCopy.ApplyDelta(copied.Since(0))
+				for _, s := range []*snapshotSink{copySink, second} {
+					is.Equal(s.get("gone"), "")
+					is.Equal(s.get("kept"), "1")
+				}
+				// A peer that can't read the store is told, and its position stays where it is.
+				cutOff.ApplyDelta(reader.Since(cutOff.Position()))
+				is.Equal(cutOffSink.get("gone"), "")
+				is.Equal(cutOff.Position(), uint64(2))
+
+				source.put("gone", "2")
+				time.Sleep(time.Second)
+				copied.ApplyDelta(reader.Since(copied.Position()))
+				copyOfCopy.ApplyDelta(copied.Since(copyOfCopy.Position()))
+				for _, s := range []*snapshotSink{sink, copySink, second} {
+					is.Equal(s.get("gone"), "2") // a key that is written again counts
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
