--- a/gateway/feed/fake_test.go
+++ b/gateway/feed/fake_test.go
@@ -69,6 +69,8 @@
 
 // Merge applies records and a position from the store.
 func (f *Follower) Merge(records []Record, next uint64, freshAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.merge(records, next, freshAt, Origin{Complete: next}, ownRead)
 }
 
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -344,6 +344,8 @@
 		// The response confirms that there was nothing up to the end of the wait.
 		begin = f.now()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.merge(records, next, begin, Origin{Complete: next, RemovalsFrom: from}, ownRead)
 	return nil
 }
@@ -364,15 +366,22 @@
 	if err != nil {
 		return err
 	}
+	f.applySnapshot(records, next, begin)
+	return nil
+}
+
+// applySnapshot applies a snapshot of the store that ends at next. It is one step: a copy for a peer that is made between the new
+// position and the removal of what the snapshot lacks would hold removed keys for good.
+func (f *Follower) applySnapshot(records []Record, next uint64, freshAt time.Time) {
 	from := Origin{Snapshot: true, Complete: next, RemovalsFrom: next}
-	f.merge(records, next, begin, from, ownRead)
+	defer f.loaded(from, len(records))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.merge(records, next, freshAt, from, ownRead)
 	keys := make(map[string]bool, len(records))
 	for _, r := range records {
 		keys[r.Key] = true
 	}
-	defer f.loaded(from, len(records))
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.synced = true
 	f.historyFrom = max(f.historyFrom, next)
 	for key, offset := range f.offsets {
@@ -388,7 +397,6 @@
 		}
 	}
 	f.sink.SnapshotApplied(keys, from)
-	return nil
 }
 
 func (f *Follower) loaded(from Origin, records int) {
--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -5,10 +5,8 @@
 )
 
 // merge applies records and a position. freshAt is when the store had nothing beyond the position. It reports whether the
-// router had no position before.
+// router had no position before. The caller holds mu.
 func (f *Follower) merge(records []Record, next uint64, freshAt time.Time, origin Origin, from source) (first bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if next < f.next {
 		// The sender lags behind: its records are compared one by one, and its freshness is ignored.
 		freshAt = f.freshAt
@@ -109,7 +107,10 @@
 	if n.FromParent {
 		from = parent
 	}
-	if f.merge(n.Records, n.Next, n.FreshAt, origin, from) {
+	f.mu.Lock()
+	first := f.merge(n.Records, n.Next, n.FreshAt, origin, from)
+	f.mu.Unlock()
+	if first {
 		f.loaded(origin, len(n.Records))
 	}
 }
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +77,30 @@
 		})
 	}
 }
+
+// Guards against a copy that is made while a snapshot is applied, between the new position and the removal of the keys that the
+// snapshot lacks: it holds removed keys, and who takes it reads on from beyond their removal.
+func TestNoCopyIsMadeInTheMiddleOfASnapshot(t *testing.T) {
+	is := is.New(t)
+	// So many keys take a while to be gone through.
+	const keys = 20_000
+	source := &fakeSource{}
+	for n := range keys {
+		source.put(fmt.Sprint("key-", n), "1")
+	}
+	f := NewFollower(Instances, source, newSink(), testPollPolicy)
+	is.NoErr(f.readNext(t.Context()))
+	source.put("key-0", "")
+	source.deleteHistory()
+	read := make(chan error, 1)
+	go func() { read <- f.readNext(t.Context()) }()
+	for f.Position() <= keys {
+		runtime.Gosched()
+	}
+	sink := newSink()
+	copied := NewFollower(Instances, source, sink, testPollPolicy)
+	copied.ApplyDelta(f.Since(0))
+	is.Equal(copied.Position(), uint64(keys+1))
+	is.Equal(sink.get("key-0"), "")
+	is.NoErr(<-read)
+}
