gateway/feed: one rule for which record is newer, removals included

TestRecordFromDeletedHistoryIsNotNew and TestRemovedKeyStaysGoneWhileASnapshotIsAwaited fail before (the key is in use).

The table of a follower is now a type of its own, which alone decides: a record below the position is never newer, because the table is complete up to there; one at the position or above it is if its offset is above that of the known record of its key, be it a removal. Nothing sound is below the position: a key that is written again and a record that a peer sends ahead are above it.

--- a/gateway/feed/fake_test.go
+++ b/gateway/feed/fake_test.go
@@ -71,6 +71,9 @@
 func (f *Follower) Merge(records []Record, next uint64, freshAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.table.next == 0 && !f.synced {
+		f.table.removalsFrom = next
+	}
 	f.merge(records, next, freshAt, Origin{Complete: next}, ownRead)
 }
 
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -3,8 +3,9 @@
 // are read from the platform's store. Records that other routers send are merged at any time; they are the only
 // source while the store does not serve this router.
 //
-// Positions only increase: a record older than the known one of its key is ignored whatever its source, so
-// neither a stale response nor a peer that lags behind reverts anything.
+// Positions only increase, and a record that is not newer than what is known is ignored whatever its source, so
+// neither a stale response nor a peer that lags behind reverts anything or brings a removed key back. See type table, and
+// docs/design/feeds.md for what each source promises.
 package feed
 
 import (
@@ -161,16 +162,10 @@
 	// OnFailure is called after each failed read. It may be nil.
 	OnFailure func(id ID, err error)
 
-	mu     sync.Mutex
-	next   uint64
+	mu    sync.Mutex
+	table table
+	// synced is set while this router can read on from its position. Without it, it reads a snapshot.
 	synced bool
-	// offsets holds the offset of the newest record of each key. records holds the records that changed
-	// something.
-	offsets map[string]uint64
-	records map[string]Record
-	// historyFrom is the offset from which all records are known, including removals. Keys removed before it
-	// are not in records, because a snapshot holds no removals.
-	historyFrom uint64
 	// rank is the number of other routers that read before this one, -1 if it is not known yet.
 	rank int
 	// startedAt is when Run was called, and startWaitOver is set by EndStartWait.
@@ -193,7 +188,7 @@
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(id ID, source Source, sink Sink, policy PollPolicy) *Follower {
-	return &Follower{id: id, source: source, sink: sink, pollPolicy: policy, now: time.Now, wake: make(chan struct{}, 1), offsets: make(map[string]uint64), records: make(map[string]Record)}
+	return &Follower{id: id, source: source, sink: sink, pollPolicy: policy, now: time.Now, wake: make(chan struct{}, 1), table: newTable()}
 }
 
 // Run reads until ctx ends.
@@ -266,7 +261,7 @@
 func (f *Follower) due(jitter float64) bool {
 	now := f.now()
 	switch {
-	case f.peerNext > f.next:
+	case f.peerNext > f.table.next:
 		return true
 	case f.freshAt.IsZero():
 		return f.rank == 0 || f.startWaitOver || now.Sub(f.startedAt) >= f.StartWait
@@ -317,7 +312,7 @@
 // readNext makes one read.
 func (f *Follower) readNext(ctx context.Context) error {
 	f.mu.Lock()
-	from, synced, wait := f.next, f.synced, f.pollPolicy.Wait
+	from, synced, wait := f.table.next, f.synced, f.pollPolicy.Wait
 	if f.lastErr != nil || f.rank > 0 {
 		// A long poll would detect the recovery of the store only at the end of its wait. Of all routers, only
 		// the first holds a call open.
@@ -370,46 +365,11 @@
 	return nil
 }
 
-// applySnapshot applies a snapshot of the store that ends at next. It is one step: a copy for a peer that is made between the new
-// position and the removal of what the snapshot lacks would hold removed keys for good.
-func (f *Follower) applySnapshot(records []Record, next uint64, freshAt time.Time) {
-	from := Origin{Snapshot: true, Complete: next, RemovalsFrom: next}
-	defer f.loaded(from, len(records))
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.merge(records, next, freshAt, from, ownRead)
-	keys := make(map[string]bool, len(records))
-	for _, r := range records {
-		keys[r.Key] = true
-	}
-	f.synced = true
-	f.historyFrom = max(f.historyFrom, next)
-	for key, offset := range f.offsets {
-		switch {
-		case offset >= next:
-			// Peers have sent newer records while the snapshot was on its way.
-			keys[key] = true
-		case !keys[key] && len(f.records[key].Value) > 0:
-			// Peers that take a copy must not get the record of a removed key. The offset of the removal is not known; those that
-			// are behind must take it for newer than the record.
-			removal := Record{Key: key, Offset: f.next - 1}
-			f.offsets[key], f.records[key] = removal.Offset, removal
-		}
-	}
-	f.sink.SnapshotApplied(keys, from)
-}
-
-func (f *Follower) loaded(from Origin, records int) {
-	if f.OnLoad != nil {
-		f.OnLoad(f.id, from, records)
-	}
-}
-
 // Position returns the offset of the next record to read.
 func (f *Follower) Position() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next
+	return f.table.next
 }
 
 // Summary is what a follower knows.
@@ -426,8 +386,8 @@
 func (f *Follower) Summary() Summary {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := Summary{Position: f.next, RemovalsFrom: f.historyFrom}
-	for _, r := range f.records {
+	s := Summary{Position: f.table.next, RemovalsFrom: f.table.removalsFrom}
+	for _, r := range f.table.records {
 		if len(r.Value) > 0 {
 			s.InForce++
 		} else {
--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -4,55 +4,57 @@
 	"time"
 )
 
-// merge applies records and a position. freshAt is when the store had nothing beyond the position. It reports whether the
-// router had no position before. The caller holds mu.
-func (f *Follower) merge(records []Record, next uint64, freshAt time.Time, origin Origin, from source) (first bool) {
-	if next < f.next {
-		// The sender lags behind: its records are compared one by one, and its freshness is ignored.
+// merge applies records and a position. freshAt is when the store had nothing beyond the position. The caller holds mu.
+func (f *Follower) merge(records []Record, next uint64, freshAt time.Time, origin Origin, from source) {
+	if next < f.table.next {
+		// The sender lags behind: its freshness is ignored.
 		freshAt = f.freshAt
 	}
+	f.checkRecovery(freshAt)
+	f.apply(records, f.table.isNewer, origin)
+	f.table.advance(next)
+	f.refresh(freshAt, from)
+}
+
+// applySnapshot applies a snapshot of the store that ends at next. It is one step: a copy that a peer was sent between the new
+// position and the removal of what the snapshot lacks would hold removed keys for good.
+func (f *Follower) applySnapshot(records []Record, next uint64, freshAt time.Time) {
+	origin := Origin{Snapshot: true, Complete: next, RemovalsFrom: next}
+	defer f.loaded(origin, len(records))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next < f.table.next {
+		// A peer's update was adopted while the snapshot was on its way.
+		freshAt = f.freshAt
+	}
+	f.checkRecovery(freshAt)
+	f.apply(records, f.table.snapshotFilter(next), origin)
+	keys := f.table.applySnapshot(records, next)
+	f.refresh(freshAt, ownRead)
+	f.synced = true
+	f.sink.SnapshotApplied(keys, origin)
+}
+
+// checkRecovery tells the sink if the store had not been heard of for long before freshAt. The caller holds mu.
+func (f *Follower) checkRecovery(freshAt time.Time) {
 	if !f.freshAt.IsZero() && freshAt.Sub(f.freshAt) > outageThreshold+f.pollPolicy.Wait {
 		f.sink.StoreRecovered()
 	}
-	first = f.next == 0 && !f.synced
-	f.applyEach(records, origin)
-	if first {
-		f.historyFrom = next
-		// A copy from a peer is as complete as a snapshot: this router reads on from it. If it took a snapshot of its own
-		// instead, it would know no removals before that, and nobody who is behind could follow it.
-		f.synced = from != ownRead
-	}
-	f.next = max(f.next, next)
-	if freshAt.After(f.freshAt) {
-		f.freshAt, f.freshFrom = freshAt, from
-	}
-	return first
 }
 
-// applyEach applies those records that are newer than the known ones of their keys. The caller holds mu.
-func (f *Follower) applyEach(records []Record, from Origin) {
+// apply applies those records that are newer than what is known. The caller holds mu.
+func (f *Follower) apply(records []Record, isNewer func(Record) bool, from Origin) {
 	for _, r := range records {
-		known, ok := f.offsets[r.Key]
-		if ok && known >= r.Offset {
-			continue
-		}
-		if !ok && f.synced && r.Offset < f.historyFrom {
-			// The snapshot at historyFrom does not have the key, so the record was removed before it was taken.
-			continue
-		}
-		f.offsets[r.Key] = r.Offset
-		if f.sink.Apply(r, from) {
-			f.records[r.Key] = r
+		if isNewer(r) {
+			f.table.record(r, f.sink.Apply(r, from))
 		}
 	}
 }
 
-// applyRecords applies records without a position. A router that has no position takes none: they may be old.
-func (f *Follower) applyRecords(records []Record, from Origin) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.next > 0 {
-		f.applyEach(records, from)
+// refresh records that the store had nothing beyond the position at freshAt. The caller holds mu.
+func (f *Follower) refresh(freshAt time.Time, from source) {
+	if freshAt.After(f.freshAt) {
+		f.freshAt, f.freshFrom = freshAt, from
 	}
 }
 
@@ -77,14 +79,9 @@
 func (f *Follower) Since(from uint64) Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := Delta{Base: from, HistoryFrom: f.historyFrom, Next: f.next, FreshAt: f.freshAt, FromParent: f.freshFrom == parent}
-	if from >= f.next {
-		return n
-	}
-	for _, r := range f.records {
-		if r.Offset >= from {
-			n.Records = append(n.Records, r)
-		}
+	n := Delta{Base: from, HistoryFrom: f.table.removalsFrom, Next: f.table.next, FreshAt: f.freshAt, FromParent: f.freshFrom == parent}
+	if from < f.table.next {
+		n.Records = f.table.since(from)
 	}
 	return n
 }
@@ -94,23 +91,47 @@
 // that could have been removed; it takes an old copy only after it has failed to read the store itself, because
 // instances that have left and keys that were withdrawn since are still in the copy.
 func (f *Follower) ApplyDelta(n Delta) {
-	position := f.Position()
 	origin := Origin{Peer: n.Sender, Complete: n.Next, RemovalsFrom: n.HistoryFrom}
+	if f.applyDelta(n, origin) {
+		f.loaded(origin, len(n.Records))
+	}
+}
+
+// applyDelta reports whether the update was taken as a copy of the whole feed.
+func (f *Follower) applyDelta(n Delta, origin Origin) (copied bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	position := f.table.next
 	if n.Base > position || (position > 0 && position < n.HistoryFrom) {
-		f.applyRecords(n.Records, origin)
-		return
+		// A router that has no position takes no records without one: they may be old.
+		if position > 0 {
+			f.apply(n.Records, f.table.isNewer, origin)
+		}
+		return false
 	}
-	if position == 0 && f.now().Sub(n.FreshAt) > outageThreshold && !f.Failing() {
-		return
+	if position == 0 && f.now().Sub(n.FreshAt) > outageThreshold && f.lastErr == nil {
+		return false
 	}
 	from := otherPeer
 	if n.FromParent {
 		from = parent
 	}
-	f.mu.Lock()
-	first := f.merge(n.Records, n.Next, n.FreshAt, origin, from)
-	f.mu.Unlock()
-	if first {
-		f.loaded(origin, len(n.Records))
+	f.merge(n.Records, n.Next, n.FreshAt, origin, from)
+	copied = position == 0 && !f.synced
+	if copied {
+		// The copy holds only some of the removals before it.
+		f.table.removalsFrom = n.Next
+	}
+	if copied || n.Next > position {
+		// This router reads on from the peer's position. If it took a snapshot of its own instead, it would know no removals
+		// before that, and nobody who is behind could follow it.
+		f.synced = true
+	}
+	return copied
+}
+
+func (f *Follower) loaded(from Origin, records int) {
+	if f.OnLoad != nil {
+		f.OnLoad(f.id, from, records)
 	}
 }
--- a/gateway/feed/merge_test.go
+++ b/gateway/feed/merge_test.go
@@ -80,7 +80,7 @@
 func TestBetweenDoesNotSeePartialMerge(t *testing.T) {
 	is := is.New(t)
 	sink := &slowSink{applying: make(chan struct{}, 2)}
-	f := &Follower{sink: sink, offsets: make(map[string]uint64), records: make(map[string]Record)}
+	f := NewFollower(Instances, &fakeSource{}, sink, testPollPolicy)
 	go f.Merge([]Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}}, 3, time.Now())
 	<-sink.applying
 	applied := 0
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"testing"
@@ -104,3 +105,70 @@
 	is.Equal(sink.get("key-0"), "")
 	is.NoErr(<-read)
 }
+
+// Guards against a record of a peer that is behind, of a key that was written again and removed again in the history that the
+// store has deleted: the follower knows an older record of the key, so the peer's looks new.
+func TestRecordFromDeletedHistoryIsNotNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &fakeSource{}
+		source.put("gone", "1")
+		source.put("gone", "")
+		source.put("kept", "1")
+		reader, sink := startFollowing(ctx, Instances, source)
+		copySink := &snapshotSink{newSink()}
+		copied := NewFollower(Instances, source, copySink, testPollPolicy)
+		source.put("gone", "2")
+		time.Sleep(time.Second)
+		is.Equal(sink.get("gone"), "2")
+		source.put("gone", "")
+		time.Sleep(time.Second)
+		source.put("gone", "3")
+		behind := NewFollower(Instances, source, newSink(), testPollPolicy)
+		is.NoErr(behind.readNext(t.Context()))
+		source.put("gone", "")
+		source.deleteHistory()
+		time.Sleep(time.Second)
+		is.Equal(reader.Position(), uint64(7))
+		copied.ApplyDelta(reader.Since(0))
+		for _, f := range []*Follower{reader, copied} {
+			f.ApplyDelta(behind.Since(0))
+			f.ApplyDelta(behind.Since(f.Position()))
+		}
+		is.Equal(sink.get("gone"), "")
+		is.Equal(copySink.get("gone"), "")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a follower that takes records of removed keys from a peer that is behind while it waits for a snapshot: the store
+// has deleted its history and does not answer now.
+func TestRemovedKeyStaysGoneWhileASnapshotIsAwaited(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{}
+	source.put("gone", "1")
+	source.put("kept", "1")
+	behind := NewFollower(Instances, source, newSink(), testPollPolicy)
+	is.NoErr(behind.readNext(t.Context()))
+	source.put("gone", "")
+	sink := &snapshotSink{newSink()}
+	f := NewFollower(Instances, source, sink, testPollPolicy)
+	is.NoErr(f.readNext(t.Context()))
+	source.put("kept", "2")
+	source.deleteHistory()
+	unserved := &unservedSnapshots{fakeSource: source}
+	f.source = unserved
+	is.True(f.readNext(t.Context()) != nil)
+	f.ApplyDelta(behind.Since(0))
+	is.Equal(sink.get("gone"), "")
+	is.Equal(sink.get("kept"), "1")
+}
+
+// unservedSnapshots is a source that serves reads only.
+type unservedSnapshots struct{ *fakeSource }
+
+func (*unservedSnapshots) Newest(context.Context, ID) ([]Record, uint64, error) {
+	return nil, 0, errors.New("status 503")
+}
--- /dev/null
+++ b/gateway/feed/table.go
@@ -0,0 +1,83 @@
+package feed
+
+// table is what a follower knows of the records of its feed. It alone decides whether a record is newer than what is
+// known, whatever the feed and the source of the record. It does no input or output and is not safe for concurrent use.
+type table struct {
+	// next is the position: a record below it is known, or superseded, or its key was removed.
+	next uint64
+	// removalsFrom is the offset from which on all removals are among records. Keys removed before it leave no trace, because
+	// a snapshot holds no removals.
+	removalsFrom uint64
+	// newest holds the offset of the newest known record of each key. records holds those that changed something, which
+	// are sent to peers.
+	newest  map[string]uint64
+	records map[string]Record
+}
+
+func newTable() table {
+	return table{newest: make(map[string]uint64), records: make(map[string]Record)}
+}
+
+// isNewer reports whether a record that was read or sent is newer than what is known. One below the position is not: a key that is not
+// in force at the position has no record below it that counts.
+func (t *table) isNewer(r Record) bool {
+	return r.Offset >= t.next && t.isNewest(r)
+}
+
+// isNewest reports whether a record is newer than the known one of its key.
+func (t *table) isNewest(r Record) bool {
+	known, ok := t.newest[r.Key]
+	return !ok || r.Offset > known
+}
+
+// snapshotFilter returns which records of a snapshot of the store that ends at end are newer than what is known. A snapshot
+// that reaches the position says more about the keys that it has than the position does.
+func (t *table) snapshotFilter(end uint64) func(Record) bool {
+	if end >= t.next {
+		return t.isNewest
+	}
+	return t.isNewer
+}
+
+// record notes that r is the newest known record of its key. changed is set if peers are to be sent it.
+func (t *table) record(r Record, changed bool) {
+	t.newest[r.Key] = r.Offset
+	if changed {
+		t.records[r.Key] = r
+	}
+}
+
+// advance moves the position, if it is behind.
+func (t *table) advance(next uint64) { t.next = max(t.next, next) }
+
+// applySnapshot makes the table as complete as a snapshot of the store that ends at end and whose records have been recorded.
+// Keys that the snapshot lacks are recorded as removed, because peers take this table for as complete as its position. It
+// returns the keys that are left: those of the snapshot, and those with a record beyond its end.
+func (t *table) applySnapshot(records []Record, end uint64) (keys map[string]bool) {
+	keys = make(map[string]bool, len(records))
+	for _, r := range records {
+		keys[r.Key] = true
+	}
+	t.advance(end)
+	t.removalsFrom = max(t.removalsFrom, end)
+	for key, offset := range t.newest {
+		switch {
+		case offset >= end:
+			keys[key] = true
+		case !keys[key] && len(t.records[key].Value) > 0:
+			// The offset of the removal is not known. Peers that are behind the position must take it for newer than the record.
+			t.record(Record{Key: key, Offset: t.next - 1}, true)
+		}
+	}
+	return keys
+}
+
+// since returns the records from an offset on.
+func (t *table) since(from uint64) (records []Record) {
+	for _, r := range t.records {
+		if r.Offset >= from {
+			records = append(records, r)
+		}
+	}
+	return records
+}
