--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -117,7 +117,7 @@
 		from = parent
 	}
 	f.merge(n.Records, n.Next, n.FreshAt, origin, from)
-	copied = position == 0 && !f.synced
+	copied = position == 0 && (n.Next > 0 || !f.synced)
 	if copied {
 		// The copy holds only some of the removals before it.
 		f.table.removalsFrom = n.Next
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -172,3 +172,26 @@
 func (*unservedSnapshots) Newest(context.Context, ID) ([]Record, uint64, error) {
 	return nil, 0, errors.New("status 503")
 }
+
+// Guards against a copy that is taken on top of an empty snapshot and passes for one that knows all removals: a peer that is behind
+// adopts the position and keeps what was removed before the copy.
+func TestCopyOnAnEmptySnapshotKnowsNoEarlierRemovals(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{}
+	early := NewFollower(Instances, source, newSink(), testPollPolicy)
+	is.NoErr(early.readNext(t.Context())) // nothing was written yet
+	source.put("gone", "1")
+	source.put("kept", "1")
+	sink := newSink()
+	behind := NewFollower(Instances, source, sink, testPollPolicy)
+	is.NoErr(behind.readNext(t.Context()))
+	source.put("gone", "")
+	peer := NewFollower(Instances, source, newSink(), testPollPolicy)
+	is.NoErr(peer.readNext(t.Context()))
+	early.ApplyDelta(peer.Since(0))
+	is.Equal(early.Position(), uint64(3))
+	behind.ApplyDelta(early.Since(behind.Position()))
+	is.Equal(behind.Position(), uint64(2)) // the removal at offset 2 has yet to be read
+	is.NoErr(behind.readNext(t.Context()))
+	is.Equal(sink.get("gone"), "")
+}
