gateway/feed: pass on a key that is back with the same content

A worker's entry lapses and is back with the same content. A router that learns both at once from a peer finds that the instance is unchanged, and left it out of what it passes on. A router below it that has seen the removal adopts its position and misses the instance until it reads the store itself, which it does when its peers fall silent: one worker less in a part of the fleet. The same for an evacuation is not possible, as these always count as changes.

What changes nothing may be left out only by who has seen each record of the key.

TestKeyThatIsBackIsPassedOn and TestKeyThatIsBackInASnapshotIsPassedOn fail before.

--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -82,8 +82,8 @@
 
 // Sink receives the records of a feed. Its methods are called one at a time and must not call the follower.
 type Sink interface {
-	// Apply applies a record, in the order of offsets of each key. It reports whether the record is passed on
-	// to peers, which a record that changed nothing need not be.
+	// Apply applies a record, in the order of offsets of each key. It reports whether the record changed something, which peers
+	// are to be told.
 	Apply(r Record, from Origin) (changed bool)
 	// StoreRecovered is called before the first records after a period in which the store answered neither this
 	// router nor its peers.
@@ -157,7 +157,8 @@
 	OnAvailabilityChange func(id ID, err error)
 	// OnAdvance is called after each read that has succeeded. It may be nil.
 	OnAdvance func()
-	// OnLoad is called after the follower has taken a snapshot of the store, or a copy of a peer. It may be nil.
+	// OnLoad is called after the follower has taken a snapshot of the store, or a copy of a peer. It must not call the
+	// follower and may be nil.
 	OnLoad func(id ID, from Origin, records int)
 	// OnFailure is called after each failed read. It may be nil.
 	OnFailure func(id ID, err error)
--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -11,7 +11,11 @@
 		freshAt = f.freshAt
 	}
 	f.checkRecovery(freshAt)
-	f.apply(records, f.table.isNewer, origin)
+	passOn := next
+	if from != ownRead {
+		passOn = 0
+	}
+	f.apply(records, f.table.isNewer, passOn, origin)
 	f.table.advance(next)
 	f.refresh(freshAt, from)
 }
@@ -28,7 +32,7 @@
 		freshAt = f.freshAt
 	}
 	f.checkRecovery(freshAt)
-	f.apply(records, f.table.snapshotFilter(next), origin)
+	f.apply(records, f.table.snapshotFilter(next), next, origin)
 	keys := f.table.applySnapshot(records, next)
 	f.refresh(freshAt, ownRead)
 	f.synced = true
@@ -42,11 +46,14 @@
 	}
 }
 
-// apply applies those records that are newer than what is known. The caller holds mu.
-func (f *Follower) apply(records []Record, isNewer func(Record) bool, from Origin) {
+// apply applies those records that are newer than what is known. Those from the offset passOn on are passed on to peers although they
+// change nothing here: this router has not seen all records of the key since the known one, and a peer may have seen its removal.
+// The caller holds mu.
+func (f *Follower) apply(records []Record, isNewer func(Record) bool, passOn uint64, from Origin) {
 	for _, r := range records {
 		if isNewer(r) {
-			f.table.record(r, f.sink.Apply(r, from))
+			changed := f.sink.Apply(r, from)
+			f.table.record(r, changed || r.Offset >= passOn)
 		}
 	}
 }
@@ -105,7 +112,7 @@
 	if n.Base > position || (position > 0 && position < n.HistoryFrom) {
 		// A router that has no position takes no records without one: they may be old.
 		if position > 0 {
-			f.apply(n.Records, f.table.isNewer, origin)
+			f.apply(n.Records, f.table.isNewer, 0, origin)
 		}
 		return false
 	}
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -195,3 +195,65 @@
 	is.NoErr(behind.readNext(t.Context()))
 	is.Equal(sink.get("gone"), "")
 }
+
+// A key is removed and written again with the same content. Guards against a router that learns both at once from a peer, finds
+// that nothing has changed, and leaves the key out of what it passes on: a router that has seen the removal would miss the key for
+// as long as it takes its updates from that one. A worker whose entry lapsed and is back would get no requests from it.
+func TestKeyThatIsBackIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{}
+	source.put("back", "1")
+	reader := NewFollower(Instances, source, newSink(), testPollPolicy)
+	is.NoErr(reader.readNext(t.Context()))
+	between := NewFollower(Instances, source, newSink(), testPollPolicy)
+	between.ApplyDelta(reader.Since(0))
+	sink := newSink()
+	removed := NewFollower(Instances, source, sink, testPollPolicy)
+	removed.ApplyDelta(reader.Since(0))
+	source.put("back", "")
+	is.NoErr(removed.readNext(t.Context()))
+	is.Equal(sink.get("back"), "")
+	source.put("back", "1")
+	is.NoErr(reader.readNext(t.Context()))
+	between.ApplyDelta(reader.Since(between.Position()))
+	removed.ApplyDelta(between.Since(removed.Position()))
+	is.Equal(removed.Position(), uint64(3))
+	is.Equal(sink.get("back"), "1")
+}
+
+// The same, learned from a snapshot whose later pages are newer than its end.
+func TestKeyThatIsBackInASnapshotIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	source := &pagedSource{}
+	source.put("key", "1")
+	f := NewFollower(Instances, source, newSink(), testPollPolicy)
+	is.NoErr(f.readNext(t.Context()))
+	source.put("key", "2")
+	sink := newSink()
+	peer := NewFollower(Instances, source, sink, testPollPolicy)
+	is.NoErr(peer.readNext(t.Context()))
+	is.Equal(sink.get("key"), "2")
+	source.deleteHistory()
+	source.beforeLastPage = func() { source.put("key", "1") }
+	is.NoErr(f.readNext(t.Context()))
+	is.Equal(f.Position(), uint64(2))
+	is.NoErr(f.readNext(t.Context()))
+	peer.ApplyDelta(f.Since(peer.Position()))
+	is.Equal(peer.Position(), uint64(3))
+	is.Equal(sink.get("key"), "1")
+}
+
+// pagedSource is a source whose snapshots have an empty first page and a last one that is read after beforeLastPage.
+type pagedSource struct {
+	fakeSource
+	beforeLastPage func()
+}
+
+func (s *pagedSource) Newest(ctx context.Context, id ID) ([]Record, uint64, error) {
+	_, next, err := s.fakeSource.Newest(ctx, id)
+	if s.beforeLastPage != nil {
+		s.beforeLastPage()
+	}
+	records, _, _ := s.fakeSource.Newest(ctx, id)
+	return records, next, err
+}
