--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -24,19 +24,21 @@
 // position and the removal of what the snapshot lacks would hold removed keys for good.
 func (f *Follower) applySnapshot(records []Record, next uint64, freshAt time.Time) {
 	origin := Origin{Snapshot: true, Complete: next, RemovalsFrom: next}
-	defer f.loaded(origin, len(records))
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.synced = true
 	if next < f.table.next {
-		// A peer's update was adopted while the snapshot was on its way.
-		freshAt = f.freshAt
+		// A peer's update was adopted while the snapshot was on its way. It is known what has become of the keys since.
+		f.merge(records, next, freshAt, origin, ownRead)
+		return
 	}
 	f.checkRecovery(freshAt)
-	f.apply(records, f.table.snapshotFilter(next), next, origin)
+	// The store's word on a key counts also below the position: a peer's copy may have lacked it.
+	f.apply(records, f.table.isNewest, next, origin)
 	keys := f.table.applySnapshot(records, next)
 	f.refresh(freshAt, ownRead)
-	f.synced = true
 	f.sink.SnapshotApplied(keys, origin)
+	f.loaded(origin, len(records))
 }
 
 // checkRecovery tells the sink if the store had not been heard of for long before freshAt. The caller holds mu.
@@ -98,45 +100,39 @@
 // that could have been removed; it takes an old copy only after it has failed to read the store itself, because
 // instances that have left and keys that were withdrawn since are still in the copy.
 func (f *Follower) ApplyDelta(n Delta) {
-	origin := Origin{Peer: n.Sender, Complete: n.Next, RemovalsFrom: n.HistoryFrom}
-	if f.applyDelta(n, origin) {
-		f.loaded(origin, len(n.Records))
-	}
-}
-
-// applyDelta reports whether the update was taken as a copy of the whole feed.
-func (f *Follower) applyDelta(n Delta, origin Origin) (copied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	origin := Origin{Peer: n.Sender, Complete: n.Next, RemovalsFrom: n.HistoryFrom}
 	position := f.table.next
 	if n.Base > position || (position > 0 && position < n.HistoryFrom) {
 		// A router that has no position takes no records without one: they may be old.
 		if position > 0 {
 			f.apply(n.Records, f.table.isNewer, 0, origin)
 		}
-		return false
+		return
 	}
 	if position == 0 && f.now().Sub(n.FreshAt) > outageThreshold && f.lastErr == nil {
-		return false
+		return
 	}
 	from := otherPeer
 	if n.FromParent {
 		from = parent
 	}
 	f.merge(n.Records, n.Next, n.FreshAt, origin, from)
-	copied = position == 0 && (n.Next > 0 || !f.synced)
+	copied := position == 0 && (n.Next > 0 || !f.synced)
 	if copied {
 		// The copy holds only some of the removals before it.
 		f.table.removalsFrom = n.Next
+		f.loaded(origin, len(n.Records))
 	}
 	if copied || n.Next > position {
 		// This router reads on from the peer's position. If it took a snapshot of its own instead, it would know no removals
 		// before that, and nobody who is behind could follow it.
 		f.synced = true
 	}
-	return copied
 }
 
+// loaded tells OnLoad of a snapshot or a copy. The caller holds mu.
 func (f *Follower) loaded(from Origin, records int) {
 	if f.OnLoad != nil {
 		f.OnLoad(f.id, from, records)
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -257,3 +257,48 @@
 	records, _, _ := s.fakeSource.Newest(ctx, id)
 	return records, next, err
 }
+
+// Guards against a late snapshot that removes a key: it was removed when the snapshot was taken, and is back in the copy that
+// arrived meanwhile, which holds its content with the record of before.
+func TestLateSnapshotKeepsAKeyThatIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &lateSource{delay: time.Second}
+		source.put("back", "1")
+		peer := NewFollower(Instances, &source.fakeSource, newSink(), testPollPolicy)
+		is.NoErr(peer.readNext(t.Context()))
+		source.put("back", "")
+		source.put("other", "1")
+		sink := &snapshotSink{newSink()}
+		started := NewFollower(Instances, source, sink, testPollPolicy)
+		go func() { is.NoErr(started.readNext(t.Context())) }()
+		time.Sleep(source.delay / 2)
+		source.put("back", "1")
+		source.deleteHistory()
+		is.NoErr(peer.readNext(t.Context()))
+		started.ApplyDelta(peer.Since(0))
+		is.Equal(started.Position(), uint64(4))
+		is.Equal(sink.get("back"), "1")
+		time.Sleep(source.delay)
+		is.Equal(sink.get("back"), "1")
+		is.Equal(started.Position(), uint64(4))
+	})
+}
+
+// Guards against a rule that refuses what is sound: a copy lacks a key whose record the peer could not use, as one of another
+// version, and the next snapshot has it with a record below the position.
+func TestSnapshotAddsWhatACopyLacked(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{}
+	source.put("lacking", "1")
+	source.put("kept", "1")
+	sink := &snapshotSink{newSink()}
+	f := NewFollower(Instances, source, sink, testPollPolicy)
+	f.ApplyDelta(Delta{Next: 2, FreshAt: time.Now(), Records: []Record{{Key: "kept", Offset: 1, Value: []byte("1")}}})
+	is.Equal(f.Position(), uint64(2))
+	source.put("kept", "2")
+	source.deleteHistory()
+	is.NoErr(f.readNext(t.Context()))
+	is.Equal(sink.get("lacking"), "1")
+	is.Equal(sink.get("kept"), "2")
+}
--- a/gateway/feed/table.go
+++ b/gateway/feed/table.go
@@ -30,15 +30,6 @@
 	return !ok || r.Offset > known
 }
 
-// snapshotFilter returns which records of a snapshot of the store that ends at end are newer than what is known. A snapshot
-// that reaches the position says more about the keys that it has than the position does.
-func (t *table) snapshotFilter(end uint64) func(Record) bool {
-	if end >= t.next {
-		return t.isNewest
-	}
-	return t.isNewer
-}
-
 // record notes that r is the newest known record of its key. changed is set if peers are to be sent it.
 func (t *table) record(r Record, changed bool) {
 	t.newest[r.Key] = r.Offset
@@ -50,23 +41,22 @@
 // advance moves the position, if it is behind.
 func (t *table) advance(next uint64) { t.next = max(t.next, next) }
 
-// applySnapshot makes the table as complete as a snapshot of the store that ends at end and whose records have been recorded.
-// Keys that the snapshot lacks are recorded as removed, because peers take this table for as complete as its position. It
-// returns the keys that are left: those of the snapshot, and those with a record beyond its end.
+// applySnapshot makes the table as complete as a snapshot of the store that ends at end, at the position or above it, and whose
+// records have been recorded. Keys that the snapshot lacks are recorded as removed, because peers take this table for as complete
+// as its position. It returns the keys that are left: those of the snapshot, and those with a record beyond its end.
 func (t *table) applySnapshot(records []Record, end uint64) (keys map[string]bool) {
 	keys = make(map[string]bool, len(records))
 	for _, r := range records {
 		keys[r.Key] = true
 	}
-	t.advance(end)
-	t.removalsFrom = max(t.removalsFrom, end)
+	t.next, t.removalsFrom = end, end
 	for key, offset := range t.newest {
 		switch {
 		case offset >= end:
 			keys[key] = true
 		case !keys[key] && len(t.records[key].Value) > 0:
 			// The offset of the removal is not known. Peers that are behind the position must take it for newer than the record.
-			t.record(Record{Key: key, Offset: t.next - 1}, true)
+			t.record(Record{Key: key, Offset: end - 1}, true)
 		}
 	}
 	return keys
