--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -4,6 +4,9 @@
 
 import (
 	"flag"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -20,21 +23,40 @@
 	rapid.Check(t, property)
 }
 
-// setSeed sets rapid's flags, once per process. With defaultSeed it also turns off rapid's failure files.
-var setSeed = sync.OnceFunc(func() {
-	given := false
-	flag.Visit(func(f *flag.Flag) {
-		if f.Name == "rapid.seed" {
-			given = true
+// CheckMany is Check with a number of checks, unless the command line gives one. It must not run in parallel with other property
+// tests.
+func CheckMany(t *testing.T, checks int, property func(*rapid.T)) {
+	t.Helper()
+	const name = "rapid.checks"
+	if !given(name) {
+		before := flag.Lookup(name).Value.String()
+		setFlag(name, strconv.Itoa(checks))
+		defer setFlag(name, before)
+	}
+	Check(t, property)
+}
+
+// given reports whether the command line sets a flag. It does not ask package flag, where those that are set here count too.
+func given(name string) bool {
+	for _, arg := range os.Args[1:] {
+		if strings.HasPrefix(strings.TrimLeft(arg, "-"), name) {
+			return true
 		}
-	})
-	if given {
-		return
 	}
-	if err := flag.Set("rapid.seed", defaultSeed); err != nil {
+	return false
+}
+
+func setFlag(name, value string) {
+	if err := flag.Set(name, value); err != nil {
 		panic(err)
 	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
+}
+
+// setSeed sets rapid's flags, once per process. With defaultSeed it also turns off rapid's failure files.
+var setSeed = sync.OnceFunc(func() {
+	if given("rapid.seed") {
+		return
 	}
+	setFlag("rapid.seed", defaultSeed)
+	setFlag("rapid.nofailfile", "true")
 })
