gateway/feed: apply the records of an update in the order of offsets

Found by reading. The entry of a crashed worker stays for some seconds beside that of its successor at the address, which evicts it when it joins: applied first, it finds nothing to evict, and the gateway that starts uses both. Requests for the first one are turned away by the second (421) and sent again.

--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -52,7 +54,7 @@
 // change nothing here: this router has not seen all records of the key since the known one, and a peer may have seen its removal.
 // The caller holds mu.
 func (f *Follower) apply(records []Record, isNewer func(Record) bool, passOn uint64, from Origin) {
-	for _, r := range records {
+	for _, r := range inOrder(records) {
 		if isNewer(r) {
 			changed := f.sink.Apply(r, from)
 			f.table.record(r, changed || r.Offset >= passOn)
@@ -60,6 +62,15 @@
 	}
 }
 
+// inOrder returns records in the order of their offsets. Those of snapshots and of peers come in any order.
+func inOrder(records []Record) []Record {
+	byOffset := func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) }
+	if slices.IsSortedFunc(records, byOffset) {
+		return records
+	}
+	return slices.SortedFunc(slices.Values(records), byOffset)
+}
+
 // refresh records that the store had nothing beyond the position at freshAt. The caller holds mu.
 func (f *Follower) refresh(freshAt time.Time, from source) {
 	if freshAt.After(f.freshAt) {
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -302,3 +303,38 @@
 	is.Equal(sink.get("lacking"), "1")
 	is.Equal(sink.get("kept"), "2")
 }
+
+// A crashed worker's entry stays for some seconds, and its successor at the address takes its place with a later record. Guards
+// against a copy or a snapshot whose records are applied in another order: the successor would be applied first, and both be used.
+func TestRecordsAreAppliedInTheOrderOfOffsets(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{}
+	const keys = 50
+	for n := range keys {
+		source.put(fmt.Sprint("key-", n), "1")
+	}
+	snapshot, copied, read := &orderSink{}, &orderSink{}, &orderSink{}
+	f := NewFollower(Instances, source, snapshot, testPollPolicy)
+	is.NoErr(f.readNext(t.Context()))
+	NewFollower(Instances, source, copied, testPollPolicy).ApplyDelta(f.Since(0))
+	behind := NewFollower(Instances, source, read, testPollPolicy)
+	behind.Merge(nil, 0, time.Now())
+	behind.synced = true
+	is.NoErr(behind.readNext(t.Context()))
+	for _, s := range []*orderSink{snapshot, copied, read} {
+		is.Equal(len(s.offsets), keys)
+		is.True(slices.IsSorted(s.offsets))
+	}
+}
+
+// orderSink notes the offsets of the records that it is given.
+type orderSink struct{ offsets []uint64 }
+
+func (s *orderSink) Apply(r Record, _ Origin) bool {
+	s.offsets = append(s.offsets, r.Offset)
+	return true
+}
+
+func (s *orderSink) StoreRecovered() {}
+
+func (s *orderSink) SnapshotApplied(map[string]bool, Origin) {}
