--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -13,6 +13,7 @@
 		freshAt = f.freshAt
 	}
 	f.checkRecovery(freshAt)
+	// A read of the store has each record of a key, an update of a peer only the newest one.
 	passOn := next
 	if from != ownRead {
 		passOn = 0
@@ -37,7 +38,7 @@
 	f.checkRecovery(freshAt)
 	// The store's word on a key counts also below the position: a peer's copy may have lacked it.
 	f.apply(records, f.table.isNewest, next, origin)
-	keys := f.table.applySnapshot(records, next)
+	keys := f.table.finishSnapshot(records, next)
 	f.refresh(freshAt, ownRead)
 	f.sink.SnapshotApplied(keys, origin)
 	f.loaded(origin, len(records))
--- a/gateway/feed/table.go
+++ b/gateway/feed/table.go
@@ -18,8 +18,8 @@
 	return table{newest: make(map[string]uint64), records: make(map[string]Record)}
 }
 
-// isNewer reports whether a record that was read or sent is newer than what is known. One below the position is not: a key that is not
-// in force at the position has no record below it that counts.
+// isNewer reports whether a record is newer than what is known. One below the position is not, even if its key is unknown: the
+// key was removed.
 func (t *table) isNewer(r Record) bool {
 	return r.Offset >= t.next && t.isNewest(r)
 }
@@ -30,10 +30,10 @@
 	return !ok || r.Offset > known
 }
 
-// record notes that r is the newest known record of its key. changed is set if peers are to be sent it.
-func (t *table) record(r Record, changed bool) {
+// record notes that r is the newest known record of its key. forPeers is set if peers are to be sent it.
+func (t *table) record(r Record, forPeers bool) {
 	t.newest[r.Key] = r.Offset
-	if changed {
+	if forPeers {
 		t.records[r.Key] = r
 	}
 }
@@ -41,15 +41,15 @@
 // advance moves the position, if it is behind.
 func (t *table) advance(next uint64) { t.next = max(t.next, next) }
 
-// applySnapshot makes the table as complete as a snapshot of the store that ends at end, at the position or above it, and whose
-// records have been recorded. Keys that the snapshot lacks are recorded as removed, because peers take this table for as complete
-// as its position. It returns the keys that are left: those of the snapshot, and those with a record beyond its end.
-func (t *table) applySnapshot(records []Record, end uint64) (keys map[string]bool) {
+// finishSnapshot moves the position to the end of a snapshot of the store whose records have been recorded. end is at the position
+// or above it. Keys that the snapshot lacks are recorded as removed, because peers take this table for as complete as its position.
+// It returns the keys that are left: those of the snapshot, and those with a record beyond its end.
+func (t *table) finishSnapshot(records []Record, end uint64) (keys map[string]bool) {
+	t.next, t.removalsFrom = end, end
 	keys = make(map[string]bool, len(records))
 	for _, r := range records {
 		keys[r.Key] = true
 	}
-	t.next, t.removalsFrom = end, end
 	for key, offset := range t.newest {
 		switch {
 		case offset >= end:
@@ -62,7 +62,7 @@
 	return keys
 }
 
-// since returns the records from an offset on.
+// since returns the records for a peer from an offset on.
 func (t *table) since(from uint64) (records []Record) {
 	for _, r := range t.records {
 		if r.Offset >= from {
