--- a/internal/soak/departed_test.go
+++ b/internal/soak/departed_test.go
@@ -131,6 +131,9 @@
 		}
 		asking.Wait()
 		d.t.Logf("%s, %s: %d of %d served", occasion, config.Name, served.Load(), joinedRequests)
+		if served.Load() == 0 {
+			d.checker.Violation(fmt.Sprintf("%s: %s serves nothing", occasion, config.Name))
+		}
 	}
 	time.Sleep(recoveryWindow)
 	if late := d.arrivals() - before; late > 0 {
