--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -82,8 +82,8 @@
 
 // Sink receives the records of a feed. Its methods are called one at a time and must not call the follower.
 type Sink interface {
-	// Apply applies a record, in the order of offsets of each key and of each update. It reports whether the record changed something, which peers
-	// are to be told.
+	// Apply applies a record, in the order of offsets of each key and of each update. It reports whether the record changed
+	// something, which peers are to be told.
 	Apply(r Record, from Origin) (changed bool)
 	// StoreRecovered is called before the first records after a period in which the store answered neither this
 	// router nor its peers.
--- a/gateway/feed/history_test.go
+++ b/gateway/feed/history_test.go
@@ -275,8 +275,7 @@
 
 // Guards against a follower that uses a removed key, takes back what is newer, or ends with another state than the store, in any
 // order of writes, removals, deletions of history, reads, snapshots, copies, updates that arrive late, pauses and restarts; and
-// against one that hands such a state to a router that starts with a copy. It also guards against guards that refuse what is
-// sound.
+// against one that hands such a state to a router that starts with a copy. It also fails if a sound update is refused.
 func TestFollowersAgreeWithTheStoreInAnyHistory(t *testing.T) {
 	proptest.CheckMany(t, histories, func(t *rapid.T) {
 		h := &history{T: t, now: time.Unix(1000, 0)}
--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -36,7 +36,7 @@
 		return
 	}
 	f.checkRecovery(freshAt)
-	// The store's word on a key counts also below the position: a peer's copy may have lacked it.
+	// The store is authoritative for a key below the position too: a peer's copy may have lacked it.
 	f.apply(records, f.table.isNewest, next, origin)
 	keys := f.table.finishSnapshot(records, next)
 	f.refresh(freshAt, ownRead)
@@ -51,8 +51,8 @@
 	}
 }
 
-// apply applies those records that are newer than what is known. Those from the offset passOn on are passed on to peers although they
-// change nothing here: this router has not seen all records of the key since the known one, and a peer may have seen its removal.
+// apply applies those records that are newer than what is known. Those from the offset passOn on are passed on to peers although
+// they change nothing here: this router has not seen all records of the key since the known one, and a peer may have seen its removal.
 // The caller holds mu.
 func (f *Follower) apply(records []Record, isNewer func(Record) bool, passOn uint64, from Origin) {
 	for _, r := range inOrder(records) {
