pool: the feed decides which lifetime of an instance is in force

Callers saw orders begun at a worker that had reported draining 11.5 s before and exits with them, and a restarted worker that no gateway ever uses: it had started again under its ID after its clock was set back.

Cause: the feed has one order of records, and the pool overruled it with the start times of entries, which are the clocks of the workers. Everything that the second lifetime wrote was taken for older than the first one.

Lifetimes are now ordered by their first records in the feed; the last one is in force. A start time names a lifetime. Lifetimes that others have followed are remembered for a minute, so a write of one that is done late is still refused. What one record cannot decide, because the router did not see the first lifetime end, or because both have one name, is decided by which of them goes on writing. See docs/design/lifetimes.md.

--- a/gateway/pool/announce.go
+++ b/gateway/pool/announce.go
@@ -6,14 +6,6 @@
 // is known. An entry that lapses while the instance runs is back sooner. A hold-off is kept until its end.
 const announcementTTL = 10 * time.Minute
 
-// incarnation identifies one run of an instance.
-type incarnation struct {
-	id        string
-	startedAt int64
-}
-
-func (i Instance) incarnation() incarnation { return incarnation{i.ID, i.StartedAt} }
-
 // announcement is what one incarnation of an instance has said of itself in its responses to this router. It holds
 // whatever the entry of the instance says afterwards, and also when the entry lapses and returns.
 type announcement struct {
--- /dev/null
+++ b/gateway/pool/lifetime.go
@@ -0,0 +1,124 @@
+package pool
+
+import "time"
+
+// Lifetimes of an instance are ordered by the offsets of their first entries in the feed, and the last one is in force. A
+// start time names a lifetime and orders none, because clocks jump. See docs/design/lifetimes.md.
+
+const (
+	// endedTTL is how long a lifetime that has ended is remembered, so that a write of it that is done late is refused.
+	// Late writes arrive within seconds.
+	endedTTL = time.Minute
+	// resumeAfter is how long a lifetime that has ended by what is known here must write, while the one in force does not,
+	// until it is in force again. It is longer than an entry stays published without being written again.
+	resumeAfter = 4 * time.Second
+	// resumeEntries is how many entries it must have written by then. Few writes of one instance are done late.
+	resumeEntries = 3
+)
+
+// incarnation names one lifetime of an instance.
+type incarnation struct {
+	id        string
+	startedAt int64
+}
+
+func (i Instance) incarnation() incarnation { return incarnation{i.ID, i.StartedAt} }
+
+// refusedEntries are those of one lifetime since an entry of its instance was last taken.
+type refusedEntries struct {
+	startedAt    int64
+	lastSequence int64
+	count        int
+	since        time.Time
+}
+
+// succession is how an entry relates to the last one that was taken of its instance.
+type succession uint8
+
+const (
+	// sameLifetime is an entry of the lifetime in force that was written later.
+	sameLifetime succession = iota
+	// earlierEntry is one of the lifetime in force that was written earlier.
+	earlierEntry
+	// nextLifetime is the first entry of a lifetime.
+	nextLifetime
+	// endedLifetime is an entry of a lifetime that was in force before.
+	endedLifetime
+	// resumedLifetime is one of a lifetime that goes on, although it had ended by what was known.
+	resumedLifetime
+)
+
+// LastEntry returns the last entry of an instance that was taken. A removed instance is remembered for a while.
+func (r *Registry) LastEntry(id string) (Instance, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastEntry(id)
+}
+
+func (r *Registry) lastEntry(id string) (Instance, bool) {
+	if m := r.members[id]; m != nil {
+		return m.Instance, true
+	}
+	t, ok := r.tombstones[id]
+	return t.last, ok
+}
+
+// succession relates an entry to the last one that was taken of its instance. Entries arrive in the order of the feed.
+func (r *Registry) succession(i, last Instance) succession {
+	if i.StartedAt != last.StartedAt {
+		switch _, ended := r.ended[i.incarnation()]; {
+		case !ended:
+			return nextLifetime
+		case r.goesOn(i):
+			return resumedLifetime
+		}
+		return endedLifetime
+	}
+	switch {
+	case i.Sequence >= last.Sequence:
+		return sameLifetime
+	case i.Leaving && !last.Leaving, i.Address != last.Address, i.Pool != last.Pool:
+		// An earlier entry of the same lifetime has the same address, and is not leaving if a later one is not. So two
+		// lifetimes have the same name.
+		return nextLifetime
+	case r.goesOn(i):
+		return nextLifetime
+	}
+	return earlierEntry
+}
+
+// goesOn reports whether the lifetime of a refused entry still writes while the one in force does not. A write that is done
+// late does not meet this: the lifetime in force writes meanwhile, or its entry lapses and it is not in use.
+func (r *Registry) goesOn(i Instance) bool {
+	now := r.now()
+	known, ok := r.refused[i.ID]
+	switch {
+	case !ok || known.startedAt != i.StartedAt:
+		known = refusedEntries{startedAt: i.StartedAt, since: now}
+	case i.Sequence <= known.lastSequence:
+		return false
+	}
+	known.lastSequence = i.Sequence
+	known.count++
+	r.refused[i.ID] = known
+	return known.count >= resumeEntries && now.Sub(known.since) >= resumeAfter
+}
+
+// beginLifetime notes that the lifetime of an entry is in force after that of another one.
+func (r *Registry) beginLifetime(i, last Instance) {
+	r.ended[last.incarnation()] = r.now()
+	delete(r.ended, i.incarnation())
+}
+
+func (r *Registry) sweepLifetimes(now time.Time) {
+	for l, at := range r.ended {
+		if now.Sub(at) > endedTTL {
+			delete(r.ended, l)
+		}
+	}
+	for id, refused := range r.refused {
+		if now.Sub(refused.since) > endedTTL {
+			delete(r.refused, id)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/pool/lifetime_test.go
@@ -0,0 +1,288 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jacinthfork.example/jacinthfork/internal/proptest"
+)
+
+// heartbeat is how often the instances of these tests are published.
+const heartbeat = 1200 * time.Millisecond
+
+// log is a registry that is given the entries of a feed.
+type log struct{ *Registry }
+
+func (l *log) apply(i Instance) Change { return l.ApplyEntry(i) }
+
+func (l *log) inForce(id string) Instance {
+	i, _ := l.LastEntry(id)
+	return i
+}
+
+func testLog() (*log, *clock) {
+	r, c := testRegistry()
+	return &log{Registry: r}, c
+}
+
+// clockSteps are how far the clock of an instance moves between two lifetimes.
+var clockSteps = []time.Duration{-time.Hour, -time.Second, -time.Millisecond, time.Millisecond, time.Second, time.Hour}
+
+func stepName(d time.Duration) string { return fmt.Sprint("clock ", d) }
+
+// lifetime returns the first entry of the next lifetime of an instance whose clock has moved by step.
+func lifetime(i Instance, step time.Duration) Instance {
+	i.StartedAt, i.Sequence, i.Leaving = i.StartedAt+step.Milliseconds(), 1, false
+	return i
+}
+
+// An instance starts again under its ID after its clock was set. Guards against a second lifetime that is ignored: at the
+// address of the first one it gets requests after it has reported draining, at another one it gets none. It is in force from
+// its first entry, whichever that is.
+func TestLastLifetimeInTheFeedIsInForce(t *testing.T) {
+	for _, step := range clockSteps {
+		t.Run(stepName(step), func(t *testing.T) {
+			is := is.New(t)
+			r, _ := testLog()
+			first := testInstance(1)
+			first.StartedAt, first.Sequence = 1<<40, 7
+			is.Equal(r.apply(first), Joined)
+
+			second := lifetime(first, step)
+			is.Equal(r.apply(second), Restarted)
+			second.Sequence, second.Leaving = 2, true
+			is.Equal(r.apply(second), Leaving)
+			is.True(r.Acquire(testPrompt(1)) == nil)
+
+			third := lifetime(second, step)
+			third.Address = "10.0.1.1:80"
+			is.Equal(r.apply(third), Restarted)
+			is.Equal(r.Acquire(testPrompt(1)).Instance.Address, third.Address)
+
+			is.Equal(r.Remove(third.ID), Removed)
+			fourth := lifetime(third, step)
+			fourth.Leaving = true // what came before was lost
+			is.Equal(r.apply(fourth), Joined)
+			is.True(r.Acquire(testPrompt(1)) == nil)
+		})
+	}
+}
+
+// The store may execute a write seconds after it was made. Guards against one of a lifetime that has ended, once or several
+// times, which brings it back beside the one that runs, or that drains.
+func TestLateWritesOfAnEndedLifetimeAreRefused(t *testing.T) {
+	for _, step := range clockSteps {
+		t.Run(stepName(step), func(t *testing.T) {
+			is := is.New(t)
+			r, c := testLog()
+			first := testInstance(1)
+			first.StartedAt, first.Sequence = 1<<40, 7
+			r.apply(first)
+			second := lifetime(first, step)
+			r.apply(second)
+			late := first
+			for range 8 {
+				late.Sequence++
+				c.advance(heartbeat)
+				is.Equal(r.apply(late), Ended)
+				second.Sequence++
+				is.True(!r.apply(second).Ignored())
+			}
+			second.Sequence, second.Leaving = second.Sequence+1, true
+			r.apply(second)
+			is.Equal(r.apply(late), Ended)
+			is.True(r.Acquire(testPrompt(1)) == nil)
+			earlier := second
+			earlier.Sequence, earlier.Leaving = second.Sequence-1, false
+			is.Equal(r.apply(earlier), Stale)
+			is.Equal(r.Remove(second.ID), Removed)
+			late.Sequence++
+			is.Equal(r.apply(late), Ended)
+			is.Equal(r.apply(earlier), Stale)
+			is.True(r.Acquire(testPrompt(1)) == nil)
+		})
+	}
+}
+
+// An entry lapses while its instance runs. Guards against one that comes back as another lifetime, without the requests that
+// are in flight there.
+func TestEntryThatLapsesIsOfTheSameLifetime(t *testing.T) {
+	is := is.New(t)
+	r, _ := testLog()
+	i := testInstance(1)
+	r.apply(i)
+	lease := r.Acquire(testPrompt(1))
+	is.Equal(r.Remove(i.ID), Removed)
+	is.Equal(r.apply(i), Joined) // the last entry again
+	is.Equal(r.Acquire(testPrompt(1)).Load, 1.0)
+	is.True(lease.Usable())
+}
+
+// Two lifetimes have one name: they start within a millisecond, or a clock is set back to it. Guards against a second one that
+// drains, or has another address, and is taken for late writes of the first.
+func TestLifetimesWithOneStartTime(t *testing.T) {
+	first := testInstance(1)
+	first.Sequence = 7
+	for name, change := range map[string]func(i *Instance){
+		"leaving": func(i *Instance) { i.Leaving = true },
+		"address": func(i *Instance) { i.Address = "10.0.1.1:80" },
+		"pool":    func(i *Instance) { i.Pool = "other" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, _ := testLog()
+			r.apply(first)
+			second := lifetime(first, 0)
+			change(&second)
+			is.Equal(r.apply(second), Restarted)
+			is.Equal(r.inForce(first.ID).Sequence, int64(1))
+		})
+	}
+	t.Run("nothing else", func(t *testing.T) {
+		is := is.New(t)
+		r, c := testLog()
+		drained := first
+		drained.Leaving = true
+		r.apply(drained)
+		r.Remove(drained.ID)
+		second := lifetime(first, 0)
+		begin := c.at
+		for r.Acquire(testPrompt(1)) == nil {
+			is.True(c.at.Sub(begin) < resumeAfter+heartbeat)
+			c.advance(heartbeat)
+			r.apply(second)
+			second.Sequence++
+		}
+		is.True(second.Sequence < drained.Sequence)
+	})
+}
+
+// A router hears of a lifetime first after its successor: it has just started, and takes a late write for a new lifetime.
+// Guards against an instance that runs and is ignored from then on.
+func TestLifetimeThatGoesOnIsInForceAgain(t *testing.T) {
+	for _, step := range clockSteps {
+		t.Run(stepName(step), func(t *testing.T) {
+			is := is.New(t)
+			r, c := testLog()
+			late := testInstance(1)
+			late.StartedAt, late.Sequence = 1<<40, 7
+			running := lifetime(late, step)
+			running.Address = "10.0.1.1:80"
+			r.apply(running)
+			r.apply(late)
+			begin := c.at
+			for r.inForce(running.ID).StartedAt != running.StartedAt {
+				is.True(c.at.Sub(begin) < resumeAfter+heartbeat)
+				c.advance(heartbeat)
+				running.Sequence++
+				r.apply(running)
+			}
+			is.Equal(r.Acquire(testPrompt(1)).Instance.Address, running.Address)
+			is.Equal(r.apply(late), Ended)
+		})
+	}
+}
+
+// Guards against names that are kept for good.
+func TestEndedLifetimesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	r, c := testLog()
+	i := testInstance(1)
+	for range 100 {
+		r.apply(i)
+		ended := i
+		i = lifetime(i, time.Second)
+		r.apply(i)
+		r.apply(ended)
+	}
+	c.advance(endedTTL + time.Second)
+	r.Sweep(c.at)
+	is.Equal(len(r.ended), 0)
+	is.Equal(len(r.refused), 0)
+}
+
+// lateWrite is a write of an entry that the store has not done yet.
+type lateWrite struct {
+	entry Instance
+	at    time.Time
+}
+
+// Guards against a lifetime that is out of use because of its start time, and against one in use that has ended, whatever
+// the clock of the worker shows in each lifetime, and whichever writes are done late.
+func TestLastLifetimeIsInForceInAnyHistory(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		r, c := testLog()
+		running, up := testInstance(0), false
+		names := make(map[int64]bool)
+		var late []lateWrite
+		write := func(i Instance) {
+			r.apply(i)
+			r.EvictPredecessors(i)
+		}
+		whileUp := func(do func(t *rapid.T)) func(t *rapid.T) {
+			return func(t *rapid.T) {
+				if up {
+					do(t)
+				}
+			}
+		}
+		publish := func(*rapid.T) {
+			running.Sequence++
+			write(running)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"heartbeat": whileUp(publish),
+			"drain": whileUp(func(t *rapid.T) {
+				running.Leaving = true
+				publish(t)
+			}),
+			"heartbeat that is done late": whileUp(func(*rapid.T) {
+				running.Sequence++
+				late = append(late, lateWrite{running, c.at})
+			}),
+			"late write": func(*rapid.T) {
+				if len(late) == 0 {
+					return
+				}
+				w := late[0]
+				late = late[1:]
+				// One that was made after all others of its lifetime is not late.
+				superseded := w.entry.StartedAt != running.StartedAt || w.entry.Sequence < r.inForce(running.ID).Sequence
+				if superseded && c.at.Sub(w.at) < endedTTL/2 {
+					write(w.entry)
+				}
+			},
+			"lapse": func(*rapid.T) { r.Remove(running.ID) },
+			"start": func(t *rapid.T) {
+				next := testInstance(0)
+				for next.StartedAt == 1 || names[next.StartedAt] {
+					next.StartedAt = c.at.UnixMilli() + rapid.Int64Range(-10_000, 10_000).Draw(t, "clock")
+				}
+				names[next.StartedAt] = true
+				next.Address = fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(0, 2).Draw(t, "address"))
+				running, up = next, true
+				write(next)
+			},
+			"time": func(t *rapid.T) {
+				c.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+				r.Sweep(c.at)
+			},
+			"": func(*rapid.T) {
+				got := r.inForce(running.ID)
+				if up && got.incarnation() != running.incarnation() {
+					t.Fatalf("in force is %+v, not %+v", got, running)
+				}
+				if l := r.Acquire(&Request{Pool: "llm"}); l != nil {
+					if l.Instance.incarnation() != running.incarnation() || running.Leaving {
+						t.Fatalf("%+v is chosen, %+v is the last one", l.Instance, running)
+					}
+					l.Release(Served)
+				}
+			},
+		})
+	})
+}
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -78,8 +78,8 @@
 	Leaving bool
 	// ColdLeft is how much longer the instance is cold, as of the publication.
 	ColdLeft time.Duration
-	// StartedAt is the start time of the instance in Unix milliseconds. It identifies the incarnation, because an
-	// instance may restart under its old ID.
+	// StartedAt is the start time of the instance in Unix milliseconds, by its own clock. It names the incarnation, because
+	// an instance may restart under its old ID, and says nothing about the order of incarnations.
 	StartedAt int64
 	// Sequence increases with each publication of one incarnation.
 	Sequence int64
@@ -111,6 +111,10 @@
 	// tombstones holds the last publication of each removed instance, so that an earlier publication that
 	// arrives late does not bring the instance back. The last publication itself does if it arrives again.
 	tombstones map[string]tombstone
+	// ended holds the lifetimes that others have followed, with the times when these were read. refused holds the entries of
+	// an instance that were refused since one was last taken.
+	ended   map[incarnation]time.Time
+	refused map[string]refusedEntries
 	// announcements hold what instances have said of themselves in their responses.
 	announcements map[incarnation]*announcement
 	// waits holds the requests that wait for places.
@@ -149,6 +153,8 @@
 		byAddress:       make(map[string][]*member),
 		early:           make(earlyHolds),
 		tombstones:      make(map[string]tombstone),
+		ended:           make(map[incarnation]time.Time),
+		refused:         make(map[string]refusedEntries),
 		announcements:   make(map[incarnation]*announcement),
 		waits:           make(map[incarnation]map[*wait]bool),
 		directory:       newDirectory(),
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -22,37 +22,78 @@
 	// told of the expiry must be told of the return too. With changed content it is Updated, Leaving or
 	// Restarted.
 	Returned
-	// Stale is a publication that is older than a known one.
+	// Resumed is a publication of a lifetime that goes on although another one was taken for its successor.
+	Resumed
+	// Stale is a publication that was made before a known one of the same lifetime. It has no effect.
 	Stale
+	// Ended is a publication of a lifetime that has ended. It has no effect.
+	Ended
 )
 
+// Ignored reports whether the publication has had no effect, because it was made before a known one.
+func (c Change) Ignored() bool { return c == Stale || c == Ended }
+
 // String returns the change as it appears in logs.
 func (c Change) String() string {
-	return [...]string{"unchanged", "joined", "restarted", "leaving", "updated", "removed", "returned", "stale"}[c]
+	return [...]string{"unchanged", "joined", "restarted", "leaving", "updated", "removed", "returned", "resumed", "stale", "ended"}[c]
 }
 
-// ApplyEntry applies a published entry. An entry that is older than the known one is ignored.
+// Begins reports whether the publication brings an instance into use that was not, or another lifetime of it.
+func (c Change) Begins() bool { return c == Joined || c == Restarted || c == Resumed }
+
+// ApplyEntry applies a published entry. The entries of an instance must be applied in the order of the feed, which says
+// what lifetime of the instance is in force, see succession.
 func (r *Registry) ApplyEntry(i Instance) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, ok := r.tombstones[i.ID]
-	if ok && older(i, t.last) {
-		return Stale
+	begins, resumed := false, false
+	last, known := r.lastEntry(i.ID)
+	if known {
+		switch r.succession(i, last) {
+		case earlierEntry:
+			return Stale
+		case endedLifetime:
+			return Ended
+		case nextLifetime:
+			begins = true
+		case resumedLifetime:
+			begins, resumed = true, true
+		}
 	}
+	if begins {
+		r.beginLifetime(i, last)
+	}
+	delete(r.refused, i.ID)
 	m, ok := r.members[i.ID]
-	if !ok {
-		delete(r.tombstones, i.ID)
-		delete(r.replaced, KeyOf(i.ID))
-		if t.member != nil && t.last.StartedAt == i.StartedAt && t.last.Address == i.Address && t.last.Pool == i.Pool {
-			r.insert(t.member.returned(i, r.now()))
-		} else {
-			r.add(i)
-		}
+	switch {
+	case !ok:
+		r.join(i, begins)
 		return Joined
+	case begins || i.Address != m.Address || i.Pool != m.Pool:
+		r.drop(m)
+		r.add(i)
+		if resumed {
+			return Resumed
+		}
+		return Restarted
 	}
-	if older(i, m.Instance) {
-		return Stale
+	return r.update(m, i)
+}
+
+// join adds an instance that is not in use. One that goes on in the same lifetime has its load and its cache.
+func (r *Registry) join(i Instance, begins bool) {
+	t := r.tombstones[i.ID]
+	delete(r.tombstones, i.ID)
+	delete(r.replaced, KeyOf(i.ID))
+	if t.member != nil && !begins && t.last.Address == i.Address && t.last.Pool == i.Pool {
+		r.insert(t.member.returned(i, r.now()))
+		return
 	}
+	r.add(i)
+}
+
+// update applies a later entry of the same lifetime of a member.
+func (r *Registry) update(m *member, i Instance) Change {
 	m.coldUntil = r.now().Add(i.ColdLeft)
 	expired := !m.expiredAt.IsZero()
 	m.expiredAt = time.Time{}
@@ -63,11 +104,6 @@
 		}
 		return Unchanged
 	}
-	if i.StartedAt != m.StartedAt || i.Address != m.Address || i.Pool != m.Pool {
-		r.drop(m)
-		r.add(i)
-		return Restarted
-	}
 	leaving := i.Leaving && !m.Leaving
 	m.Instance = i
 	if r.closed(m) {
@@ -95,15 +131,6 @@
 	return removed
 }
 
-// older reports whether an entry was published before another one of the same instance. Entries of the same
-// incarnation are ordered by sequence; the same sequence means the same entry.
-func older(i, known Instance) bool {
-	if i.StartedAt != known.StartedAt {
-		return i.StartedAt < known.StartedAt
-	}
-	return i.Sequence < known.Sequence
-}
-
 func (r *Registry) add(i Instance) {
 	r.insert(&member{Instance: i, hash: rendezvous.Hash(i.ID), coldUntil: r.now().Add(i.ColdLeft), cache: newPromptCache(r.cacheTokens[i.Pool])})
 }
@@ -204,6 +231,7 @@
 	}
 	r.early.sweep(now)
 	r.sweepAnnouncements(now)
+	r.sweepLifetimes(now)
 	for key, until := range r.replaced {
 		if now.After(until) {
 			delete(r.replaced, key)
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	change := g.registry.ApplyEntry(i)
-	if change == pool.Stale {
+	if change.Ignored() {
 		g.log.Info("instance entry ignored", "instance", i.ID, "offset", r.Offset, originAttr(from), "sequence", i.Sequence, "born", i.StartedAt, "leaving", i.Leaving)
 		return false
 	}
@@ -109,7 +109,7 @@
 		// Requests that arrive next are admitted by the slots of the entry.
 		g.admission.refresh()
 	}
-	if change == pool.Joined || change == pool.Restarted {
+	if change.Begins() {
 		for _, id := range g.registry.EvictPredecessors(i) {
 			g.log.Info("instance", "instance", id, "change", "replaced", "by", i.ID, "offset", r.Offset, originAttr(from))
 		}
