pool: the feed decides which of two instances at an address is the successor

Callers of an instance that had crashed and whose address its successor had were refused until the entry of the crashed one lapsed, or the successor itself was taken out of use, if the clocks of the two machines did not agree.

Cause: EvictPredecessors ordered the two by their start times, which are those of two clocks, and only when the successor's entry was read second.

An instance is now a predecessor of another one at its address if all that it has written stands before the first entry of the other one. Offsets say so whatever the clocks show and in whatever order the entries arrive.

The test of waits names its successor by an offset instead of a start time, as that no longer orders the two.

--- a/gateway/pool/lifetime.go
+++ b/gateway/pool/lifetime.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Lifetimes of an instance are ordered by the offsets of their first entries in the feed, and the last one is in force. A
 // start time names a lifetime and orders none, because clocks jump. See docs/design/lifetimes.md.
@@ -122,3 +125,25 @@
 		}
 	}
 }
+
+// Replacement is an instance that is out of use because its address belongs to another one.
+type Replacement struct{ Instance, By string }
+
+// EvictPredecessors removes the instances at the address of i that have written nothing since another one there began: the
+// entry of a crashed instance stays published for some seconds, and its successor refuses the requests that are meant for
+// it. An instance that has not ended after all is back with its next entry. The instances may have become known in any
+// order.
+func (r *Registry) EvictPredecessors(i Instance) (replaced []Replacement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range slices.Clone(r.byAddress[i.Address]) {
+		for _, other := range r.byAddress[i.Address] {
+			if m != other && m.Offset < other.firstOffset {
+				r.evict(m, r.now())
+				replaced = append(replaced, Replacement{Instance: m.ID, By: other.ID})
+				break
+			}
+		}
+	}
+	return replaced
+}
--- a/gateway/pool/lifetime_test.go
+++ b/gateway/pool/lifetime_test.go
@@ -14,10 +14,17 @@
 // heartbeat is how often the instances of these tests are published.
 const heartbeat = 1200 * time.Millisecond
 
-// log is a registry that is given the entries of a feed.
-type log struct{ *Registry }
+// log gives entries the offsets that they have in the feed.
+type log struct {
+	*Registry
+	next uint64
+}
 
-func (l *log) apply(i Instance) Change { return l.ApplyEntry(i) }
+func (l *log) apply(i Instance) Change {
+	l.next++
+	i.Offset = l.next
+	return l.ApplyEntry(i)
+}
 
 func (l *log) inForce(id string) Instance {
 	i, _ := l.LastEntry(id)
@@ -187,6 +194,39 @@
 	}
 }
 
+// Guards against requests to an instance that has crashed and whose address its successor has, wherever their clocks stand:
+// the successor refuses them until the entry of the crashed one lapses. The entries may become known in any order.
+func TestSuccessorAtAnAddressReplacesItsPredecessor(t *testing.T) {
+	for _, step := range append(clockSteps, 0) {
+		for _, inOrder := range []bool{true, false} {
+			t.Run(fmt.Sprint(stepName(step), ", in order ", inOrder), func(t *testing.T) {
+				is := is.New(t)
+				r, _ := testRegistry()
+				crashed := testInstance(1)
+				crashed.StartedAt, crashed.Offset = 1<<40, 5
+				successor := testInstance(2)
+				successor.Address, successor.StartedAt, successor.Offset = crashed.Address, crashed.StartedAt+step.Milliseconds(), 9
+				entries := []Instance{crashed, successor}
+				if !inOrder {
+					entries = []Instance{successor, crashed}
+				}
+				is.Equal(r.ApplyEntry(entries[0]), Joined)
+				is.Equal(len(r.EvictPredecessors(entries[0])), 0)
+				is.Equal(r.ApplyEntry(entries[1]), Joined)
+				is.Equal(r.EvictPredecessors(entries[1]), []Replacement{{Instance: crashed.ID, By: successor.ID}})
+				is.Equal(len(r.EvictPredecessors(successor)), 0)
+				for range 8 {
+					is.Equal(r.Acquire(testPrompt(1)).Instance.ID, successor.ID)
+				}
+				crashed.Sequence, crashed.Offset = crashed.Sequence+1, 12
+				is.Equal(r.ApplyEntry(crashed), Joined) // it is still published, so it has not ended
+				is.Equal(len(r.EvictPredecessors(crashed)), 0)
+				is.Equal(r.Remove(crashed.ID), Removed)
+			})
+		}
+	}
+}
+
 // Guards against names that are kept for good.
 func TestEndedLifetimesAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -8,6 +8,8 @@
 // member is one instance together with what this router knows about it.
 type member struct {
 	Instance
+	// firstOffset is the offset of the first entry of this lifetime that was taken.
+	firstOffset uint64
 	// announced is what this incarnation has said of itself, nil if nothing.
 	announced *announcement
 	// hash is the rendezvous hash of the ID.
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -83,6 +83,8 @@
 	StartedAt int64
 	// Sequence increases with each publication of one incarnation.
 	Sequence int64
+	// Offset is the position of the publication in the feed.
+	Offset uint64
 }
 
 // Registry holds what one router knows about the instances. It is safe for concurrent use.
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -116,23 +116,12 @@
 	return Updated
 }
 
-// EvictPredecessors removes the instances that had the address of i before it, and returns their IDs: the entry of a
-// crashed instance stays published for some seconds, and its successor refuses the requests that are meant for it. An
-// instance that has not ended after all is back with its next publication.
-func (r *Registry) EvictPredecessors(i Instance) (removed []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, m := range slices.Clone(r.byAddress[i.Address]) {
-		if m.ID != i.ID && m.StartedAt < i.StartedAt {
-			r.evict(m, r.now())
-			removed = append(removed, m.ID)
-		}
-	}
-	return removed
-}
-
 func (r *Registry) add(i Instance) {
-	r.insert(&member{Instance: i, hash: rendezvous.Hash(i.ID), coldUntil: r.now().Add(i.ColdLeft), cache: newPromptCache(r.cacheTokens[i.Pool])})
+	now := r.now()
+	r.insert(&member{
+		Instance: i, firstOffset: i.Offset, hash: rendezvous.Hash(i.ID), coldUntil: now.Add(i.ColdLeft),
+		cache: newPromptCache(r.cacheTokens[i.Pool]),
+	})
 }
 
 func (r *Registry) insert(m *member) {
@@ -259,10 +248,10 @@
 	r.evict(m, r.now())
 }
 
-// sameContent reports whether another publication differs at most in its sequence and in how much longer the
-// instance is cold.
+// sameContent reports whether another publication differs at most in its place in the order of publications and in how much
+// longer the instance is cold.
 func (i Instance) sameContent(o Instance) bool {
-	i.Sequence = o.Sequence
+	i.Sequence, i.Offset = o.Sequence, o.Offset
 	if (i.ColdLeft > 0) == (o.ColdLeft > 0) {
 		i.ColdLeft = o.ColdLeft
 	}
--- a/gateway/pool/publish_test.go
+++ b/gateway/pool/publish_test.go
@@ -51,24 +51,3 @@
 	is.Equal(r.Acquire(testPrompt(1)).Instance.ID, "i-01")
 	is.Equal(r.Remove("i-01"), Removed) // the store is available, so the removal applies at once
 }
-
-// Guards against requests to an instance that has crashed and whose address its successor has: it refuses them until the
-// entry of the crashed one lapses.
-func TestSuccessorAtAnAddressReplacesItsPredecessor(t *testing.T) {
-	is := is.New(t)
-	r, _ := testRegistry()
-	crashed := testInstance(1)
-	is.Equal(r.ApplyEntry(crashed), Joined)
-	is.Equal(len(r.EvictPredecessors(crashed)), 0)
-	successor := testInstance(2)
-	successor.Address, successor.StartedAt = crashed.Address, 2
-	is.Equal(r.ApplyEntry(successor), Joined)
-	is.Equal(len(r.EvictPredecessors(crashed)), 0) // the older one replaces nobody
-	is.Equal(r.EvictPredecessors(successor), []string{crashed.ID})
-	for range 8 {
-		is.Equal(r.Acquire(testPrompt(1)).Instance.ID, successor.ID)
-	}
-	crashed.Sequence++
-	is.Equal(r.ApplyEntry(crashed), Joined) // it is still published, so it has not ended
-	is.Equal(r.Remove(crashed.ID), Removed)
-}
--- a/gateway/pool/waits_test.go
+++ b/gateway/pool/waits_test.go
@@ -28,7 +28,7 @@
 		},
 		"successor": func(r *Registry, l *Lease) {
 			i := l.Instance
-			i.ID, i.StartedAt = "successor", i.StartedAt+1
+			i.ID, i.Offset = "successor", i.Offset+1
 			r.ApplyEntry(i)
 			r.EvictPredecessors(i)
 		},
@@ -84,6 +84,7 @@
 			stop  func()
 		}
 		var waiting []*request
+		offset := uint64(0)
 		instance := rapid.Custom(func(t *rapid.T) Instance {
 			i := testInstance(rapid.IntRange(0, 2).Draw(t, "instance"))
 			i.FailureDomain = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain")
@@ -108,6 +109,8 @@
 			},
 			"publish": func(t *rapid.T) {
 				i := instance.Draw(t, "entry")
+				offset++
+				i.Offset = offset
 				r.ApplyEntry(i)
 				r.EvictPredecessors(i)
 			},
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -99,6 +99,7 @@
 		g.log.Warn("instance entry ignored", "instance", r.Key, "offset", r.Offset, originAttr(from), "error", err)
 		return false
 	}
+	i.Offset = r.Offset
 	change := g.registry.ApplyEntry(i)
 	if change.Ignored() {
 		g.log.Info("instance entry ignored", "instance", i.ID, "offset", r.Offset, originAttr(from), "sequence", i.Sequence, "born", i.StartedAt, "leaving", i.Leaving)
@@ -110,8 +111,8 @@
 		g.admission.refresh()
 	}
 	if change.Begins() {
-		for _, id := range g.registry.EvictPredecessors(i) {
-			g.log.Info("instance", "instance", id, "change", "replaced", "by", i.ID, "offset", r.Offset, originAttr(from))
+		for _, p := range g.registry.EvictPredecessors(i) {
+			g.log.Info("instance", "instance", p.Instance, "change", "replaced", "by", p.By, "offset", r.Offset, originAttr(from))
 		}
 	}
 	return change != pool.Unchanged
