pool: a hold-off goes over to the next lifetime whatever its clock shows

Callers' requests were sent to a restarted instance that had just turned this router away, in an answer to a request sent by the entry of its predecessor, if its clock was not within the router's.

Cause: whether the answer was that of the predecessor was decided by comparing the start time, the instance's clock, with the time of the answer, the router's.

The order of arrival at this router decides now: the hold-off goes over if the first entry of the next lifetime, at the same address, is read within holdOffHandover after the answer, or before it.

Evidence: TestHoldOffOfARestartedInstanceIsKept, which gains clocks that jump, fails on in each of its cases. Two expectations were about start times and are replaced by ones about arrival: a lifetime that is first heard of long after the answer is used, and one at another address.

--- a/gateway/pool/announce.go
+++ b/gateway/pool/announce.go
@@ -6,19 +6,24 @@
 // is known. An entry that lapses while the instance runs is back sooner. A hold-off is kept until its end.
 const announcementTTL = 10 * time.Minute
 
+// holdOffHandover is how long after it was said a hold-off goes over to the next lifetime of the instance, if its first
+// entry is read by then. An instance is published within seconds of its first answer.
+const holdOffHandover = 10 * time.Second
+
 // announcement is what one incarnation of an instance has said of itself in its responses to this router. It holds
 // whatever the entry of the instance says afterwards, and also when the entry lapses and returns.
 type announcement struct {
 	leaving bool
 	// heldOffUntil is the end of the time for which the instance wants no requests from this router, heldOffAt is when it
-	// said so last.
+	// said so last, and heldOffFrom the address that it had.
 	heldOffUntil, heldOffAt time.Time
+	heldOffFrom             string
 	at                      time.Time
 }
 
 // holdOff extends the time for which the instance wants no requests from this router, by what it said at the given time.
-func (a *announcement) holdOff(at, until time.Time) {
-	a.heldOffAt = at
+func (a *announcement) holdOff(at, until time.Time, from string) {
+	a.heldOffAt, a.heldOffFrom = at, from
 	if until.After(a.heldOffUntil) {
 		a.heldOffUntil = until
 	}
@@ -65,10 +70,10 @@
 	now := r.now()
 	a := r.announcement(l.Instance, now)
 	first = !now.Before(a.heldOffUntil)
-	a.holdOff(now, now.Add(d))
+	a.holdOff(now, now.Add(d), l.Instance.Address)
 	r.endWaits(l.Instance.incarnation(), ownWaits)
 	if m := r.members[l.Instance.ID]; m != nil && m.StartedAt != l.Instance.StartedAt {
-		r.inheritHoldOff(m.Instance, now)
+		r.inheritHoldOff(m, now)
 		if m.announced.turnsAway(now) {
 			r.endWaits(m.incarnation(), ownWaits)
 		}
@@ -76,13 +81,15 @@
 	return first
 }
 
-// inheritHoldOff applies to an instance what it has said under the entry of its predecessor: one that restarts under its old
-// ID answers the requests that are sent by that entry until its own is read. The answers of its predecessor came before
-// its start.
-func (r *Registry) inheritHoldOff(i Instance, now time.Time) {
-	for predecessor, a := range r.announcements {
-		if predecessor.id == i.ID && predecessor.startedAt < i.StartedAt && i.StartedAt <= a.heldOffAt.UnixMilli() && now.Before(a.heldOffUntil) {
-			r.announcement(i, now).holdOff(a.heldOffAt, a.heldOffUntil)
+// inheritHoldOff applies to an instance what was said under the entry of another lifetime of it: one that restarts under its old
+// ID at the same address answers the requests that are sent by that entry until its own is read. No clock and no connection
+// tells which of the two gave an answer, so the hold-off goes over if the entry of this one was read soon after the answer,
+// or before it.
+func (r *Registry) inheritHoldOff(m *member, now time.Time) {
+	for other, a := range r.announcements {
+		if other.id == m.ID && other.startedAt != m.StartedAt && now.Before(a.heldOffUntil) &&
+			a.heldOffFrom == m.Address && m.firstReadAt.Sub(a.heldOffAt) < holdOffHandover {
+			r.announcement(m.Instance, now).holdOff(a.heldOffAt, a.heldOffUntil, a.heldOffFrom)
 		}
 	}
 }
--- a/gateway/pool/announce_test.go
+++ b/gateway/pool/announce_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,49 +119,66 @@
 	is.True(l.Usable())
 
 	is.True(l.RecordHoldOff(time.Minute))
-	i.StartedAt, i.Sequence = c.now().UnixMilli()+1, 1
+	c.advance(holdOffHandover) // too long for the answer to be that of the next one
+	i.StartedAt, i.Sequence = i.StartedAt+1, 1
 	r.ApplyEntry(i)
 	is.True(r.Acquire(withoutOther) != nil)
 }
 
 // Guards against requests to a restarted instance within the time for which it has turned this router away in an answer
-// to a request that was sent by the entry of its predecessor.
+// to a request that was sent by the entry of its predecessor, wherever its clock stands. An instance that is first heard of
+// long after the answer did not give it, and neither did one at another address.
 func TestHoldOffOfARestartedInstanceIsKept(t *testing.T) {
-	restarted := func(i Instance, c *clock) Instance {
-		i.StartedAt, i.Sequence = c.now().UnixMilli(), 1
+	const holdOff = 2 * holdOffHandover
+	restarted := func(i Instance, step time.Duration) Instance {
+		i.StartedAt, i.Sequence = i.StartedAt+step.Milliseconds(), 1
 		return i
 	}
 	for name, answer := range map[string]func(r *Registry, l *Lease, next Instance){
 		"before its entry": func(r *Registry, l *Lease, next Instance) {
-			l.RecordHoldOff(2 * time.Second)
+			l.RecordHoldOff(holdOff)
 			r.ApplyEntry(next)
 		},
 		"before its entry, its predecessor's was removed": func(r *Registry, l *Lease, next Instance) {
-			l.RecordHoldOff(2 * time.Second)
+			l.RecordHoldOff(holdOff)
 			r.Remove(next.ID)
 			r.ApplyEntry(next)
 		},
 		"after its entry": func(r *Registry, l *Lease, next Instance) {
 			r.ApplyEntry(next)
-			l.RecordHoldOff(2 * time.Second)
+			l.RecordHoldOff(holdOff)
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			r, c := testRegistry()
-			i := testInstance(0)
-			r.ApplyEntry(i)
-			l := r.Acquire(&Request{Pool: "llm"})
-			next := restarted(i, c)
-			c.advance(100 * time.Millisecond)
-			answer(r, l, next)
-			c.advance(1900 * time.Millisecond)
-			is.True(r.Acquire(&Request{Pool: "llm"}) == nil)
-			is.True(r.HeldOff("llm") > 0)
-			r.ApplyEntry(restarted(i, c))
-			is.True(r.Acquire(&Request{Pool: "llm"}) != nil) // started after the answer
-		})
+		for _, step := range []time.Duration{time.Second, -time.Second, time.Hour, -time.Hour} {
+			t.Run(fmt.Sprint(name, ", clock ", step), func(t *testing.T) {
+				is := is.New(t)
+				r, c := testRegistry()
+				i := testInstance(0)
+				i.StartedAt = c.now().UnixMilli()
+				r.ApplyEntry(i)
+				l := r.Acquire(&Request{Pool: "llm"})
+				c.advance(100 * time.Millisecond)
+				next := restarted(i, step)
+				answer(r, l, next)
+				c.advance(holdOff - time.Millisecond)
+				is.True(r.Acquire(&Request{Pool: "llm"}) == nil)
+				is.True(r.HeldOff("llm") > 0)
+				r.ApplyEntry(restarted(next, step))
+				is.True(r.Acquire(&Request{Pool: "llm"}) != nil) // first heard of long after the answer
+			})
+		}
 	}
+	t.Run("another address", func(t *testing.T) {
+		is := is.New(t)
+		r, _ := testRegistry()
+		i := testInstance(0)
+		r.ApplyEntry(i)
+		r.Acquire(&Request{Pool: "llm"}).RecordHoldOff(holdOff)
+		next := restarted(i, time.Second)
+		next.Address = "10.0.1.1:80"
+		r.ApplyEntry(next)
+		is.True(r.Acquire(&Request{Pool: "llm"}) != nil)
+	})
 }
 
 // Guards against requests to an instance within the time for which it has turned this router away, because its entry
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -8,8 +8,9 @@
 // member is one instance together with what this router knows about it.
 type member struct {
 	Instance
-	// firstOffset is the offset of the first entry of this lifetime that was taken.
+	// firstOffset is the offset of the first entry of this lifetime that was taken, and firstReadAt is when that was.
 	firstOffset uint64
+	firstReadAt time.Time
 	// announced is what this incarnation has said of itself, nil if nothing.
 	announced *announcement
 	// hash is the rendezvous hash of the ID.
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -119,13 +119,13 @@
 func (r *Registry) add(i Instance) {
 	now := r.now()
 	r.insert(&member{
-		Instance: i, firstOffset: i.Offset, hash: rendezvous.Hash(i.ID), coldUntil: now.Add(i.ColdLeft),
+		Instance: i, firstOffset: i.Offset, firstReadAt: now, hash: rendezvous.Hash(i.ID), coldUntil: now.Add(i.ColdLeft),
 		cache: newPromptCache(r.cacheTokens[i.Pool]),
 	})
 }
 
 func (r *Registry) insert(m *member) {
-	r.inheritHoldOff(m.Instance, r.now())
+	r.inheritHoldOff(m, r.now())
 	m.announced = r.announcements[m.incarnation()]
 	m.cache.capacity = r.cacheTokens[m.Pool]
 	r.members[m.ID] = m
