gateway: the log says why an entry was taken or refused

An on-call engineer saw that an entry was ignored, with its own start time and sequence, and not what it lost against; and of a restart nothing but the offset.

The line of a refused entry now has the reason and, side by side, what decides of the entry and of the one in force: the name of the lifetime, the sequence, the offset, the address, leaving. The lines of a change have the entry and the one before. The counter instance_stale counts refused entries.

--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -52,6 +52,7 @@
 	responsesRefused *expvar.Map
 	configRejected   *expvar.Int
 	instanceRejected *expvar.Int
+	instanceStale    *expvar.Int
 	admissionWait    *histogram
 	firstByte        *histogram
 	eventGap         *histogram
@@ -86,6 +87,7 @@
 		responsesRefused: c.Map("responses_refused"),
 		configRejected:   c.Int("configuration_rejected"),
 		instanceRejected: c.Int("instance_rejected"),
+		instanceStale:    c.Int("instance_stale"),
 		admissionWait:    newHistogram(c, "waiting_ms"),
 		firstByte:        newHistogram(c, "first_byte_ms"),
 		eventGap:         newHistogram(c, "event_gap_ms"),
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -100,12 +100,18 @@
 		return false
 	}
 	i.Offset = r.Offset
+	last, known := g.registry.LastEntry(i.ID)
 	change := g.registry.ApplyEntry(i)
 	if change.Ignored() {
-		g.log.Info("instance entry ignored", "instance", i.ID, "offset", r.Offset, originAttr(from), "sequence", i.Sequence, "born", i.StartedAt, "leaving", i.Leaving)
+		g.metrics.instanceStale.Add(1)
+		g.log.Info("instance entry ignored", "instance", i.ID, "reason", change.String(), originAttr(from), entryAttr("entry", i), entryAttr("in_force", last))
 		return false
 	}
-	s.logChange(i.ID, change, r.Offset, from)
+	attrs := []any{entryAttr("entry", i)}
+	if known {
+		attrs = append(attrs, entryAttr("before", last))
+	}
+	s.logChange(i.ID, change, r.Offset, from, attrs...)
 	if change != pool.Unchanged {
 		// Requests that arrive next are admitted by the slots of the entry.
 		g.admission.refresh()
@@ -118,14 +124,21 @@
 	return change != pool.Unchanged
 }
 
-func (s *instancesSink) logChange(id string, c pool.Change, offset uint64, from feed.Origin) {
+func (s *instancesSink) logChange(id string, c pool.Change, offset uint64, from feed.Origin, attrs ...any) {
 	switch c {
 	case pool.Unchanged, pool.Updated:
 	default:
-		s.g.log.Info("instance", "instance", id, "change", c.String(), "offset", offset, originAttr(from))
+		attrs = append([]any{"instance", id, "change", c.String(), "offset", offset, originAttr(from)}, attrs...)
+		s.g.log.Info("instance", attrs...)
 	}
 }
 
+// entryAttr returns what of an entry decides whether it is taken: which lifetime it names, and its place in the orders of
+// that lifetime and of the feed.
+func entryAttr(name string, i pool.Instance) slog.Attr {
+	return slog.Group(name, "born", i.StartedAt, "sequence", i.Sequence, "offset", i.Offset, "address", i.Address, "leaving", i.Leaving)
+}
+
 // StoreRecovered implements feed.Sink.
 func (s *instancesSink) StoreRecovered() { s.g.registry.RecordStoreRecovery() }
 
