gateway: a router that starts with a copy learns which lifetimes have ended

Callers of a gateway that had just started could be sent to a worker that drains: the store took a write of its lifetime before late, and the new gateway, which knew nothing of that one, took it for the next lifetime.

Cause: a copy holds the last record of each instance. The lifetimes before it left no trace there.

A name that is in force at the receiver does not count.

--- a/gateway/pool/lifetime.go
+++ b/gateway/pool/lifetime.go
@@ -107,15 +107,59 @@
 	return known.count >= resumeEntries && now.Sub(known.since) >= resumeAfter
 }
 
+// ending is what is known of the end of a lifetime: the offset of the entry that showed it, and when that was read.
+type ending struct {
+	offset uint64
+	at     time.Time
+}
+
 // beginLifetime notes that the lifetime of an entry is in force after that of another one.
 func (r *Registry) beginLifetime(i, last Instance) {
-	r.ended[last.incarnation()] = r.now()
+	r.ended[last.incarnation()] = ending{offset: i.Offset, at: r.now()}
 	delete(r.ended, i.incarnation())
 }
 
+// EndedLifetime is a lifetime of an instance that another one has followed, as routers tell each other.
+type EndedLifetime struct {
+	Instance  string
+	StartedAt int64
+	// Offset is that of the entry that showed the end, Age the time since it was read.
+	Offset uint64
+	Age    time.Duration
+}
+
+// EndedLifetimes returns the lifetimes that have ended not long ago, from an offset on.
+func (r *Registry) EndedLifetimes(from uint64) (ended []EndedLifetime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for l, e := range r.ended {
+		if e.offset >= from {
+			ended = append(ended, EndedLifetime{Instance: l.id, StartedAt: l.startedAt, Offset: e.offset, Age: now.Sub(e.at)})
+		}
+	}
+	return ended
+}
+
+// RecordEnded records lifetimes that have ended by what another router knows. A router that takes its copy of the entries did not
+// see them. One that is in force here is left to the entries.
+func (r *Registry) RecordEnded(ended []EndedLifetime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for _, e := range ended {
+		l := incarnation{e.Instance, e.StartedAt}
+		_, known := r.ended[l]
+		last, ok := r.lastEntry(l.id)
+		if e.Age <= endedTTL && !known && (!ok || last.incarnation() != l) {
+			r.ended[l] = ending{offset: e.Offset, at: now.Add(-e.Age)}
+		}
+	}
+}
+
 func (r *Registry) sweepLifetimes(now time.Time) {
-	for l, at := range r.ended {
-		if now.Sub(at) > endedTTL {
+	for l, e := range r.ended {
+		if now.Sub(e.at) > endedTTL {
 			delete(r.ended, l)
 		}
 	}
--- a/gateway/pool/lifetime_test.go
+++ b/gateway/pool/lifetime_test.go
@@ -227,6 +227,36 @@
 	}
 }
 
+// A router starts with the copy of another one: it has seen the last lifetime only. Guards against a late write of an earlier one
+// that it takes for the next one. What the other router is wrong about does not count against what this one has read.
+func TestEndedLifetimesAreToldWithACopy(t *testing.T) {
+	is := is.New(t)
+	told, c := testLog()
+	first := testInstance(1)
+	first.Sequence = 7
+	second := lifetime(first, time.Second)
+	told.apply(first)
+	told.apply(second)
+	c.advance(endedTTL / 2)
+	ended := told.EndedLifetimes(0)
+	is.Equal(ended, []EndedLifetime{{Instance: first.ID, StartedAt: first.StartedAt, Offset: 2, Age: endedTTL / 2}})
+	is.Equal(told.EndedLifetimes(2), ended)
+	is.Equal(len(told.EndedLifetimes(3)), 0) // a peer there has read it
+
+	copied, c := testLog()
+	copied.RecordEnded(ended)
+	is.Equal(copied.apply(second), Joined)
+	first.Sequence++
+	is.Equal(copied.apply(first), Ended)
+	is.Equal(copied.EndedLifetimes(0)[0].Age, endedTTL/2)
+	copied.RecordEnded([]EndedLifetime{{Instance: second.ID, StartedAt: second.StartedAt, Offset: 9}})
+	is.Equal(copied.apply(second), Unchanged)
+	copied.RecordEnded([]EndedLifetime{{Instance: "other", StartedAt: 1, Age: 2 * endedTTL}})
+	c.advance(endedTTL/2 + time.Second)
+	copied.Sweep(c.at)
+	is.Equal(len(copied.ended), 0) // no longer than where it was read
+}
+
 // Guards against names that are kept for good.
 func TestEndedLifetimesAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/gateway/pool/pool.go
+++ b/gateway/pool/pool.go
@@ -113,9 +113,9 @@
 	// tombstones holds the last publication of each removed instance, so that an earlier publication that
 	// arrives late does not bring the instance back. The last publication itself does if it arrives again.
 	tombstones map[string]tombstone
-	// ended holds the lifetimes that others have followed, with the times when these were read. refused holds the entries of
-	// an instance that were refused since one was last taken.
-	ended   map[incarnation]time.Time
+	// ended holds the lifetimes that others have followed. refused holds the entries of an instance that were refused since
+	// one was last taken.
+	ended   map[incarnation]ending
 	refused map[string]refusedEntries
 	// announcements hold what instances have said of themselves in their responses.
 	announcements map[incarnation]*announcement
@@ -155,7 +155,7 @@
 		byAddress:       make(map[string][]*member),
 		early:           make(earlyHolds),
 		tombstones:      make(map[string]tombstone),
-		ended:           make(map[incarnation]time.Time),
+		ended:           make(map[incarnation]ending),
 		refused:         make(map[string]refusedEntries),
 		announcements:   make(map[incarnation]*announcement),
 		waits:           make(map[incarnation]map[*wait]bool),
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"jacinthfork.example/jacinthfork/gateway/extrawork"
 	"jacinthfork.example/jacinthfork/gateway/feed"
 	"jacinthfork.example/jacinthfork/gateway/peer"
@@ -248,6 +250,13 @@
 	for _, r := range n.Records {
 		size += len(r.Key) + len(r.Value)
 	}
+	var ended []*peerpb.EndedLifetime
+	if f.id == feed.Instances && len(n.Records) > 0 {
+		ended = g.endedLifetimes(own.Base)
+	}
+	for _, e := range ended {
+		size += proto.Size(e)
+	}
 	if size > maxUnsolicitedBytes && !position.GetWant() {
 		return
 	}
@@ -255,6 +264,27 @@
 	for _, r := range n.Records {
 		state.Records = append(state.Records, &peerpb.Record{Feed: uint32(f.id), Offset: r.Offset, Key: r.Key, Value: r.Value})
 	}
+	state.EndedLifetimes = append(state.EndedLifetimes, ended...)
+}
+
+// endedLifetimes returns the lifetimes of instances that have ended from an offset on, for a peer that is sent the records.
+func (g *Gateway) endedLifetimes(from uint64) []*peerpb.EndedLifetime {
+	ended := g.registry.EndedLifetimes(from)
+	out := make([]*peerpb.EndedLifetime, 0, len(ended))
+	for _, e := range ended {
+		out = append(out, &peerpb.EndedLifetime{Instance: e.Instance, StartedAt: e.StartedAt, Offset: e.Offset, AgeMs: uint32(e.Age.Milliseconds())})
+	}
+	return out
+}
+
+// mergeEndedLifetimes records what a peer knows of lifetimes that have ended. It comes before the records, which may begin others.
+func (g *Gateway) mergeEndedLifetimes(state *peerpb.State) {
+	ended := make([]pool.EndedLifetime, 0, len(state.GetEndedLifetimes()))
+	for _, e := range state.GetEndedLifetimes() {
+		ended = append(ended, pool.EndedLifetime{Instance: e.GetInstance(), StartedAt: e.GetStartedAt(), Offset: e.GetOffset(),
+			Age: time.Duration(e.GetAgeMs()) * time.Millisecond})
+	}
+	g.registry.RecordEnded(ended)
 }
 
 // findPosition returns a peer's position in a feed, or nil if the peer has not sent one.
@@ -280,6 +310,7 @@
 func (g *Gateway) MergeState(node string, state *peerpb.State) (news, behind bool) {
 	blocked, news := g.poison.Merge(state.GetSuspectParts(), state.GetSuspectRequests())
 	g.logBlocked(blocked, node)
+	g.mergeEndedLifetimes(state)
 	for _, position := range state.GetPositions() {
 		for _, f := range g.followers() {
 			if uint32(f.id) != position.GetFeed() {
