feed: removals are forgotten after an hour or two

Cause: removals are kept so that peers that are behind hear of them, and nothing said for how long.

They are kept for an hour at least and two at most. What is forgotten is below the position, which alone says that earlier records of the key are not newer, and removalsFrom rises to it, so a peer that may still hold the record is behind that, can't adopt the position, and reads the store. One that was cut off from the store and from all peers for so long, and reaches peers first, keeps the entry until it reads the store.

--- a/gateway/feed/history_test.go
+++ b/gateway/feed/history_test.go
@@ -245,6 +245,7 @@
 		func() {
 			h.now = h.now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(h.T, "pause in ms")) * time.Millisecond)
 		},
+		func() { h.now = h.now.Add(removalsKept) },
 	}
 	events[rapid.IntRange(0, len(events)-1).Draw(h.T, "event")]()
 }
--- a/gateway/feed/merge.go
+++ b/gateway/feed/merge.go
@@ -20,6 +20,7 @@
 	}
 	f.apply(records, f.table.isNewer, passOn, origin)
 	f.table.advance(next)
+	f.table.forgetRemovals(f.now())
 	f.refresh(freshAt, from)
 }
 
@@ -39,6 +40,7 @@
 	// The store is authoritative for a key below the position too: a peer's copy may have lacked it.
 	f.apply(records, f.table.isNewest, next, origin)
 	keys := f.table.finishSnapshot(records, next)
+	f.table.forgetRemovals(f.now())
 	f.refresh(freshAt, ownRead)
 	f.sink.SnapshotApplied(keys, origin)
 	f.loaded(origin, len(records))
--- a/gateway/feed/removed_test.go
+++ b/gateway/feed/removed_test.go
@@ -338,3 +338,65 @@
 func (s *orderSink) StoreRecovered() {}
 
 func (s *orderSink) SnapshotApplied(map[string]bool, Origin) {}
+
+// 200 workers a day leave for good. Guards against tables and copies that grow with each of them: a gateway that starts takes no
+// copy above some size. A peer that has heard of nobody for longer than removals are kept must not adopt the position of one that
+// has forgotten them, and reads the store.
+func TestRemovalsAreForgotten(t *testing.T) {
+	const (
+		perDay = 200
+		days   = 30
+		kept   = 2 * perDay / 24 // within two hours
+	)
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	source := &fakeSource{}
+	follow := func() (*Follower, *snapshotSink) {
+		sink := &snapshotSink{newSink()}
+		f := NewFollower(Instances, source, sink, testPollPolicy)
+		f.now = func() time.Time { return now }
+		return f, sink
+	}
+	reader, _ := follow()
+	cutOff, cutOffSink := follow()
+	source.put("kept", "1")
+	for n := range days * perDay {
+		key := fmt.Sprint("worker-", n)
+		source.put(key, "1")
+		is.NoErr(reader.readNext(t.Context()))
+		if n == perDay {
+			cutOff.ApplyDelta(reader.Since(0))
+			is.Equal(cutOffSink.get(key), "1")
+		}
+		source.put(key, "")
+		now = now.Add(24 * time.Hour / perDay)
+		is.NoErr(reader.readNext(t.Context()))
+	}
+	is.Equal(reader.Summary().InForce, 1)
+	is.True(reader.Summary().Removed <= kept)
+	is.True(len(reader.Since(0).Records) <= 1+kept)
+	is.True(len(reader.table.newest) <= 1+kept)
+
+	gone := fmt.Sprint("worker-", perDay)
+	position := cutOff.Position()
+	cutOff.ApplyDelta(reader.Since(position))
+	is.Equal(cutOff.Position(), position)
+	is.NoErr(cutOff.readNext(t.Context()))
+	is.Equal(cutOffSink.get(gone), "")
+	// A peer that is behind by less than removals are kept needs no store.
+	recent, recentSink := follow()
+	source.put("leaves", "1")
+	is.NoErr(reader.readNext(t.Context()))
+	recent.ApplyDelta(reader.Since(0))
+	is.Equal(recentSink.get("leaves"), "1")
+	source.put("leaves", "")
+	is.NoErr(reader.readNext(t.Context()))
+	now = now.Add(removalsKept - time.Minute)
+	is.NoErr(reader.readNext(t.Context()))
+	recent.ApplyDelta(reader.Since(recent.Position()))
+	is.Equal(recentSink.get("leaves"), "")
+	is.Equal(recent.Position(), reader.Position())
+	// What is older than the forgotten removal of a key is not newer than it.
+	reader.ApplyDelta(Delta{Records: []Record{{Key: gone, Offset: position - 1, Value: []byte("1")}}, Next: position, FreshAt: now})
+	is.Equal(reader.Summary().InForce, 1)
+}
--- a/gateway/feed/table.go
+++ b/gateway/feed/table.go
@@ -1,5 +1,10 @@
 package feed
 
+import "time"
+
+// removalsKept is the least time for which a removal is kept for peers. One that has heard of nobody for longer reads the store.
+const removalsKept = time.Hour
+
 // table is what a follower knows of the records of its feed. It alone decides whether a record is newer than what is
 // known, whatever the feed and the source of the record. It does no input or output and is not safe for concurrent use.
 type table struct {
@@ -12,6 +17,9 @@
 	// are sent to peers.
 	newest  map[string]uint64
 	records map[string]Record
+	// mark is the position that was reached by markedAt. Removals below it are forgotten removalsKept later.
+	mark     uint64
+	markedAt time.Time
 }
 
 func newTable() table {
@@ -62,6 +70,22 @@
 	return keys
 }
 
+// forgetRemovals forgets removals that have been known for removalsKept, at the latest after twice that. What it forgets is below
+// the position, so no record of these keys from before counts as newer.
+func (t *table) forgetRemovals(now time.Time) {
+	if now.Sub(t.markedAt) < removalsKept {
+		return
+	}
+	for key, r := range t.records {
+		if len(r.Value) == 0 && r.Offset < t.mark {
+			delete(t.records, key)
+			delete(t.newest, key)
+			t.removalsFrom = max(t.removalsFrom, r.Offset+1)
+		}
+	}
+	t.mark, t.markedAt = t.next, now
+}
+
 // since returns the records for a peer from an offset on.
 func (t *table) since(from uint64) (records []Record) {
 	for _, r := range t.records {
