soak: workers restart under their IDs after their clocks were set, and drain

Workers that crash or drain come back with a clock that was set back or forward. Those that leave for good restart before, and some of them report draining for the rest of the run, in between which the store takes a write of their lifetime before late.

--- a/internal/soak/departed_test.go
+++ b/internal/soak/departed_test.go
@@ -26,14 +26,22 @@
 	joinCount   = 2
 	// joinedRequests is how many requests an added gateway gets in a check. A worker in use gets one in ten or more.
 	joinedRequests = 100
+	// heartbeat is how often a draining worker is published, and lateWriteBeat the publication before which one of its lifetime
+	// before is done: as late as a call of the store may be executed.
+	heartbeat     = 1200 * time.Millisecond
+	lateWriteBeat = 3
 )
 
 // departures are workers that leave for good while the store deletes its history, beside gateways that are added.
 type departures struct {
 	*fleet
 	leavers []*standin.Worker
-	mu      sync.Mutex
-	joined  []standin.RouterConfig
+	// addresses are those at which the leavers are published.
+	addresses []string
+	// draining counts the leavers that are published as draining.
+	draining sync.WaitGroup
+	mu       sync.Mutex
+	joined   []standin.RouterConfig
 }
 
 func newDepartures(t *testing.T, seed uint64) *departures {
@@ -44,21 +52,46 @@
 	}
 	// The faults of workers, some of which publish them again, do not concern those that leave.
 	d.leavers, d.workers = d.workers[known:], d.workers[:known]
+	for _, link := range d.workerLinks[known:] {
+		d.addresses = append(d.addresses, link.Address())
+	}
 	return d
 }
 
-// leaveOneByOne removes the entries of the leavers, most of them in the same moment as the history. They go on serving.
-func (d *departures) leaveOneByOne(rng *rand.Rand) {
-	for _, w := range d.leavers {
+// leaveOneByOne restarts the leavers under their IDs, after their clocks were set, and lets them leave: most entries are removed, in
+// the same moment as the history or by a record, the others report draining. They go on serving.
+func (d *departures) leaveOneByOne(ctx context.Context, rng *rand.Rand) {
+	for n, w := range d.leavers {
 		time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
-		if rng.IntN(3) == 0 {
+		earlier := w.Entry("ready")
+		earlier["addr"] = d.addresses[n]
+		w.Crash()
+		w.RestartAt(w.Address(), drawClockStep(rng))
+		d.store.Publish(w, "ready", d.addresses[n])
+		time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+		switch rng.IntN(3) {
+		case 0:
 			d.store.Withdraw(w)
-		} else {
+		case 1:
+			d.draining.Go(func() { d.drain(ctx, n, earlier) })
+		default:
 			d.store.Forget(standin.InstanceTopic, w.ID)
 		}
 	}
 }
 
+// drain publishes a leaver as draining until ctx ends. A write of its lifetime before is done late, in between.
+func (d *departures) drain(ctx context.Context, n int, earlier map[string]any) {
+	for beat := 0; ctx.Err() == nil; beat++ {
+		if beat == lateWriteBeat {
+			d.store.PutJSON(standin.InstanceTopic, d.leavers[n].ID, earlier)
+			time.Sleep(heartbeat / 2)
+		}
+		d.store.Publish(d.leavers[n], "draining", d.addresses[n])
+		time.Sleep(heartbeat)
+	}
+}
+
 // join adds a gateway to the fleet and waits until it is ready.
 func (d *departures) join(n int) {
 	config := d.configs[0]
@@ -150,7 +183,7 @@
 	for n := range callerCount {
 		callers.Go(func() { d.sendRequests(ctx, seed*100+uint64(n)) })
 	}
-	events.Go(func() { d.leaveOneByOne(rand.New(rand.NewPCG(seed, 5))) })
+	events.Go(func() { d.leaveOneByOne(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	for n := range joinCount {
 		delay := time.Duration(d.rng.IntN(5000)) * time.Millisecond
 		events.Go(func() {
@@ -173,6 +206,7 @@
 	d.checkGone("after all were restarted in turn")
 	cancel()
 	callers.Wait()
+	d.draining.Wait()
 	var arrivals []standin.Arrival
 	for _, w := range append(d.workers, d.leavers...) {
 		arrivals = append(arrivals, w.Arrivals()...)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	all := f.rng.IntN(3) == 0
 	direction := fleettest.Direction(f.rng.IntN(2))
 	behaviour := f.rng.IntN(len(behaviours))
+	step := drawClockStep(f.rng)
 	faults := []func(){
 		func() { f.killNode(node) },
 		func() { f.stopNode(node) },
@@ -34,9 +36,9 @@
 		func() { f.delayLinks(duration) },
 		f.killAll,
 		func() { f.stallWorker(worker, direction, duration) },
-		func() { f.crashWorker(worker, duration) },
+		func() { f.crashWorker(worker, duration, step) },
 		func() { f.degradeWorker(worker, behaviours[behaviour], duration) },
-		func() { f.drainWorker(worker, duration) },
+		func() { f.drainWorker(worker, duration, step) },
 	}
 	return faults[f.rng.IntN(len(faults))]
 }
@@ -177,15 +179,21 @@
 	f.workerLinks[worker].Unstall(d)
 }
 
+// drawClockStep returns by how much the clock of a worker's machine differs from that of its last start: time has passed, or the
+// clock was set.
+func drawClockStep(rng *rand.Rand) time.Duration {
+	return []time.Duration{-time.Hour, -2400 * time.Millisecond, -time.Millisecond, time.Second, time.Hour}[rng.IntN(5)]
+}
+
 // crashWorker crashes a worker and withdraws its entry from the store, then restarts and publishes it again.
-func (f *fleet) crashWorker(worker int, duration time.Duration) {
+func (f *fleet) crashWorker(worker int, duration, step time.Duration) {
 	f.workerMu.Lock()
 	defer f.workerMu.Unlock()
 	w := f.workers[worker]
 	w.Crash()
 	f.store.Withdraw(w)
 	time.Sleep(duration)
-	w.Restart()
+	w.RestartAt(w.Address(), step)
 	f.store.Publish(w, "ready", f.workerLinks[worker].Address())
 }
 
@@ -196,7 +204,7 @@
 }
 
 // drainWorker publishes a worker as draining, then restarts it and publishes it as ready.
-func (f *fleet) drainWorker(worker int, duration time.Duration) {
+func (f *fleet) drainWorker(worker int, duration, step time.Duration) {
 	f.workerMu.Lock()
 	defer f.workerMu.Unlock()
 	w := f.workers[worker]
@@ -204,6 +212,6 @@
 	f.store.Publish(w, "draining", address)
 	time.Sleep(duration)
 	w.Crash()
-	w.Restart()
+	w.RestartAt(w.Address(), step)
 	f.store.Publish(w, "ready", address)
 }
