gateway: two lifetimes with one start time share no connections

Requests for a worker that had moved were sent to the process before it, as long as that ran, over a connection that was open to it.

Cause: idle connections were kept by the ID and the start time of the worker, which name a lifetime but may be those of two.

They are kept by the address as well. The ID of a crash stays as it was, so that gateways of both builds agree on it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,8 +42,12 @@
 	lastDialTimeout = 1300 * time.Millisecond
 )
 
-// connectionKey identifies one incarnation of an instance, so that connections are not reused after a restart.
-func connectionKey(i pool.Instance) string { return i.ID + "/" + strconv.FormatInt(i.StartedAt, 36) }
+// lifetimeName names one incarnation of an instance.
+func lifetimeName(i pool.Instance) string { return i.ID + "/" + strconv.FormatInt(i.StartedAt, 36) }
+
+// connectionKey identifies one incarnation of an instance at its address, so that connections are not reused after a restart.
+// Two incarnations may have the same name.
+func connectionKey(i pool.Instance) string { return lifetimeName(i) + "/" + i.Address }
 
 // tryInstances sends the request to one instance after another as long as retrying is safe.
 func (s *requestState) tryInstances(ctx context.Context) error {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -139,7 +139,7 @@
 }
 
 // crashID identifies the crash of one incarnation of an instance at all routers.
-func crashID(i pool.Instance) uint32 { return uint32(xxhash.Sum64String(connectionKey(i))) }
+func crashID(i pool.Instance) uint32 { return uint32(xxhash.Sum64String(lifetimeName(i))) }
 
 // maxLoggedRequests and maxLoggedPrompts bound the requests and the prompts in one log line.
 const (
