pool: peers follow a lifetime that is in force again

A gateway that had taken a late write for the next lifetime from a peer would not have used the worker that runs, or gone on using one that drains, until its next change; found by reading.

Cause: the gateway that reads the store sees which lifetime goes on and takes it again, but peers are told only of entries that change something. They refused the one that they were told of, as of a lifetime that had ended, and heard of no other.

For ten seconds after a lifetime is in force again each of its entries counts as a change, so peers see what the reader has seen, and decide by the same rule.

Evidence: TestPeersFollowAResumedLifetime fails for each clock without it.

--- a/gateway/pool/lifetime.go
+++ b/gateway/pool/lifetime.go
@@ -17,6 +17,9 @@
 	resumeAfter = 4 * time.Second
 	// resumeEntries is how many entries it must have written by then. Few writes of one instance are done late.
 	resumeEntries = 3
+	// repeatFor is how long each entry of a resumed lifetime counts as a change, so that peers are told of it. They can tell that it
+	// goes on then, and take it as well.
+	repeatFor = 2*resumeAfter + 2*time.Second
 	// firstSequence is that of the first entry of a lifetime.
 	firstSequence = 1
 	// confirmAfter is how long after the first one that is read another entry confirms a lifetime whose first entry was not read.
@@ -52,7 +55,7 @@
 	nextLifetime
 	// endedLifetime is an entry of a lifetime that was in force before.
 	endedLifetime
-	// resumedLifetime is one of a lifetime that goes on, although it had ended by what was known.
+	// resumedLifetime is one of a lifetime that goes on, although it had ended, or had written later ones, by what was known.
 	resumedLifetime
 	// unconfirmedLifetime is one of a lifetime that is not known and began a while ago: the next one, of which the first entries
 	// were not read, or one that has ended.
@@ -98,7 +101,7 @@
 		// lifetimes have the same name.
 		return nextLifetime
 	case r.refuse(i).goesOn(r.now()):
-		return nextLifetime
+		return resumedLifetime
 	}
 	return earlierEntry
 }
--- a/gateway/pool/lifetime_test.go
+++ b/gateway/pool/lifetime_test.go
@@ -235,6 +235,44 @@
 	}
 }
 
+// A router tells its peers of the entries that change something there. Guards against peers that stay with the wrong lifetime,
+// because the entry by which theirs had ended is the last one that they are told of.
+func TestPeersFollowAResumedLifetime(t *testing.T) {
+	for _, step := range append(clockSteps, 0) {
+		t.Run(stepName(step), func(t *testing.T) {
+			is := is.New(t)
+			reader, c := testLog()
+			peer := NewRegistry(DefaultSettings(), "a")
+			peer.now = c.now
+			read := func(i Instance) {
+				if change := reader.apply(i); !change.Ignored() && change != Unchanged {
+					i.Offset = reader.next
+					peer.ApplyTakenEntry(i)
+				}
+			}
+			late := testInstance(1)
+			late.StartedAt, late.Sequence, late.Leaving = 1<<40, 40, true
+			running := lifetime(late, step)
+			running.Sequence = 20
+			if step != 0 {
+				read(running)
+			}
+			read(late)
+			begin := c.at
+			for peer.Acquire(testPrompt(1)) == nil {
+				is.True(c.at.Sub(begin) < 2*(resumeAfter+heartbeat))
+				c.advance(heartbeat)
+				running.Sequence++
+				read(running)
+			}
+			is.Equal(reader.inForce(late.ID).StartedAt, running.StartedAt)
+			c.advance(repeatFor)
+			running.Sequence++
+			is.Equal(reader.apply(running), Unchanged)
+		})
+	}
+}
+
 // Guards against requests to an instance that has crashed and whose address its successor has, wherever their clocks stand:
 // the successor refuses them until the entry of the crashed one lapses. The entries may become known in any order.
 func TestSuccessorAtAnAddressReplacesItsPredecessor(t *testing.T) {
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -54,25 +54,34 @@
 func (r *Registry) apply(i Instance, taken bool) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	begins, resumed := false, false
 	last, known := r.lastEntry(i.ID)
-	if known {
-		switch r.succession(i, last, taken) {
-		case earlierEntry:
-			return Stale
-		case endedLifetime:
-			return Ended
-		case unconfirmedLifetime:
-			return Unconfirmed
-		case nextLifetime:
-			begins = true
-		case resumedLifetime:
-			begins, resumed = true, true
-		}
+	if !known {
+		return r.take(i, false)
 	}
-	if begins {
+	switch r.succession(i, last, taken) {
+	case earlierEntry:
+		return Stale
+	case endedLifetime:
+		return Ended
+	case unconfirmedLifetime:
+		return Unconfirmed
+	case nextLifetime:
+		r.beginLifetime(i, last)
+		return r.take(i, true)
+	case resumedLifetime:
 		r.beginLifetime(i, last)
+		change := r.take(i, true)
+		r.members[i.ID].repeatUntil = r.now().Add(repeatFor)
+		if change == Restarted {
+			return Resumed
+		}
+		return change
 	}
+	return r.take(i, false)
+}
+
+// take applies an entry that is not refused. begins is set if its lifetime follows another one.
+func (r *Registry) take(i Instance, begins bool) Change {
 	delete(r.refused, i.ID)
 	m, ok := r.members[i.ID]
 	switch {
@@ -82,9 +91,6 @@
 	case begins || i.Address != m.Address || i.Pool != m.Pool:
 		r.drop(m)
 		r.add(i)
-		if resumed {
-			return Resumed
-		}
 		return Restarted
 	}
 	return r.update(m, i)
@@ -109,8 +115,11 @@
 	m.expiredAt = time.Time{}
 	if m.sameContent(i) {
 		m.Instance = i
-		if expired {
+		switch {
+		case expired:
 			return Returned
+		case r.now().Before(m.repeatUntil):
+			return Updated
 		}
 		return Unchanged
 	}
