pool: routers agree on the lifetime in force in the end

Cause: peers are told of an entry only if it changes something at the sender. The heartbeats of the true state change nothing at a router that is right.

After an entry was refused that says something else, those that follow count as changes for ten seconds. Every ten minutes one entry of each instance does in any case, which costs about one record a second for 600 instances.

Evidence: TestRoutersAgreeOnTheLastLifetimeInAnyHistory plays random histories of workers whose clocks are set, writes that are done late, deleted history, copies and restarts, with real pools behind the followers.

--- a/gateway/pool/lifetime.go
+++ b/gateway/pool/lifetime.go
@@ -17,9 +17,12 @@
 	resumeAfter = 4 * time.Second
 	// resumeEntries is how many entries it must have written by then. Few writes of one instance are done late.
 	resumeEntries = 3
-	// repeatFor is how long each entry of a resumed lifetime counts as a change, so that peers are told of it. They can tell that it
-	// goes on then, and take it as well.
+	// repeatFor is how long each entry of an instance counts as a change after another one was refused that says something else. A
+	// peer that has taken that one can tell then which of the two lifetimes goes on, or is told what is newer.
 	repeatFor = 2*resumeAfter + 2*time.Second
+	// refreshEvery is how often an entry counts as a change in any case. A peer that has read something that this router has not
+	// seen is put right by then.
+	refreshEvery = 10 * time.Minute
 	// firstSequence is that of the first entry of a lifetime.
 	firstSequence = 1
 	// confirmAfter is how long after the first one that is read another entry confirms a lifetime whose first entry was not read.
@@ -133,6 +136,13 @@
 	return e.count > 1 && now.Sub(e.since) >= confirmAfter
 }
 
+// repeat makes each entry of an instance in use count as a change for a while, so that peers are told of it.
+func (r *Registry) repeat(id string) {
+	if m := r.members[id]; m != nil {
+		m.repeatUntil = r.now().Add(repeatFor)
+	}
+}
+
 // ending is what is known of the end of a lifetime: the offset of the entry that showed it, and when that was read.
 type ending struct {
 	offset uint64
--- a/gateway/pool/member.go
+++ b/gateway/pool/member.go
@@ -11,8 +11,8 @@
 	// firstOffset is the offset of the first entry of this lifetime that was taken, and firstReadAt is when that was.
 	firstOffset uint64
 	firstReadAt time.Time
-	// repeatUntil is the end of the time for which each entry counts as a change.
-	repeatUntil time.Time
+	// repeatUntil is the end of the time for which each entry counts as a change, and changedAt is when one did last.
+	repeatUntil, changedAt time.Time
 	// announced is what this incarnation has said of itself, nil if nothing.
 	announced *announcement
 	// hash is the rendezvous hash of the ID.
--- a/gateway/pool/publish.go
+++ b/gateway/pool/publish.go
@@ -60,10 +60,15 @@
 	}
 	switch r.succession(i, last, taken) {
 	case earlierEntry:
+		if !last.sameContent(i) {
+			r.repeat(i.ID)
+		}
 		return Stale
 	case endedLifetime:
+		r.repeat(i.ID)
 		return Ended
 	case unconfirmedLifetime:
+		r.repeat(i.ID)
 		return Unconfirmed
 	case nextLifetime:
 		r.beginLifetime(i, last)
@@ -71,7 +76,7 @@
 	case resumedLifetime:
 		r.beginLifetime(i, last)
 		change := r.take(i, true)
-		r.members[i.ID].repeatUntil = r.now().Add(repeatFor)
+		r.repeat(i.ID)
 		if change == Restarted {
 			return Resumed
 		}
@@ -110,19 +115,22 @@
 
 // update applies a later entry of the same lifetime of a member.
 func (r *Registry) update(m *member, i Instance) Change {
-	m.coldUntil = r.now().Add(i.ColdLeft)
+	now := r.now()
+	m.coldUntil = now.Add(i.ColdLeft)
 	expired := !m.expiredAt.IsZero()
 	m.expiredAt = time.Time{}
 	if m.sameContent(i) {
 		m.Instance = i
-		switch {
-		case expired:
+		if !expired && !now.Before(m.repeatUntil) && now.Sub(m.changedAt) < refreshEvery {
+			return Unchanged
+		}
+		m.changedAt = now
+		if expired {
 			return Returned
-		case r.now().Before(m.repeatUntil):
-			return Updated
 		}
-		return Unchanged
+		return Updated
 	}
+	m.changedAt = now
 	leaving := i.Leaving && !m.Leaving
 	m.Instance = i
 	if r.closed(m) {
@@ -138,7 +146,7 @@
 func (r *Registry) add(i Instance) {
 	now := r.now()
 	r.insert(&member{
-		Instance: i, firstOffset: i.Offset, firstReadAt: now, hash: rendezvous.Hash(i.ID), coldUntil: now.Add(i.ColdLeft),
+		Instance: i, firstOffset: i.Offset, firstReadAt: now, changedAt: now, hash: rendezvous.Hash(i.ID), coldUntil: now.Add(i.ColdLeft),
 		cache: newPromptCache(r.cacheTokens[i.Pool]),
 	})
 }
