fleettest: a relay passes a reset on as a reset

TestSoak with seed 25 reported successes without a body, in each run: a worker sends the head of a response that lasts until its connection ends, and resets the connection. The relay between it and the gateway ended the other side in order, which makes the response whole.

The relay now resets the other side.

--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -1,9 +1,11 @@
 package fleettest
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -185,6 +187,10 @@
 			}
 			r.bytes[d].Add(int64(n))
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			reset(to)
+			return
+		}
 		if err != nil {
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{25, "a relay passed a reset on as an orderly end"},
+}
 
 const (
 	gatewayCount  = 3
